--- /dev/null
+++ b/libs/model/src/Config.cpp
@@ -0,0 +1,45 @@
+#include <model/Config.h>
+
+namespace model {
+
+namespace {
+
+const RequestClass &defaultClass()
+{
+    static const RequestClass instance = {.name_ = "default", .rank_ = RequestClass::lowestRank};
+    return instance;
+}
+
+bool matches(const RequestClass &candidate, std::string_view service, std::string_view method,
+             std::string_view path)
+{
+    if (candidate.service_ != service)
+        return false;
+    if (!candidate.method_.empty() && candidate.method_ != method)
+        return false;
+    return path.starts_with(candidate.pathPrefix_);
+}
+
+bool isMoreSpecific(const RequestClass &a, const RequestClass &b)
+{
+    if (a.pathPrefix_.size() != b.pathPrefix_.size())
+        return a.pathPrefix_.size() > b.pathPrefix_.size();
+    return !a.method_.empty() && b.method_.empty();
+}
+
+} // namespace
+
+const RequestClass &Config::classify(std::string_view service, std::string_view method,
+                                     std::string_view path) const
+{
+    const RequestClass *best = nullptr;
+    for (const auto &[name, candidate] : classes_) {
+        if (!matches(candidate, service, method, path))
+            continue;
+        if (best == nullptr || isMoreSpecific(candidate, *best))
+            best = &candidate;
+    }
+    return best != nullptr ? *best : defaultClass();
+}
+
+} // namespace model
--- /dev/null
+++ b/libs/net/include/net/HttpClient.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+#include <base/Millis.h>
+#include <model/Address.h>
+#include <net/CallResult.h>
+#include <net/HttpRequest.h>
+
+namespace net {
+
+class Reactor;
+
+/** Names one outgoing call; 0 names none. */
+using CallId = std::uint64_t;
+
+/**
+ * HTTP/1.1 client of one reactor with kept-alive connections, by libcurl's multi interface.
+ *
+ * An answer that ends before its stated length is a Failure of kind Lost, never an answer.
+ * All members are for the reactor's thread; callbacks never run inside send().
+ */
+class HttpClient
+{
+public:
+    explicit HttpClient(Reactor &reactor, std::size_t maxBodyBytes = 16 * 1024 * 1024);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /** Starts a call; done is called once, unless the call is cancelled. */
+    CallId send(const model::Address &to, HttpRequest request, base::Millis timeout, CallDone done);
+
+    /** Ends a call and closes its connection; done is not called any more. */
+    void cancel(CallId id);
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace net
--- /dev/null
+++ b/libs/net/include/net/HttpServer.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include <base/Error.h>
+#include <base/Millis.h>
+#include <model/Address.h>
+#include <net/HttpRequest.h>
+#include <net/HttpResponse.h>
+
+namespace net {
+
+class Reactor;
+
+/** Names one request that waits for its answer; never reused within a process. */
+using ExchangeId = std::uint64_t;
+
+/** Limits of an HTTP server. */
+struct HttpServerOptions
+{
+    model::Address listen_;
+    std::size_t maxBodyBytes_ = 16 * 1024 * 1024;
+    std::uint32_t maxConnections_ = 4096;
+    base::Millis idleTimeout_ = base::Millis(60000); ///< for slow senders and idle connections
+};
+
+/**
+ * HTTP/1.1 server of one reactor, by libmicrohttpd in external epoll mode.
+ *
+ * Every accepted request is answered by exactly one call of respond(), unless its caller hangs up
+ * first. All members are for the reactor's thread.
+ */
+class HttpServer
+{
+public:
+    using RequestHandler = std::function<void(ExchangeId, HttpRequest)>;
+    using HangUpHandler = std::function<void(ExchangeId)>;
+
+    /** Starts to listen; fails with "listen-failed" when the address cannot be bound. */
+    static base::Result<std::unique_ptr<HttpServer>> start(Reactor &reactor,
+                                                           const HttpServerOptions &options,
+                                                           RequestHandler onRequest,
+                                                           HangUpHandler onHangUp = {});
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /** Sends the whole answer; ignored when the caller has hung up. */
+    void respond(ExchangeId id, HttpResponse response);
+
+    /** Stops accepting connections; requests in progress go on. */
+    void stopAccepting();
+
+    /** The port bound, also when port 0 was asked for. */
+    std::uint16_t port() const;
+
+private:
+    struct Impl;
+    explicit HttpServer(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace net
