Add the reactor and the HTTP/1.1 and HTTP/2 ends of a call

Cause: the data path needs one task that owns all its sockets; a call may cross no thread. Change: net::Reactor over ACE's epoll reactor with monotonic timers; HttpServer (libmicrohttpd in external epoll mode with suspended connections), HttpClient (curl multi socket interface), PeerServer and PeerClient (nghttp2). Failures say whether the request can have run. libcurl's silent second send on a closed kept-alive connection is refused, because it could run a request twice. Measured: 14 tests over both transports pass (bodies to 5 MB, reordering, cancellation, timeout, closed port, vanished server, port in use).

--- /dev/null
+++ b/libs/net/src/PeerClient.cpp
@@ -0,0 +1,276 @@
+#include <net/PeerClient.h>
+
+#include <charconv>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <net/Reactor.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "details/Http2Connection.h"
+
+namespace net {
+
+namespace {
+
+using details::Http2Stream;
+
+struct Call
+{
+    HttpRequest request_;
+    CallDone done_;
+    TimerId timer_ = 0;
+};
+
+int openSocket(const model::Address &to, bool &isConnecting)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (socket < 0)
+        return -1;
+    const int isOn = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof(isOn));
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port_);
+    inet_pton(AF_INET, to.host_.c_str(), &address.sin_addr);
+    const auto status = ::connect(socket, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    isConnecting = status != 0 && errno == EINPROGRESS;
+    if (status == 0 || isConnecting)
+        return socket;
+    ::close(socket);
+    return -1;
+}
+
+HttpResponse responseOf(Http2Stream &&message)
+{
+    HttpResponse response;
+    response.body_ = std::move(message.body_);
+    for (auto &header : message.headers_) {
+        if (header.name_ == ":status")
+            std::from_chars(header.value_.data(), header.value_.data() + header.value_.size(),
+                            response.status_);
+        else if (!header.name_.starts_with(':'))
+            response.headers_.push_back(std::move(header));
+    }
+    return response;
+}
+
+} // namespace
+
+struct PeerClient::Impl
+{
+    class Connection;
+
+    Impl(Reactor &reactor, std::size_t maxBodyBytes)
+        : reactor_(reactor)
+        , maxBodyBytes_(maxBodyBytes)
+    {}
+
+    Connection *connectionTo(const model::Address &to);
+    void finish(CallId id, CallResult result);
+    void closed(Connection *connection);
+
+    Reactor &reactor_;
+    std::size_t maxBodyBytes_;
+    std::map<model::Address, std::unique_ptr<Connection>> connections_;
+    std::unordered_map<CallId, Call> calls_;
+    std::unordered_map<CallId, Connection *> placed_;
+    CallId nextId_ = 1;
+};
+
+class PeerClient::Impl::Connection : public details::Http2Connection
+{
+public:
+    Connection(Impl &client, model::Address to, int socket, bool isConnecting)
+        : Http2Connection(client.reactor_, socket, client.maxBodyBytes_)
+        , client_(client)
+        , to_(std::move(to))
+    {
+        startClient(isConnecting);
+    }
+
+    void send(CallId id, Call &call);
+    void reset(CallId id);
+    const model::Address &address() const { return to_; }
+
+private:
+    void messageArrived(std::int32_t stream, Http2Stream &&message) override;
+    void streamClosed(std::int32_t stream, std::uint32_t errorCode) override;
+    void connectionClosed() override;
+
+    Impl &client_;
+    model::Address to_;
+    std::unordered_map<std::int32_t, CallId> callOf_;
+    std::unordered_map<CallId, std::int32_t> streamOf_;
+};
+
+void PeerClient::Impl::Connection::send(CallId id, Call &call)
+{
+    auto &request = call.request_;
+    static const std::string methodName = ":method";
+    static const std::string pathName = ":path";
+    static const std::string schemeName = ":scheme";
+    static const std::string scheme = "http";
+    static const std::string authorityName = ":authority";
+    const auto authority = to_.text();
+    std::vector<nghttp2_nv> fields
+            = {details::fieldOf(methodName, request.method_), details::fieldOf(schemeName, scheme),
+               details::fieldOf(authorityName, authority),
+               details::fieldOf(pathName, request.target_)};
+    for (const auto &[name, value] : request.headers_)
+        fields.push_back(details::fieldOf(name, value));
+    const bool hasBody = !request.body_.empty();
+    const auto provider = bodyProvider();
+    const auto streamId = nghttp2_submit_request(session(), nullptr, fields.data(), fields.size(),
+                                                 hasBody ? &provider : nullptr, nullptr);
+    if (streamId < 0) {
+        // The stream identifiers are used up: a new connection is opened for the next call.
+        client_.reactor_.post([client = &client_, id] {
+            client->finish(
+                    id, tl::unexpected<Failure>(Failure{FailureKind::NotSent, "no stream left"}));
+        });
+        return;
+    }
+    if (hasBody)
+        stream(streamId).outgoing_ = std::move(request.body_);
+    callOf_[streamId] = id;
+    streamOf_[id] = streamId;
+    flushSoon();
+}
+
+void PeerClient::Impl::Connection::reset(CallId id)
+{
+    const auto found = streamOf_.find(id);
+    if (found == streamOf_.end())
+        return;
+    nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, found->second, NGHTTP2_CANCEL);
+    callOf_.erase(found->second);
+    streamOf_.erase(found);
+    flushSoon();
+}
+
+void PeerClient::Impl::Connection::messageArrived(std::int32_t stream, Http2Stream &&message)
+{
+    const auto found = callOf_.find(stream);
+    if (found == callOf_.end())
+        return;
+    const auto id = found->second;
+    callOf_.erase(found);
+    streamOf_.erase(id);
+    client_.finish(id, responseOf(std::move(message)));
+}
+
+void PeerClient::Impl::Connection::streamClosed(std::int32_t stream, std::uint32_t errorCode)
+{
+    const auto found = callOf_.find(stream);
+    if (found == callOf_.end())
+        return;
+    const auto id = found->second;
+    callOf_.erase(found);
+    streamOf_.erase(id);
+    const auto kind
+            = errorCode == NGHTTP2_REFUSED_STREAM ? FailureKind::NotSent : FailureKind::Lost;
+    client_.finish(id, tl::unexpected<Failure>(Failure{kind, "the stream was reset"}));
+}
+
+void PeerClient::Impl::Connection::connectionClosed()
+{
+    const auto kind = isConnecting() ? FailureKind::NotSent : FailureKind::Lost;
+    const auto *detail = isConnecting() ? "cannot connect" : "the connection was closed";
+    const auto calls = std::exchange(callOf_, {});
+    streamOf_.clear();
+    client_.closed(this);
+    for (const auto &[stream, id] : calls)
+        client_.finish(id, tl::unexpected<Failure>(Failure{kind, detail}));
+}
+
+PeerClient::Impl::Connection *PeerClient::Impl::connectionTo(const model::Address &to)
+{
+    if (const auto found = connections_.find(to); found != connections_.end())
+        return found->second.get();
+    bool isConnecting = false;
+    const int socket = openSocket(to, isConnecting);
+    if (socket < 0)
+        return nullptr;
+    auto connection = std::make_unique<Connection>(*this, to, socket, isConnecting);
+    return connections_.emplace(to, std::move(connection)).first->second.get();
+}
+
+void PeerClient::Impl::finish(CallId id, CallResult result)
+{
+    auto node = calls_.extract(id);
+    placed_.erase(id);
+    if (node.empty())
+        return;
+    reactor_.cancel(node.mapped().timer_);
+    node.mapped().done_(std::move(result));
+}
+
+// Destroyed at the end of the turn, as this may be called from within the connection.
+void PeerClient::Impl::closed(Connection *connection)
+{
+    const auto found = connections_.find(connection->address());
+    if (found == connections_.end() || found->second.get() != connection)
+        return;
+    std::shared_ptr<Connection> last = std::move(found->second);
+    connections_.erase(found);
+    std::erase_if(placed_, [connection](const auto &entry) { return entry.second == connection; });
+    reactor_.post([last] {});
+}
+
+PeerClient::PeerClient(Reactor &reactor, std::size_t maxBodyBytes)
+    : impl_(std::make_unique<Impl>(reactor, maxBodyBytes))
+{}
+
+PeerClient::~PeerClient()
+{
+    for (const auto &[id, call] : impl_->calls_)
+        impl_->reactor_.cancel(call.timer_);
+    impl_->calls_.clear();
+    impl_->connections_.clear();
+}
+
+CallId PeerClient::send(const model::Address &to, HttpRequest request, base::Millis timeout,
+                        CallDone done)
+{
+    const auto id = impl_->nextId_++;
+    auto &call = impl_->calls_[id];
+    call.request_ = std::move(request);
+    call.done_ = std::move(done);
+    call.timer_ = impl_->reactor_.schedule(timeout, [this, id] {
+        if (const auto placed = impl_->placed_.find(id); placed != impl_->placed_.end())
+            placed->second->reset(id);
+        impl_->finish(id,
+                      tl::unexpected<Failure>(Failure{FailureKind::TimedOut, "no answer in time"}));
+    });
+    auto *connection = impl_->connectionTo(to);
+    if (connection == nullptr) {
+        impl_->reactor_.post([this, id] {
+            impl_->finish(id,
+                          tl::unexpected<Failure>(Failure{FailureKind::NotSent, "cannot connect"}));
+        });
+        return id;
+    }
+    impl_->placed_[id] = connection;
+    connection->send(id, call);
+    return id;
+}
+
+void PeerClient::cancel(CallId id)
+{
+    const auto found = impl_->calls_.find(id);
+    if (found == impl_->calls_.end())
+        return;
+    impl_->reactor_.cancel(found->second.timer_);
+    impl_->calls_.erase(found);
+    if (const auto placed = impl_->placed_.find(id); placed != impl_->placed_.end()) {
+        placed->second->reset(id);
+        impl_->placed_.erase(placed);
+    }
+}
+
+} // namespace net
--- /dev/null
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -0,0 +1,292 @@
+#include "details/Http2Connection.h"
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include <ace/Reactor.h>
+#include <net/Reactor.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace net::details {
+
+namespace {
+
+constexpr std::size_t readChunkBytes = 64 * 1024;
+constexpr std::size_t outputTargetBytes = 256 * 1024;
+constexpr std::uint32_t maxConcurrentStreams = 8192;
+constexpr std::int32_t streamWindowBytes = 1024 * 1024;
+constexpr std::int32_t connectionWindowBytes = 16 * 1024 * 1024;
+
+Http2Connection &self(void *user)
+{
+    return *static_cast<Http2Connection *>(user);
+}
+
+} // namespace
+
+nghttp2_nv fieldOf(const std::string &name, const std::string &value)
+{
+    return {reinterpret_cast<std::uint8_t *>(const_cast<char *>(name.data())),
+            reinterpret_cast<std::uint8_t *>(const_cast<char *>(value.data())), name.size(),
+            value.size(), NGHTTP2_NV_FLAG_NONE};
+}
+
+Http2Connection::Http2Connection(Reactor &reactor, int socket, std::size_t maxBodyBytes)
+    : reactor_(reactor)
+    , socket_(socket)
+    , maxBodyBytes_(maxBodyBytes)
+{}
+
+Http2Connection::~Http2Connection()
+{
+    *isAlive_ = false;
+    if (!isClosed_) {
+        reactor_.ace().remove_handler(socket_, ALL_EVENTS_MASK | DONT_CALL);
+        ::close(socket_);
+    }
+    nghttp2_session_del(session_);
+}
+
+nghttp2_session_callbacks *Http2Connection::callbacks()
+{
+    static nghttp2_session_callbacks *instance = [] {
+        nghttp2_session_callbacks *result = nullptr;
+        nghttp2_session_callbacks_new(&result);
+        nghttp2_session_callbacks_set_on_header_callback(result, &onHeader);
+        nghttp2_session_callbacks_set_on_data_chunk_recv_callback(result, &onData);
+        nghttp2_session_callbacks_set_on_frame_recv_callback(result, &onFrame);
+        nghttp2_session_callbacks_set_on_stream_close_callback(result, &onClose);
+        return result;
+    }();
+    return instance;
+}
+
+void Http2Connection::startServer()
+{
+    start(false, true);
+}
+
+void Http2Connection::startClient(bool isConnecting)
+{
+    start(isConnecting, false);
+}
+
+void Http2Connection::start(bool isConnecting, bool isServer)
+{
+    isConnecting_ = isConnecting;
+    if (isServer)
+        nghttp2_session_server_new(&session_, callbacks(), this);
+    else
+        nghttp2_session_client_new(&session_, callbacks(), this);
+    const nghttp2_settings_entry settings[] = {
+            {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, maxConcurrentStreams},
+            {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, streamWindowBytes},
+    };
+    nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings, std::size(settings));
+    nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, connectionWindowBytes);
+    ACE_Reactor_Mask mask = READ_MASK;
+    if (isConnecting) {
+        mask |= WRITE_MASK;
+        isWatchingWrites_ = true;
+    }
+    reactor_.ace().register_handler(socket_, this, mask);
+    if (!isConnecting)
+        flushSoon();
+}
+
+int Http2Connection::handle_input(ACE_HANDLE)
+{
+    static thread_local std::uint8_t buffer[readChunkBytes];
+    while (!isClosed_) {
+        const auto count = ::recv(socket_, buffer, sizeof(buffer), 0);
+        if (count < 0 && (errno == EAGAIN || errno == EINTR))
+            break;
+        if (count <= 0 || nghttp2_session_mem_recv(session_, buffer, count) < 0) {
+            closeConnection();
+            return 0;
+        }
+        if (static_cast<std::size_t>(count) < sizeof(buffer))
+            break;
+    }
+    flushSoon();
+    return 0;
+}
+
+int Http2Connection::handle_output(ACE_HANDLE)
+{
+    if (isConnecting_) {
+        int status = 0;
+        socklen_t size = sizeof(status);
+        ::getsockopt(socket_, SOL_SOCKET, SO_ERROR, &status, &size);
+        if (status != 0) {
+            closeConnection();
+            return 0;
+        }
+        isConnecting_ = false;
+    }
+    flush();
+    return 0;
+}
+
+void Http2Connection::flushSoon()
+{
+    if (isFlushPending_ || isClosed_)
+        return;
+    isFlushPending_ = true;
+    reactor_.post([this, alive = isAlive_] {
+        if (!*alive)
+            return;
+        isFlushPending_ = false;
+        flush();
+    });
+}
+
+bool Http2Connection::fillOutput()
+{
+    if (outputOffset_ == output_.size()) {
+        output_.clear();
+        outputOffset_ = 0;
+    }
+    while (output_.size() < outputTargetBytes) {
+        const std::uint8_t *data = nullptr;
+        const auto count = nghttp2_session_mem_send(session_, &data);
+        if (count < 0)
+            return false;
+        if (count == 0)
+            break;
+        output_.append(reinterpret_cast<const char *>(data), count);
+    }
+    return true;
+}
+
+bool Http2Connection::writeOutput()
+{
+    while (outputOffset_ < output_.size()) {
+        const auto count = ::send(socket_, output_.data() + outputOffset_,
+                                  output_.size() - outputOffset_, MSG_NOSIGNAL);
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0 && errno == EAGAIN)
+            return true;
+        if (count < 0)
+            return false;
+        outputOffset_ += count;
+    }
+    return true;
+}
+
+void Http2Connection::flush()
+{
+    if (isClosed_ || isConnecting_)
+        return;
+    do {
+        if (!fillOutput() || !writeOutput()) {
+            closeConnection();
+            return;
+        }
+    } while (outputOffset_ == output_.size() && nghttp2_session_want_write(session_) != 0
+             && !output_.empty());
+    watchWrites(outputOffset_ < output_.size());
+    const bool isFinished
+            = nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0;
+    if (isFinished && outputOffset_ == output_.size())
+        closeConnection();
+}
+
+void Http2Connection::watchWrites(bool isWanted)
+{
+    if (isWanted == isWatchingWrites_)
+        return;
+    isWatchingWrites_ = isWanted;
+    const ACE_Reactor_Mask mask = isWanted ? READ_MASK | WRITE_MASK : READ_MASK;
+    reactor_.ace().mask_ops(socket_, mask, ACE_Reactor::SET_MASK);
+}
+
+void Http2Connection::closeConnection()
+{
+    if (isClosed_)
+        return;
+    isClosed_ = true;
+    reactor_.ace().remove_handler(socket_, ALL_EVENTS_MASK | DONT_CALL);
+    ::close(socket_);
+    connectionClosed();
+}
+
+nghttp2_data_provider Http2Connection::bodyProvider()
+{
+    nghttp2_data_provider provider = {};
+    provider.read_callback = &readBody;
+    return provider;
+}
+
+int Http2Connection::onHeader(nghttp2_session *, const nghttp2_frame *frame,
+                              const std::uint8_t *name, std::size_t nameSize,
+                              const std::uint8_t *value, std::size_t valueSize, std::uint8_t,
+                              void *user)
+{
+    if (frame->hd.type != NGHTTP2_HEADERS)
+        return 0;
+    self(user)
+            .stream(frame->hd.stream_id)
+            .headers_.push_back({std::string(reinterpret_cast<const char *>(name), nameSize),
+                                 std::string(reinterpret_cast<const char *>(value), valueSize)});
+    return 0;
+}
+
+int Http2Connection::onData(nghttp2_session *session, std::uint8_t, std::int32_t id,
+                            const std::uint8_t *data, std::size_t size, void *user)
+{
+    auto &connection = self(user);
+    auto &message = connection.stream(id);
+    if (message.isOverLimit_)
+        return 0;
+    if (message.body_.size() + size > connection.maxBodyBytes_) {
+        message.isOverLimit_ = true;
+        nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+        return 0;
+    }
+    message.body_.append(reinterpret_cast<const char *>(data), size);
+    return 0;
+}
+
+int Http2Connection::onFrame(nghttp2_session *, const nghttp2_frame *frame, void *user)
+{
+    const bool endsMessage = (frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA)
+                             && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+    if (!endsMessage)
+        return 0;
+    auto &connection = self(user);
+    const auto id = frame->hd.stream_id;
+    if (const auto found = connection.streams_.find(id); found != connection.streams_.end()) {
+        Http2Stream message = std::exchange(found->second, Http2Stream());
+        connection.messageArrived(id, std::move(message));
+    }
+    return 0;
+}
+
+int Http2Connection::onClose(nghttp2_session *, std::int32_t id, std::uint32_t errorCode,
+                             void *user)
+{
+    auto &connection = self(user);
+    connection.streams_.erase(id);
+    connection.streamClosed(id, errorCode);
+    return 0;
+}
+
+ssize_t Http2Connection::readBody(nghttp2_session *, std::int32_t id, std::uint8_t *buffer,
+                                  std::size_t size, std::uint32_t *flags, nghttp2_data_source *,
+                                  void *user)
+{
+    auto &stream = self(user).stream(id);
+    const auto left = stream.outgoing_.size() - stream.outgoingOffset_;
+    const auto count = std::min(left, size);
+    std::memcpy(buffer, stream.outgoing_.data() + stream.outgoingOffset_, count);
+    stream.outgoingOffset_ += count;
+    if (count == left)
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    return static_cast<ssize_t>(count);
+}
+
+} // namespace net::details
--- /dev/null
+++ b/libs/net/src/details/Http2Connection.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <ace/Event_Handler.h>
+#include <net/Header.h>
+#include <nghttp2/nghttp2.h>
+
+namespace net {
+
+class Reactor;
+
+namespace details {
+
+/** One HTTP/2 stream while its message arrives or its own message is being sent. */
+struct Http2Stream
+{
+    Headers headers_; ///< received, with the pseudo header fields
+    std::string body_;
+    bool isOverLimit_ = false;
+    std::string outgoing_;
+    std::size_t outgoingOffset_ = 0;
+};
+
+/**
+ * Socket and nghttp2 session of one connection; the base of the server's and the client's side.
+ *
+ * Owned by a server or client through a unique_ptr and destroyed by it at the end of a turn.
+ */
+class Http2Connection : public ACE_Event_Handler
+{
+public:
+    Http2Connection(Reactor &reactor, int socket, std::size_t maxBodyBytes);
+    ~Http2Connection() override;
+
+    int handle_input(ACE_HANDLE) override;
+    int handle_output(ACE_HANDLE) override;
+
+protected:
+    /** A whole message with its end of stream has arrived. */
+    virtual void messageArrived(std::int32_t stream, Http2Stream &&message) = 0;
+
+    /** The stream is gone; errorCode is that of HTTP/2, 0 when it ended properly. */
+    virtual void streamClosed(std::int32_t stream, std::uint32_t errorCode) = 0;
+
+    /** The connection is unusable; the owner destroys it later. */
+    virtual void connectionClosed() = 0;
+
+    /** Starts the session on the server's or the client's side and watches the socket. */
+    void startServer();
+    void startClient(bool isConnecting);
+
+    /** Writes what the session has to send at the end of this turn. */
+    void flushSoon();
+
+    /** Closes the socket once and reports it. */
+    void closeConnection();
+
+    bool isClosed() const { return isClosed_; }
+    bool isConnecting() const { return isConnecting_; }
+    nghttp2_session *session() { return session_; }
+    Http2Stream &stream(std::int32_t id) { return streams_[id]; }
+    nghttp2_data_provider bodyProvider();
+
+private:
+    void start(bool isConnecting, bool isServer);
+    void flush();
+    bool fillOutput();
+    bool writeOutput();
+    void watchWrites(bool isWanted);
+
+    static nghttp2_session_callbacks *callbacks();
+    static int onHeader(nghttp2_session *, const nghttp2_frame *, const std::uint8_t *, std::size_t,
+                        const std::uint8_t *, std::size_t, std::uint8_t, void *);
+    static int onData(nghttp2_session *, std::uint8_t, std::int32_t, const std::uint8_t *,
+                      std::size_t, void *);
+    static int onFrame(nghttp2_session *, const nghttp2_frame *, void *);
+    static int onClose(nghttp2_session *, std::int32_t, std::uint32_t, void *);
+    static ssize_t readBody(nghttp2_session *, std::int32_t, std::uint8_t *, std::size_t,
+                            std::uint32_t *, nghttp2_data_source *, void *);
+
+    Reactor &reactor_;
+    int socket_;
+    std::size_t maxBodyBytes_;
+    nghttp2_session *session_ = nullptr;
+    std::unordered_map<std::int32_t, Http2Stream> streams_;
+    std::string output_;
+    std::size_t outputOffset_ = 0;
+    bool isConnecting_ = false;
+    bool isClosed_ = false;
+    bool isFlushPending_ = false;
+    bool isWatchingWrites_ = false;
+    std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
+};
+
+/** Builds an nghttp2 field that points into the given strings. */
+nghttp2_nv fieldOf(const std::string &name, const std::string &value);
+
+} // namespace details
+} // namespace net
--- /dev/null
+++ b/libs/net/tests/NetTest.cpp
@@ -0,0 +1,189 @@
+#include <net/HttpClient.h>
+#include <net/HttpServer.h>
+#include <net/PeerClient.h>
+#include <net/PeerServer.h>
+#include <net/Reactor.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+#include <gtest/gtest.h>
+
+using base::Millis;
+using model::Address;
+using net::CallResult;
+using net::FailureKind;
+using net::HttpRequest;
+using net::HttpResponse;
+
+namespace {
+
+constexpr Millis callTimeout(20000);
+
+net::HttpServerOptions anyPort()
+{
+    return {.listen_ = {"127.0.0.1", 0}};
+}
+
+/** Runs the reactor until the condition holds; a hang ends at the test's time limit. */
+template<typename Condition>
+void runUntil(net::Reactor &reactor, Condition condition)
+{
+    while (!condition())
+        reactor.runFor(Millis(1));
+}
+
+HttpRequest echoRequest(std::size_t size)
+{
+    HttpRequest request{.method_ = "POST", .target_ = "/echo/a%20b?x=1&y"};
+    request.headers_ = {{"x-twice", "one"}, {"x-twice", "two"}};
+    request.body_.assign(size, 'q');
+    return request;
+}
+
+HttpResponse echo(const HttpRequest &request)
+{
+    HttpResponse response{.status_ = 418, .headers_ = {{"x-target", request.target_}}};
+    for (const auto &header : request.headers_) {
+        if (net::equalsIgnoringCase(header.name_, "x-twice"))
+            response.headers_.push_back(header);
+    }
+    response.body_ = request.body_;
+    return response;
+}
+
+/** Server and client of one transport. */
+template<typename Server, typename Client>
+struct Transport
+{
+    using ServerType = Server;
+    using ClientType = Client;
+};
+
+template<typename T>
+class Calls : public testing::Test
+{
+protected:
+    void serve(net::HttpServer::RequestHandler handler)
+    {
+        auto started = T::ServerType::start(reactor_, anyPort(), std::move(handler),
+                                            [this](net::ExchangeId) { ++hangUps_; });
+        ASSERT_TRUE(started);
+        server_ = std::move(*started);
+        address_ = {"127.0.0.1", server_->port()};
+    }
+
+    CallResult call(HttpRequest request, Millis timeout = callTimeout)
+    {
+        std::optional<CallResult> result;
+        client_.send(address_, std::move(request), timeout,
+                     [&result](CallResult answer) { result = std::move(answer); });
+        runUntil(reactor_, [&result] { return result.has_value(); });
+        return *result;
+    }
+
+    net::Reactor reactor_;
+    std::unique_ptr<typename T::ServerType> server_;
+    Address address_;
+    typename T::ClientType client_{reactor_};
+    int hangUps_ = 0;
+};
+
+using Transports = testing::Types<Transport<net::HttpServer, net::HttpClient>,
+                                  Transport<net::PeerServer, net::PeerClient>>;
+TYPED_TEST_SUITE(Calls, Transports);
+
+} // namespace
+
+TYPED_TEST(Calls, carriesBodiesOfAnySizeAndRepeatedHeaders)
+{
+    this->serve([this](net::ExchangeId id, HttpRequest request) {
+        this->server_->respond(id, echo(request));
+    });
+    for (const std::size_t size : {0UL, 1UL, 70'000UL, 5'000'000UL}) {
+        const auto request = echoRequest(size);
+        const auto answer = this->call(request);
+        ASSERT_TRUE(answer) << answer.error().detail_;
+        EXPECT_EQ(answer->status_, 418);
+        EXPECT_EQ(answer->body_, request.body_);
+        EXPECT_EQ(net::headerValue(answer->headers_, "x-target"), request.target_);
+        const auto twice = std::ranges::count_if(answer->headers_, [](const net::Header &header) {
+            return net::equalsIgnoringCase(header.name_, "x-twice");
+        });
+        EXPECT_EQ(twice, 2);
+    }
+}
+
+TYPED_TEST(Calls, answersOutOfOrderReachTheirOwnRequest)
+{
+    std::vector<std::pair<net::ExchangeId, HttpRequest>> held;
+    this->serve([&held](net::ExchangeId id, HttpRequest request) {
+        held.emplace_back(id, std::move(request));
+    });
+    std::map<int, std::string> answers;
+    for (int i = 0; i < 20; ++i) {
+        HttpRequest request{.method_ = "POST", .target_ = "/", .body_ = std::to_string(i)};
+        this->client_.send(this->address_, request, callTimeout,
+                           [&answers, i](CallResult answer) { answers[i] = answer->body_; });
+    }
+    runUntil(this->reactor_, [&held] { return held.size() == 20; });
+    for (auto entry = held.rbegin(); entry != held.rend(); ++entry)
+        this->server_->respond(entry->first, {.body_ = entry->second.body_});
+    runUntil(this->reactor_, [&answers] { return answers.size() == 20; });
+    for (const auto &[i, body] : answers)
+        EXPECT_EQ(body, std::to_string(i));
+}
+
+TYPED_TEST(Calls, cancellationReachesTheServer)
+{
+    bool hasArrived = false;
+    this->serve([&hasArrived](net::ExchangeId, HttpRequest) { hasArrived = true; });
+    const auto id = this->client_.send(this->address_, echoRequest(10), callTimeout,
+                                       [](CallResult) { FAIL() << "the call was cancelled"; });
+    runUntil(this->reactor_, [&hasArrived] { return hasArrived; });
+    this->client_.cancel(id);
+    runUntil(this->reactor_, [this] { return this->hangUps_ == 1; });
+}
+
+TYPED_TEST(Calls, aSilentServerTimesOut)
+{
+    this->serve([](net::ExchangeId, HttpRequest) {});
+    const auto answer = this->call(echoRequest(1), Millis(30));
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().kind_, FailureKind::TimedOut);
+}
+
+TYPED_TEST(Calls, aClosedPortIsNotSent)
+{
+    this->serve([](net::ExchangeId, HttpRequest) {});
+    this->server_.reset();
+    const auto answer = this->call(echoRequest(1));
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().kind_, FailureKind::NotSent);
+}
+
+TYPED_TEST(Calls, aServerThatVanishesIsLost)
+{
+    bool hasArrived = false;
+    this->serve([&hasArrived](net::ExchangeId, HttpRequest) { hasArrived = true; });
+    std::optional<CallResult> result;
+    this->client_.send(this->address_, echoRequest(1), callTimeout,
+                       [&result](CallResult answer) { result = std::move(answer); });
+    runUntil(this->reactor_, [&hasArrived] { return hasArrived; });
+    this->server_.reset();
+    runUntil(this->reactor_, [&result] { return result.has_value(); });
+    ASSERT_FALSE(*result);
+    EXPECT_EQ(result->error().kind_, FailureKind::Lost);
+}
+
+TYPED_TEST(Calls, aPortInUseIsNamed)
+{
+    this->serve([](net::ExchangeId, HttpRequest) {});
+    const net::HttpServerOptions options{.listen_ = this->address_};
+    const auto second = TypeParam::ServerType::start(this->reactor_, options,
+                                                     [](net::ExchangeId, HttpRequest) {}, {});
+    ASSERT_FALSE(second);
+    EXPECT_EQ(second.error().code_, "listen-failed");
+    EXPECT_NE(second.error().message_.find("Address already in use"), std::string::npos);
+}
