Add the admission decision: ranks, levels, adaptive limit

Cause: an instance needs to decide by itself which requests it runs, queues or refuses, so that protected ranks are shed last and doomed requests are refused before any work. Change: admission::Core (queue by rank, progress, customer share and bucket; concurrency limit from own measurements; level for answers), admission::DownstreamLevels (levels learnt from answers). Ruled out: a level with the in-progress flag in it. The flag of one request differs from hop to hop, so a level that has passed two hops would refuse every root of its rank; the level is made of rank and bucket, and requests in progress of the boundary rank are admitted.

--- /dev/null
+++ b/libs/admission/src/Priority.cpp
@@ -0,0 +1,48 @@
+#include <admission/Priority.h>
+
+#include <algorithm>
+
+#include <base/Hash.h>
+
+namespace admission {
+
+namespace {
+constexpr int bucketsOfRank = 2 * Priority::bucketCount;
+}
+
+Priority Priority::ofRoot(int rank, std::string_view requestId)
+{
+    Priority result;
+    result.rank_ = std::clamp(rank, 0, lowestRank);
+    result.bucket_ = static_cast<int>(base::hash64(requestId) % bucketCount);
+    return result;
+}
+
+Priority Priority::unpack(int packed)
+{
+    const int value = std::clamp(packed, 0, (lowestRank + 1) * bucketsOfRank - 1);
+    Priority result;
+    result.rank_ = value / bucketsOfRank;
+    result.inProgress_ = value % bucketsOfRank < bucketCount;
+    result.bucket_ = value % bucketCount;
+    return result;
+}
+
+Priority Priority::forChild() const
+{
+    Priority result = *this;
+    result.inProgress_ = true;
+    return result;
+}
+
+int Priority::packed() const
+{
+    return rank_ * bucketsOfRank + (inProgress_ ? 0 : bucketCount) + bucket_;
+}
+
+std::strong_ordering Priority::operator<=>(const Priority &other) const
+{
+    return packed() <=> other.packed();
+}
+
+} // namespace admission
--- /dev/null
+++ b/libs/admission/src/details/State.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <admission/Command.h>
+#include <admission/Event.h>
+#include <admission/Level.h>
+#include <admission/Options.h>
+#include <details/ConcurrencyLimit.h>
+#include <details/Customers.h>
+#include <details/LevelController.h>
+#include <details/ServiceTimes.h>
+#include <details/WaitQueue.h>
+
+namespace admission::details {
+
+/** State and decisions behind admission::Core. */
+class State
+{
+public:
+    explicit State(const Options &options);
+
+    std::vector<Command> handle(const Event &event, base::Millis now);
+
+    Level level() const { return levels_.level(); }
+    Level level(std::string_view customer) const;
+    std::uint32_t limit() const { return limit_.value(); }
+    std::size_t running() const { return running_.size(); }
+    std::size_t queued() const { return queue_.size(); }
+    std::size_t queued(int rank) const { return queue_.size(rank); }
+
+private:
+    struct Running
+    {
+        CustomerIndex customer_ = 0;
+        ClassIndex requestClass_ = 0;
+        base::Millis startedAt_;
+    };
+
+    void on(const Arrived &event);
+    void on(const Finished &event);
+    void on(const Cancelled &event);
+    void on(const Configured &event);
+    void on(const Tick &) {}
+    void on(const LoadReported &event);
+
+    void closeWindows();
+    void closeWindow();
+    void expire();
+    void dispatch();
+    bool dispatchBand(int band);
+    void trim();
+    void end(RequestId id, Outcome outcome, base::Millis serviceTime);
+    void start(RequestId id);
+    void shed(RequestId id);
+    void refuse(RequestId id, RefusalReason reason);
+
+    bool canFinish(ClassIndex requestClass, base::Millis deadline) const;
+    std::size_t capacity() const;
+    std::size_t limitOf(int rank) const;
+    base::Millis retryAfter() const;
+
+    Options options_;
+    Customers customers_;
+    ServiceTimes times_;
+    ConcurrencyLimit limit_;
+    LevelController levels_;
+    WaitQueue queue_;
+    std::unordered_map<RequestId, Running> running_;
+    std::array<base::Millis, Priority::lowestRank + 1> lastSeen_;
+
+    std::uint32_t slots_ = 0;
+    std::uint64_t nextSequence_ = 0;
+    base::Millis now_;
+    base::Millis windowEnd_;
+    base::Millis windowWait_; ///< sum over the requests started in this window
+    std::size_t windowStarts_ = 0;
+    bool windowExpired_ = false;
+    bool windowBackendShed_ = false;
+    bool windowBound_ = false;
+    bool isLate_ = false;
+    bool isReportedFull_ = false;
+    int overloadedWindows_ = 0;
+    std::vector<Command> commands_;
+};
+
+} // namespace admission::details
