Add the routing decision: two choices, levels, subsets, ejection

Cause: an entry has to pick an instance from what it sees itself, since health and load reports lag or mislead, and has to refuse at once what every instance would shed. Two random instances, drawn by weight (slots, slow start, level), the one with fewer own calls in flight for its weight wins; own data centre first; subset by rendezvous hash; ejection after failures in a row of at most half a tier; leaving instances get nothing; a refused priority is tried again with one call at a time after its level has expired. Ruled out: latency in the score. An instance that fails fast would draw calls, and calls in flight already grow where answers are slow.

--- /dev/null
+++ b/libs/routing/include/routing/Choice.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include <base/Millis.h>
+#include <model/Member.h>
+
+namespace routing {
+
+/** The instance that a call goes to. */
+struct Choice
+{
+    std::shared_ptr<const model::Member> member_; ///< never null
+    bool isSpilled_ = false;                      ///< in another data centre
+
+    bool operator==(const Choice &) const = default;
+};
+
+/** Why there is no choice. */
+enum class NoChoiceReason : std::uint8_t {
+    NoInstance,  ///< no serving instance of the service is known
+    AllExcluded, ///< every serving instance was excluded by the caller
+    AllShed,     ///< every instance sheds this priority
+};
+
+/** No instance to send to; nothing was sent, so the request has not run. */
+struct NoChoice
+{
+    NoChoiceReason reason_ = NoChoiceReason::NoInstance;
+    base::Millis retryAfter_;
+
+    bool operator==(const NoChoice &) const = default;
+};
+
+} // namespace routing
--- /dev/null
+++ b/libs/routing/include/routing/InstanceStatus.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <admission/Level.h>
+
+namespace routing {
+
+/** What this daemon knows of one instance that it may send to; for status pages. */
+struct InstanceStatus
+{
+    std::string id_;
+    std::string dataCentre_;
+    std::uint32_t inFlight_ = 0;
+    admission::Level level_;
+    bool isEjected_ = false;
+    bool isDraining_ = false;
+
+    bool operator==(const InstanceStatus &) const = default;
+};
+
+} // namespace routing
--- /dev/null
+++ b/libs/routing/src/details/Pool.cpp
@@ -0,0 +1,181 @@
+#include <details/Pool.h>
+
+#include <algorithm>
+#include <optional>
+
+#include <details/Instance.h>
+#include <details/Subset.h>
+
+namespace routing::details {
+
+namespace {
+
+Tier tierOf(const model::Member &member, const Options &options)
+{
+    if (member.dataCentre_ == options.dataCentre_)
+        return Tier::OwnDataCentre;
+    return member.region_ == options.region_ ? Tier::OwnRegion : Tier::Elsewhere;
+}
+
+/** Which instances a pass over the tiers may pick. */
+enum class Pass : std::uint8_t { Free, AlsoFull, AlsoEjected };
+
+/** One decision: what is asked for, and what was found on the way. */
+class Search
+{
+public:
+    Search(const Options &options, const admission::Priority &priority,
+           std::span<const std::string> excluded, base::Random &random, base::Millis now)
+        : options_(options)
+        , priority_(priority)
+        , excluded_(excluded)
+        , random_(random)
+        , now_(now)
+    {}
+
+    /** The better of two random instances of the tier, or null. */
+    const Instance *pick(const Pool::Instances &tier, Pass pass);
+
+    NoChoice failure() const;
+
+private:
+    bool isCandidate(const Instance &instance, Pass pass);
+    const Instance *draw(const Pool::Instances &tier, Pass pass, const Instance *other);
+    double load(const Instance &instance) const;
+
+    const Options &options_;
+    const admission::Priority &priority_;
+    std::span<const std::string> excluded_;
+    base::Random &random_;
+    base::Millis now_;
+    bool foundShed_ = false;
+    bool foundExcluded_ = false;
+    base::Millis shedUntil_ = base::Millis::max();
+};
+
+bool Search::isCandidate(const Instance &instance, Pass pass)
+{
+    if (instance.isDraining(now_))
+        return false;
+    if (std::find(excluded_.begin(), excluded_.end(), instance.member().id_) != excluded_.end()) {
+        foundExcluded_ = true;
+        return false;
+    }
+    if (!instance.admits(priority_, now_)) {
+        foundShed_ = true;
+        shedUntil_ = std::min(shedUntil_, instance.levelUntil());
+        return false;
+    }
+    if (pass == Pass::Free && instance.isFull())
+        return false;
+    return pass == Pass::AlsoEjected || !instance.isEjected(now_);
+}
+
+// Weighted reservoir sampling: one pass, no allocation.
+const Instance *Search::draw(const Pool::Instances &tier, Pass pass, const Instance *other)
+{
+    const Instance *drawn = nullptr;
+    double total = 0.0;
+    for (const auto &instance : tier) {
+        if (instance.get() == other || !isCandidate(*instance, pass))
+            continue;
+        const double weight = instance->weight(options_, now_);
+        total += weight;
+        if (drawn == nullptr || random_.unit() * total < weight)
+            drawn = instance.get();
+    }
+    return drawn;
+}
+
+double Search::load(const Instance &instance) const
+{
+    return instance.inFlight() / instance.weight(options_, now_);
+}
+
+const Instance *Search::pick(const Pool::Instances &tier, Pass pass)
+{
+    const Instance *first = draw(tier, pass, nullptr);
+    if (first == nullptr)
+        return nullptr;
+    const Instance *second = draw(tier, pass, first);
+    if (second == nullptr)
+        return first;
+    return load(*second) < load(*first) ? second : first;
+}
+
+NoChoice Search::failure() const
+{
+    if (foundShed_)
+        return {NoChoiceReason::AllShed, shedUntil_ - now_};
+    const auto reason = foundExcluded_ ? NoChoiceReason::AllExcluded : NoChoiceReason::NoInstance;
+    return {reason, options_.levelExpiry_};
+}
+
+} // namespace
+
+Pool::Pool(const Options &options, const Instances &serving)
+{
+    for (const auto &instance : serving)
+        tiers_[static_cast<std::size_t>(tierOf(instance->member(), options))].push_back(instance);
+    auto &[own, region, elsewhere] = tiers_;
+    own = subsetOf(std::move(own), options.daemonId_, options.subsetSize_);
+    region = subsetOf(std::move(region), options.daemonId_, options.spillSubsetSize_);
+    elsewhere = subsetOf(std::move(elsewhere), options.daemonId_,
+                         options.spillSubsetSize_ - region.size());
+}
+
+tl::expected<Choice, NoChoice> Pool::choose(const Options &options,
+                                            const admission::Priority &priority,
+                                            std::span<const std::string> excluded,
+                                            base::Random &random, base::Millis now) const
+{
+    Search search(options, priority, excluded, random, now);
+    for (const Pass pass : {Pass::Free, Pass::AlsoFull, Pass::AlsoEjected}) {
+        for (const Instances &tier : tiers_) {
+            if (const Instance *instance = search.pick(tier, pass))
+                return Choice{instance->sharedMember(), &tier != &tiers_.front()};
+        }
+    }
+    return tl::unexpected(search.failure());
+}
+
+void Pool::ejectIfFailing(Instance &instance, const Options &options, base::Millis now) const
+{
+    if (!instance.isFailing(options) || instance.isEjected(now))
+        return;
+    const auto isSame = [&](const auto &other) {
+        return other.get() == &instance;
+    };
+    for (const Instances &tier : tiers_) {
+        if (std::none_of(tier.begin(), tier.end(), isSame))
+            continue;
+        const auto isEjected = [now](const auto &other) {
+            return other->isEjected(now);
+        };
+        const auto ejected = std::count_if(tier.begin(), tier.end(), isEjected);
+        if (2 * (static_cast<std::size_t>(ejected) + 1) <= tier.size())
+            instance.eject(options, now);
+    }
+}
+
+admission::Level Pool::level(base::Millis now) const
+{
+    std::optional<admission::Level> best;
+    for (const Instances &tier : tiers_) {
+        for (const auto &instance : tier) {
+            if (!instance->isDraining(now))
+                best = std::max(best.value_or(admission::Level::none()), instance->level(now));
+        }
+    }
+    return best.value_or(admission::Level::all());
+}
+
+Pool::Instances Pool::instances() const
+{
+    Instances result;
+    for (const Instances &tier : tiers_)
+        result.insert(result.end(), tier.begin(), tier.end());
+    return result;
+}
+
+} // namespace routing::details
--- /dev/null
+++ b/libs/routing/src/details/State.cpp
@@ -0,0 +1,106 @@
+#include <details/State.h>
+
+#include <set>
+
+namespace routing::details {
+
+namespace {
+// Instances that are known this soon after the start of the daemon are taken to be warm.
+constexpr base::Millis learningTime = base::Millis(2000);
+} // namespace
+
+State::State(const Options &options)
+    : options_(options)
+    , random_(options.seed_)
+{}
+
+void State::on(const MembersChanged &event, base::Millis now)
+{
+    if (!firstEventAt_)
+        firstEventAt_ = now;
+    std::set<std::string_view> present;
+    for (const model::Member &member : event.members_) {
+        if (member.service_.empty())
+            continue;
+        present.insert(member.id_);
+        learn(member, now);
+    }
+    std::erase_if(instances_, [&](const auto &entry) { return !present.contains(entry.first); });
+    rebuildPools();
+}
+
+void State::learn(const model::Member &member, base::Millis now)
+{
+    const bool isStarting = now - *firstEventAt_ < learningTime;
+    const base::Millis warmAt = isStarting ? now : now + options_.slowStart_;
+    auto shared = std::make_shared<const model::Member>(member);
+    if (const auto known = instances_.find(member.id_); known != instances_.end())
+        known->second->update(std::move(shared), warmAt);
+    else
+        instances_.emplace(member.id_, std::make_shared<Instance>(std::move(shared), warmAt));
+}
+
+void State::rebuildPools()
+{
+    std::map<std::string, Pool::Instances, std::less<>> serving;
+    for (const auto &[id, instance] : instances_) {
+        if (instance->member().serving_ == model::ServingState::Ready)
+            serving[instance->member().service_].push_back(instance);
+    }
+    pools_.clear();
+    for (const auto &[service, instances] : serving)
+        pools_.emplace(service, Pool(options_, instances));
+}
+
+void State::on(const Sent &event, base::Millis now)
+{
+    if (Instance *found = instance(event.instance_))
+        found->noteSent(event.priority_, options_, now);
+}
+
+void State::on(const Answered &event, base::Millis now)
+{
+    if (Instance *found = instance(event.instance_))
+        found->noteAnswered(event, options_, now);
+}
+
+void State::on(const Failed &event, base::Millis now)
+{
+    Instance *found = instance(event.instance_);
+    if (found == nullptr)
+        return;
+    found->noteFailed(event.kind_);
+    if (const Pool *itsPool = pool(found->member().service_))
+        itsPool->ejectIfFailing(*found, options_, now);
+}
+
+void State::on(const Reported &event, base::Millis now)
+{
+    if (Instance *found = instance(event.instance_))
+        found->noteReported(event, options_, now);
+}
+
+tl::expected<Choice, NoChoice> State::choose(std::string_view service,
+                                             const admission::Priority &priority,
+                                             std::span<const std::string> excluded,
+                                             base::Millis now)
+{
+    const Pool *found = pool(service);
+    if (found == nullptr)
+        return tl::unexpected(NoChoice{NoChoiceReason::NoInstance, options_.levelExpiry_});
+    return found->choose(options_, priority, excluded, random_, now);
+}
+
+const Pool *State::pool(std::string_view service) const
+{
+    const auto found = pools_.find(service);
+    return found != pools_.end() ? &found->second : nullptr;
+}
+
+Instance *State::instance(std::string_view id) const
+{
+    const auto found = instances_.find(id);
+    return found != instances_.end() ? found->second.get() : nullptr;
+}
+
+} // namespace routing::details
