Decide on keys, once-only runs and retries of a whole chain

Cause: callers repeat requests that must run once, and a retry at each hop multiplies the load further down.

The executor numbers sub-keys by delegation, not by key, so that one number for each home tells forgotten from new. A burned key needs no record: its serial is marked as used, and records outlive the expiry. - An Ask carries no request: an executor that does not know the sub-key burns it, so that asking never causes a run and a late original is refused. - retry: a budget for each chain, handed down by halves; ratio for each customer and class; context tokens.

Ruled out: leases and take-over; forgetting a live record when memory is full.

--- /dev/null
+++ b/libs/once/include/once/Answer.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace once {
+
+/** A whole answer of a backend server. Immutable once shared. */
+struct Answer
+{
+    int status_ = 200;
+    std::vector<std::pair<std::string, std::string>> headers_;
+    std::string body_;
+
+    /** Approximate memory held, in bytes. */
+    std::size_t bytes() const;
+
+    bool operator==(const Answer &) const = default;
+};
+
+/** Answer shared by its record and all who wait for it, so that bodies are never copied. */
+using AnswerPtr = std::shared_ptr<const Answer>;
+
+} // namespace once
--- /dev/null
+++ b/libs/once/src/Executor.cpp
@@ -0,0 +1,220 @@
+#include <once/Executor.h>
+
+#include <algorithm>
+
+#include <details/ExecutorTable.h>
+
+namespace once {
+
+using details::Decided;
+using details::ExecutorRecord;
+using details::HomeTrack;
+using details::Queued;
+using details::Sent;
+using Commands = std::vector<ExecutorCommand>;
+
+struct Executor::Impl
+{
+    Impl(Incarnation self, const ExecutorSettings &settings)
+        : self_(std::move(self))
+        , settings_(settings)
+        , table_(settings)
+    {}
+
+    void on(const Delegated &event, Commands &out);
+    void on(const Asked &event, Commands &out);
+    void on(const WaiterGone &event, Commands &out);
+    void on(const Admitted &event, Commands &out);
+    void on(const Refused &event, Commands &out);
+    void on(const BackendAnswered &event, Commands &out);
+    void on(const BackendLost &event, Commands &out);
+
+    HomeTrack *currentTrack(WaiterId waiter, const SubKey &subKey, Commands &out);
+    HomeTrack *goOver(HomeTrack &track, std::uint64_t generation, Commands &out);
+    bool joinKnown(WaiterId waiter, const SubKey &subKey, const HomeTrack &track, Commands &out);
+    void refuse(WaiterId waiter, const SubKey &subKey, HomeTrack &track, const NotRun &why,
+                Commands &out);
+    void decide(const SubKey &subKey, ExecutorRecord &record, const Outcome &outcome,
+                Commands &out);
+
+    Incarnation self_;
+    ExecutorSettings settings_;
+    details::ExecutorTable table_;
+    std::size_t waiting_ = 0;
+    base::Millis now_; ///< latest time seen
+};
+
+/** The track of the sub-key's home if the sub-key may be decided on here; else replies. */
+HomeTrack *Executor::Impl::currentTrack(WaiterId waiter, const SubKey &subKey, Commands &out)
+{
+    if (subKey.executor_ != self_) {
+        out.push_back(ReplyReplaced{waiter});
+        return nullptr;
+    }
+    auto *track = table_.track(subKey.home_.id_);
+    if (!track)
+        track = table_.addTrack(subKey.home_);
+    if (!track) {
+        // Homes are never forgotten, so that this one is refused for good.
+        out.push_back(Reply{waiter, NotRun{Reason::NoRoom, settings_.retryAfter_}});
+        return nullptr;
+    }
+    if (subKey.home_.generation_ < track->generation_) {
+        out.push_back(Reply{waiter, Unknown{Reason::OtherGeneration}});
+        return nullptr;
+    }
+    if (subKey.home_.generation_ > track->generation_)
+        return goOver(*track, subKey.home_.generation_, out);
+    return track;
+}
+
+HomeTrack *Executor::Impl::goOver(HomeTrack &track, std::uint64_t generation, Commands &out)
+{
+    for (auto &[number, record] : track.records_) {
+        for (const auto waiter : record.waiting_)
+            out.push_back(Reply{waiter, Unknown{Reason::OtherGeneration}});
+        waiting_ -= record.waiting_.size();
+    }
+    table_.restart(track, generation);
+    return &track;
+}
+
+void Executor::Impl::on(const Delegated &event, Commands &out)
+{
+    auto *track = currentTrack(event.waiter_, event.subKey_, out);
+    if (!track)
+        return;
+    table_.settle(*track, event.settledBelow_);
+    if (joinKnown(event.waiter_, event.subKey_, *track, out))
+        return;
+    if (event.timeLeft_ <= base::Millis(0)) {
+        refuse(event.waiter_, event.subKey_, *track, NotRun{Reason::DeadlinePassed, {}}, out);
+        return;
+    }
+    if (!table_.hasRoom()) {
+        const NotRun why{Reason::NoRoom, settings_.retryAfter_};
+        refuse(event.waiter_, event.subKey_, *track, why, out);
+        return;
+    }
+    const auto startBy = now_ + event.timeLeft_;
+    auto &record = table_.addLive(*track, event.subKey_.number_, startBy);
+    record.waiting_.push_back(event.waiter_);
+    ++waiting_;
+    out.push_back(Admit{event.subKey_, startBy});
+}
+
+void Executor::Impl::on(const Asked &event, Commands &out)
+{
+    auto *track = currentTrack(event.waiter_, event.subKey_, out);
+    if (!track || joinKnown(event.waiter_, event.subKey_, *track, out))
+        return;
+    // Refused from now on, so that the request does not run when it arrives after all.
+    refuse(event.waiter_, event.subKey_, *track, NotRun{Reason::NeverArrived, {}}, out);
+}
+
+bool Executor::Impl::joinKnown(WaiterId waiter, const SubKey &subKey, const HomeTrack &track,
+                               Commands &out)
+{
+    auto *record = table_.find(subKey);
+    if (!record) {
+        if (subKey.number_ >= track.lowestNew_)
+            return false;
+        out.push_back(Reply{waiter, Unknown{Reason::Forgotten}});
+        return true;
+    }
+    if (const auto *decided = std::get_if<Decided>(&record->state_)) {
+        out.push_back(Reply{waiter, decided->outcome_});
+        return true;
+    }
+    record->waiting_.push_back(waiter);
+    ++waiting_;
+    return true;
+}
+
+void Executor::Impl::refuse(WaiterId waiter, const SubKey &subKey, HomeTrack &track,
+                            const NotRun &why, Commands &out)
+{
+    table_.addRefused(track, subKey, why, now_);
+    out.push_back(Reply{waiter, why});
+}
+
+void Executor::Impl::on(const WaiterGone &event, Commands &)
+{
+    auto *record = table_.find(event.subKey_);
+    if (record)
+        waiting_ -= std::erase(record->waiting_, event.waiter_);
+}
+
+void Executor::Impl::on(const Admitted &event, Commands &out)
+{
+    auto *record = table_.find(event.subKey_);
+    const auto *queued = record ? std::get_if<Queued>(&record->state_) : nullptr;
+    if (!queued) {
+        out.push_back(Abandon{event.subKey_});
+        return;
+    }
+    const auto timeLeft = queued->startBy_ - now_;
+    if (timeLeft <= base::Millis(0)) {
+        decide(event.subKey_, *record, NotRun{Reason::DeadlinePassed, {}}, out);
+        out.push_back(Abandon{event.subKey_});
+        return;
+    }
+    record->state_ = Sent{};
+    out.push_back(SendToBackend{event.subKey_, timeLeft});
+}
+
+void Executor::Impl::on(const Refused &event, Commands &out)
+{
+    auto *record = table_.find(event.subKey_);
+    if (record && !std::holds_alternative<Decided>(record->state_))
+        decide(event.subKey_, *record, event.why_, out);
+}
+
+void Executor::Impl::on(const BackendAnswered &event, Commands &out)
+{
+    auto *record = table_.find(event.subKey_);
+    if (record && std::holds_alternative<Sent>(record->state_))
+        decide(event.subKey_, *record, Complete{event.answer_}, out);
+}
+
+void Executor::Impl::on(const BackendLost &event, Commands &out)
+{
+    auto *record = table_.find(event.subKey_);
+    if (record && std::holds_alternative<Sent>(record->state_))
+        decide(event.subKey_, *record, Unknown{Reason::AnswerLost}, out);
+}
+
+void Executor::Impl::decide(const SubKey &subKey, ExecutorRecord &record, const Outcome &outcome,
+                            Commands &out)
+{
+    for (const auto waiter : record.waiting_)
+        out.push_back(Reply{waiter, outcome});
+    waiting_ -= record.waiting_.size();
+    record.waiting_.clear();
+    record.waiting_.shrink_to_fit();
+    table_.decide(subKey, record, outcome, now_);
+}
+
+Executor::Executor(Incarnation self, const ExecutorSettings &settings)
+    : impl_(std::make_unique<Impl>(std::move(self), settings))
+{}
+
+Executor::~Executor() = default;
+
+Commands Executor::handle(const ExecutorEvent &event, base::Millis now)
+{
+    impl_->now_ = std::max(impl_->now_, now);
+    Commands out;
+    std::visit([&](const auto &one) { impl_->on(one, out); }, event);
+    impl_->table_.forgetOld(impl_->now_);
+    return out;
+}
+
+RecordCounts Executor::counts() const
+{
+    auto counts = impl_->table_.counts();
+    counts.waiting_ = impl_->waiting_;
+    return counts;
+}
+
+} // namespace once
--- /dev/null
+++ b/libs/once/src/Reason.cpp
@@ -0,0 +1,52 @@
+#include <once/Reason.h>
+
+#include <array>
+#include <cstddef>
+
+namespace once {
+
+namespace {
+
+constexpr std::array<std::string_view, 22> texts = {
+        "none",
+        "bad-key",
+        "no-instance",
+        "overloaded",
+        "draining",
+        "backend-unavailable",
+        "backend-refused",
+        "deadline-passed",
+        "no-room",
+        "cancelled",
+        "never-arrived",
+        "key-burned",
+        "key-expired",
+        "key-mismatch",
+        "other-generation",
+        "home-unreachable",
+        "executor-unreachable",
+        "answer-lost",
+        "answer-not-kept",
+        "forgotten",
+        "still-running",
+        "too-many-waiting",
+};
+static_assert(texts.size() == static_cast<std::size_t>(Reason::TooManyWaiting) + 1);
+
+} // namespace
+
+std::string_view reasonText(Reason reason)
+{
+    return texts[static_cast<std::size_t>(reason)];
+}
+
+Reason parseReason(std::string_view text)
+{
+    for (std::size_t i = 0; i < texts.size(); ++i) {
+        if (texts[i] == text)
+            return static_cast<Reason>(i);
+    }
+    return Reason::None;
+}
+
+} // namespace once
--- /dev/null
+++ b/libs/once/src/details/HomeTable.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+#include <base/Millis.h>
+#include <details/HomeRecord.h>
+#include <details/SerialBits.h>
+#include <once/HomeEvent.h>
+#include <once/HomeSettings.h>
+#include <once/Key.h>
+#include <once/Outcome.h>
+
+namespace once::details {
+
+/** The records of a home, within its limits of memory. */
+class HomeTable
+{
+public:
+    explicit HomeTable(const HomeSettings &settings);
+
+    /** The serial of a new key. */
+    std::uint64_t issueSerial() { return serials_.issue(); }
+
+    /**
+     * Finds the record of a key, or makes one for its first use; or tells at once what the caller
+     * hears. The key must have been verified.
+     */
+    std::variant<RecordId, NotRun, Unknown> findOrCreate(const Request &request, base::Millis now);
+
+    /** The record, or nullptr. */
+    HomeRecord *find(RecordId id);
+
+    /** Removes a record; a key that is not expired counts as burned from now on. */
+    void erase(RecordId id);
+
+    /** Keeps the answer if there is room for it; else only that it ran. */
+    void finish(RecordId id, HomeRecord &record, AnswerPtr answer, base::Millis now);
+
+    /** Forgets the keys of an ended call and returns their records. */
+    std::vector<RecordId> endContext(const std::string &context);
+
+    std::size_t size() const { return records_.size(); }
+    std::size_t answerBytes() const { return answerBytes_; }
+
+private:
+    using Found = std::variant<RecordId, NotRun, Unknown>;
+    Found findIssued(const Request &request, const Key &key, base::Millis now);
+    Found findInContext(const Request &request, const ContextKey &key, base::Millis now);
+    Found firstUse(RecordId id, const Request &request, base::Millis expiry, base::Millis now);
+    bool hasRoom(base::Millis now);
+    void dropAnswers(std::size_t targetBytes, base::Millis now);
+
+    HomeSettings settings_;
+    SerialBits serials_;
+    std::unordered_map<RecordId, HomeRecord> records_;
+    std::unordered_map<std::string, std::unordered_map<std::string, RecordId>> contexts_;
+    std::size_t contextKeys_ = 0;
+    std::deque<std::pair<base::Millis, RecordId>> finished_; ///< by time of their answer
+    std::size_t answerBytes_ = 0;
+};
+
+} // namespace once::details
--- /dev/null
+++ b/libs/retry/include/retry/RetrySettings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include <base/Millis.h>
+
+namespace retry {
+
+/** Limits of the retry decisions of one daemon. */
+struct RetrySettings
+{
+    base::Millis firstDelay_ = base::Millis(5); ///< doubles with each attempt, with full jitter
+    base::Millis maxDelay_ = base::Millis(500);
+    double initialTokens_ = 3; ///< retries of a customer and class before its first calls count
+    double maxTokens_ = 100;
+    std::size_t maxBuckets_ = 1024;   ///< customer and class pairs told apart
+    std::uint32_t maxOverloaded_ = 2; ///< refusals after which a call is not retried any more
+
+    bool operator==(const RetrySettings &) const = default;
+};
+
+} // namespace retry
