Add release notes, their fold and the client of the platform's log

Operators need a note to be accepted or rejected alike by every daemon, without a leader. The order of the log is the agreement: note::Fold turns records in log order into a state, and rejects a note when one of its items was changed after the note's base, naming the conflicting note.

The revision is the log offset of the newest accepted note plus one. A mere count was ruled out: after records are lost to trimming, two daemons could reach the same count with different contents.

States merge (associative, commutative, idempotent; a later state of one log absorbs an earlier one).

A retry tolerance on a non-idempotent class is refused as a contradiction, unless it says `scope: calls-below`, which pays only for retries of the calls that the request causes.

--- /dev/null
+++ b/libs/logclient/tests/LogClientTest.cpp
@@ -0,0 +1,101 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <logclient/Backoff.h>
+#include <logclient/HttpLogClient.h>
+#include <logclient/TokenBucket.h>
+
+namespace {
+
+using namespace logclient;
+
+net::CallResult answer(int status, std::string body)
+{
+    return net::HttpResponse{status, {}, std::move(body)};
+}
+
+const char *const page = R"({"records":[{"offset":4,"data":"a"},{"offset":6,"data":"b"}],)"
+                         R"("first":2,"next":9})";
+
+TEST(LogProtocol, ReadsPagesAndTrimming)
+{
+    EXPECT_EQ(readResult(answer(200, page), 4), (LogPage{{{4, "a"}, {6, "b"}}, 2, 9}));
+    EXPECT_EQ(readResult(answer(410, R"({"first":7,"next":9})"), 4).error(),
+              LogError(Trimmed{7, 9}));
+    EXPECT_EQ(appendResult(answer(200, R"({"offset":7})")), 7U);
+}
+
+TEST(LogProtocol, WhatMayHaveTakenEffectIsNeverCalledUnavailable)
+{
+    const auto isNoAnswer = [](const net::CallResult &a) {
+        const auto result = appendResult(a);
+        return !result && std::holds_alternative<NoAnswer>(result.error());
+    };
+    using net::FailureKind;
+    EXPECT_FALSE(isNoAnswer(tl::unexpected(net::Failure{FailureKind::NotSent, ""})));
+    EXPECT_TRUE(isNoAnswer(tl::unexpected(net::Failure{FailureKind::Lost, ""})));
+    EXPECT_TRUE(isNoAnswer(tl::unexpected(net::Failure{FailureKind::TimedOut, ""})));
+    EXPECT_TRUE(isNoAnswer(answer(503, "")));
+    EXPECT_TRUE(isNoAnswer(answer(200, "{}")));
+    EXPECT_FALSE(isNoAnswer(answer(404, "")));
+}
+
+TEST(LogProtocol, RefusesPagesThatAreNotAsAgreed)
+{
+    const char *const bad[] = {
+            "",
+            "[]",
+            "{}",
+            R"({"records":[],"first":0})",
+            R"({"records":{},"first":0,"next":1})",
+            R"({"records":[{"offset":3,"data":"before what was asked"}],"first":0,"next":9})",
+            R"({"records":[{"offset":9,"data":"past the end"}],"first":0,"next":9})",
+            R"({"records":[{"offset":5,"data":"a"},{"offset":5,"data":"b"}],"first":0,"next":9})",
+            R"({"records":[{"offset":-5,"data":"a"}],"first":0,"next":9})",
+            R"({"records":[{"offset":5,"data":1}],"first":0,"next":9})"};
+    for (const auto *body : bad)
+        EXPECT_FALSE(readResult(answer(200, body), 4)) << body;
+}
+
+RC_GTEST_PROP(LogProtocol, AnyBytesGiveAResult, (const std::string &bytes, std::uint64_t seed))
+{
+    base::Random random(seed);
+    (void)readResult(answer(200, bytes), 0);
+    (void)appendResult(answer(200, bytes));
+    std::string body = page;
+    body[random.below(body.size())] = static_cast<char>(random.below(256));
+    if (const auto read = readResult(answer(200, body), 4)) {
+        for (const auto &record : read->records_)
+            RC_ASSERT(record.offset_ >= 4 && record.offset_ < read->next_);
+    }
+}
+
+RC_GTEST_PROP(Backoff, DelaysGrowToTheCapAndDiffer, (std::uint64_t seed))
+{
+    Backoff backoff(base::Millis(100), base::Millis(5000), seed);
+    base::Millis bound(100);
+    for (int i = 0; i < 12; ++i) {
+        const auto delay = backoff.failed();
+        RC_ASSERT(delay >= bound / 2 && delay <= bound);
+        bound = std::min(bound * 2, base::Millis(5000));
+    }
+    backoff.succeeded();
+    RC_ASSERT(backoff.failed() <= base::Millis(100));
+}
+
+RC_GTEST_PROP(TokenBucket, NeverGivesMoreThanItsRate, (std::uint64_t seed))
+{
+    base::Random random(seed);
+    TokenBucket bucket(3, base::Millis(1000));
+    base::Millis now(0);
+    std::int64_t taken = 0;
+    for (int i = 0; i < 200; ++i) {
+        now = now + base::Millis(static_cast<std::int64_t>(random.below(700)));
+        taken += bucket.take(now) ? 1 : 0;
+        RC_ASSERT(taken <= 3 + now.count() / 1000 + 1);
+    }
+    RC_ASSERT(taken >= now.count() / 1000 - 1);
+}
+
+} // namespace
--- a/libs/model/include/model/Revision.h
+++ b/libs/model/include/model/Revision.h
@@ -4,7 +4,10 @@
 
 namespace model {
 
-/** Number of accepted release notes folded so far; 0 before the first one. Only ever grows. */
+/**
+ * Names a configuration: one more than the log offset of the newest accepted release note; 0 before
+ * the first one. Only ever grows, with steps when records that change nothing lie between.
+ */
 using Revision = std::uint64_t;
 
 } // namespace model
--- /dev/null
+++ b/libs/note/include/note/ItemKey.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace note {
+
+/** What a release note can add, change or withdraw. */
+enum class ItemKind : std::uint8_t { Service, RequestClass, Customer, Retry };
+
+/** Number of alternatives of ItemKind. */
+constexpr std::uint8_t itemKinds = 4;
+
+/** Names one item of the configuration. A retry tolerance has the name of its class. */
+struct ItemKey
+{
+    ItemKind kind_ = ItemKind::Service;
+    std::string name_;
+
+    /** For people, such as `class "redeem"`. */
+    std::string text() const;
+
+    auto operator<=>(const ItemKey &) const = default;
+};
+
+} // namespace note
--- /dev/null
+++ b/libs/note/include/note/Parse.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <note/Fault.h>
+#include <note/ReleaseNote.h>
+#include <tl/expected.hpp>
+
+namespace note {
+
+/** A note, or everything that is wrong with its text. */
+using ParseResult = tl::expected<ReleaseNote, std::vector<Fault>>;
+
+/** Reads and checks the YAML text of a release note; `file` is only used in the faults. */
+ParseResult parseNote(std::string_view text, const std::string &file);
+
+} // namespace note
--- /dev/null
+++ b/libs/note/src/Fold.cpp
@@ -0,0 +1,98 @@
+#include <note/Fold.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <base/Overloaded.h>
+#include <note/Limits.h>
+
+namespace note {
+
+std::uint64_t Fold::position() const
+{
+    return attached_ ? state_->nextOffset_ : position_;
+}
+
+void Fold::noteFirst(std::uint64_t first)
+{
+    if (!state_ && first == 0) {
+        state_ = State{};
+        attach(0);
+        return;
+    }
+    if (first <= position() && (state_ || position() > 0))
+        return;
+    attached_ = false;
+    pending_.clear();
+    pendingFrom_ = first;
+    position_ = first;
+}
+
+void Fold::apply(std::uint64_t offset, std::string_view data)
+{
+    if (offset < position())
+        return;
+    const auto record = decodeRecord(data);
+    if (record)
+        fold(offset, *record);
+    else
+        ++malformed_;
+    if (attached_)
+        state_->nextOffset_ = offset + 1;
+    else
+        position_ = offset + 1;
+}
+
+void Fold::fold(std::uint64_t offset, const Record &record)
+{
+    std::visit(base::Overloaded{
+                       [&](const ReleaseNote &note) {
+                           if (attached_)
+                               state_ = applyNote(std::move(*state_), offset, note);
+                           else
+                               pending_.emplace(offset, note);
+                       },
+                       [&](const Snapshot &snapshot) {
+                           snapshotEnd_ = offset + 1;
+                           adopt(snapshot.state_);
+                       },
+               },
+               record);
+    // Without a bound a gap that nobody closes would fill the memory.
+    if (pending_.size() > limits::pendingRecords) {
+        pendingFrom_ = pending_.begin()->first + 1;
+        pending_.erase(pending_.begin());
+    }
+}
+
+void Fold::adopt(const State &state)
+{
+    state_ = state_ ? merge(*state_, state) : state;
+    const bool noGap = state_->nextOffset_ >= pendingFrom_;
+    if (!attached_ && noGap)
+        attach(position_);
+}
+
+std::optional<Snapshot> Fold::snapshot() const
+{
+    if (!state_)
+        return std::nullopt;
+    Snapshot result{*state_};
+    // What lies between the state and the oldest record is lost; saying that it is covered lets
+    // every daemon go on from the same offset.
+    if (!attached_)
+        result.state_.nextOffset_ = std::max(result.state_.nextOffset_, pendingFrom_);
+    return result;
+}
+
+void Fold::attach(std::uint64_t position)
+{
+    const auto from = state_->nextOffset_;
+    for (auto it = pending_.lower_bound(from); it != pending_.end(); ++it)
+        state_ = applyNote(std::move(*state_), it->first, it->second);
+    pending_.clear();
+    attached_ = true;
+    state_->nextOffset_ = std::max(state_->nextOffset_, position);
+}
+
+} // namespace note
--- /dev/null
+++ b/libs/note/src/Parse.cpp
@@ -0,0 +1,239 @@
+#include <note/Parse.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+#include "details/Values.h"
+#include "details/YamlReader.h"
+#include <note/Limits.h>
+
+namespace note {
+
+namespace {
+
+using details::Field;
+using details::YamlReader;
+
+constexpr double defaultRatio = 0.1;
+
+/** A change with the lines of its fields, so that later checks can name them. */
+struct PlacedChange
+{
+    Change change_;
+    Field field_;
+};
+
+/** Values too large for the model's type become its maximum, which the range check refuses. */
+template<typename T>
+T clamped(std::uint64_t value)
+{
+    constexpr auto max = std::numeric_limits<T>::max();
+    return static_cast<T>(std::min<std::uint64_t>(value, max));
+}
+
+class NoteParser
+{
+public:
+    explicit NoteParser(const std::string &file)
+        : reader_(file)
+    {}
+
+    ParseResult parse(std::string_view text)
+    {
+        if (text.size() > limits::noteBytes) {
+            reader_.fault(0, "", "is larger than " + std::to_string(limits::noteBytes) + " bytes");
+            return tl::unexpected(reader_.takeFaults());
+        }
+        ReleaseNote note;
+        try {
+            note = read({YAML::Load(std::string(text)), "", 1});
+        } catch (const YAML::Exception &error) {
+            // The YAML library reports errors by exceptions; they end here.
+            const auto line = error.mark.is_null() ? 0 : error.mark.line + 1;
+            reader_.fault(line, "", "not YAML: " + error.msg);
+        }
+        if (auto faults = reader_.takeFaults(); !faults.empty())
+            return tl::unexpected(std::move(faults));
+        return note;
+    }
+
+private:
+    ReleaseNote read(const Field &root)
+    {
+        ReleaseNote note;
+        if (!reader_.checkMapping(root, {"id", "base", "added", "changed", "withdrawn"}))
+            return note;
+        const auto id = YamlReader::child(root, "id");
+        note.id_ = reader_.text(id, true);
+        if (id.isThere() && !details::isName(note.id_))
+            reader_.fault(id, "must be 1 to 64 letters, digits, '-', '_' or '.', starting with a "
+                              "letter or digit");
+        note.base_ = reader_.number(YamlReader::child(root, "base"), true, 0);
+        readDefinitions(YamlReader::child(root, "added"), Action::Add);
+        readDefinitions(YamlReader::child(root, "changed"), Action::Change);
+        readWithdrawn(YamlReader::child(root, "withdrawn"));
+        finish(note);
+        return note;
+    }
+
+    void readDefinitions(const Field &section, Action action)
+    {
+        if (!section.isThere()
+            || !reader_.checkMapping(section, {"services", "classes", "customers", "retries"}))
+            return;
+        const auto each = [&](const char *key, auto function) {
+            reader_.forEach(YamlReader::child(section, key), [&](const Field &field) {
+                if (const auto value = function(field))
+                    add(action, field, *value);
+            });
+        };
+        each("services", [this](const Field &f) { return service(f); });
+        each("classes", [this](const Field &f) { return requestClass(f); });
+        each("customers", [this](const Field &f) { return customer(f); });
+        each("retries", [this](const Field &f) { return retry(f); });
+    }
+
+    void readWithdrawn(const Field &section)
+    {
+        if (!section.isThere()
+            || !reader_.checkMapping(section, {"services", "classes", "customers", "retries"}))
+            return;
+        const auto each = [&](const char *key, ItemKind kind) {
+            reader_.forEach(YamlReader::child(section, key), [&](const Field &field) {
+                const auto name = reader_.text(field, true);
+                if (field.node_.IsScalar() && !details::isName(name))
+                    reader_.fault(field, "is not a name");
+                changes_.push_back({{Action::Withdraw, {kind, name}, std::nullopt}, field});
+            });
+        };
+        each("services", ItemKind::Service);
+        each("classes", ItemKind::RequestClass);
+        each("customers", ItemKind::Customer);
+        each("retries", ItemKind::Retry);
+    }
+
+    std::optional<ItemValue> service(const Field &field)
+    {
+        // A bare name is enough for a service.
+        if (field.node_.IsScalar())
+            return model::Service{field.node_.Scalar()};
+        if (!reader_.checkMapping(field, {"name"}))
+            return std::nullopt;
+        return model::Service{reader_.text(YamlReader::child(field, "name"), true)};
+    }
+
+    std::optional<ItemValue> requestClass(const Field &field)
+    {
+        if (!reader_.checkMapping(field,
+                                  {"name", "service", "match", "rank", "idempotent", "deadline"}))
+            return std::nullopt;
+        model::RequestClass result;
+        result.name_ = reader_.text(YamlReader::child(field, "name"), true);
+        result.service_ = reader_.text(YamlReader::child(field, "service"), true);
+        result.pathPrefix_ = "/";
+        if (const auto match = YamlReader::child(field, "match");
+            match.isThere() && reader_.checkMapping(match, {"method", "path"})) {
+            result.method_ = reader_.text(YamlReader::child(match, "method"), false);
+            if (const auto path = YamlReader::child(match, "path"); path.isThere())
+                result.pathPrefix_ = reader_.text(path, false);
+        }
+        result.rank_ = clamped<int>(reader_.number(YamlReader::child(field, "rank"), true, 0));
+        result.idempotent_ = reader_.boolean(YamlReader::child(field, "idempotent"), true);
+        readDeadline(field, result);
+        return result;
+    }
+
+    void readDeadline(const Field &field, model::RequestClass &result)
+    {
+        const auto deadline = YamlReader::child(field, "deadline");
+        const auto text = reader_.text(deadline, true);
+        if (!deadline.isThere() || !deadline.node_.IsScalar())
+            return;
+        if (const auto parsed = details::parseDuration(text))
+            result.deadline_ = *parsed;
+        else
+            reader_.fault(deadline, parsed.error().message_);
+    }
+
+    std::optional<ItemValue> customer(const Field &field)
+    {
+        if (!reader_.checkMapping(field, {"name", "share", "limit"}))
+            return std::nullopt;
+        const auto share = reader_.number(YamlReader::child(field, "share"), false, 1);
+        const auto limit = reader_.number(YamlReader::child(field, "limit"), false, 0);
+        return model::Customer{reader_.text(YamlReader::child(field, "name"), true),
+                               clamped<std::uint32_t>(share), clamped<std::uint32_t>(limit)};
+    }
+
+    std::optional<ItemValue> retry(const Field &field)
+    {
+        if (!reader_.checkMapping(field, {"class", "budget", "ratio", "scope"}))
+            return std::nullopt;
+        RetryRule rule;
+        rule.tolerance_.requestClass_ = reader_.text(YamlReader::child(field, "class"), true);
+        rule.tolerance_.budget_ = clamped<std::uint32_t>(
+                reader_.number(YamlReader::child(field, "budget"), true, 0));
+        rule.tolerance_.ratio_ = reader_.real(YamlReader::child(field, "ratio"), defaultRatio);
+        const auto scope = YamlReader::child(field, "scope");
+        const auto scopeText = reader_.text(scope, false);
+        rule.callsBelowOnly_ = scopeText == "calls-below";
+        if (scope.isThere() && scopeText != "calls-below" && scopeText != "whole-chain")
+            reader_.fault(scope, "must be whole-chain or calls-below");
+        return rule;
+    }
+
+    void add(Action action, const Field &field, const ItemValue &value)
+    {
+        for (const auto &fault : details::checkValue(value))
+            reportOnce(field, fault);
+        changes_.push_back({{action, keyOf(value), value}, field});
+    }
+
+    /** A field that is missing or unreadable has been reported already, with a better reason. */
+    void reportOnce(const Field &item, const details::ValueFault &fault)
+    {
+        Field field = item;
+        std::string rest = fault.field_;
+        while (!rest.empty() && field.node_.IsMap()) {
+            const auto dot = std::min(rest.find('.'), rest.size());
+            field = YamlReader::child(field, rest.substr(0, dot).c_str());
+            rest = dot < rest.size() ? rest.substr(dot + 1) : "";
+        }
+        if (field.isThere() && field.node_.IsScalar())
+            reader_.fault(field, fault.message_);
+    }
+
+    void finish(ReleaseNote &note)
+    {
+        if (changes_.empty())
+            reader_.fault(1, "", "adds, changes and withdraws nothing");
+        if (changes_.size() > limits::changesPerNote)
+            reader_.fault(1, "",
+                          "has more than " + std::to_string(limits::changesPerNote) + " changes");
+        std::map<ItemKey, const PlacedChange *> placed;
+        for (const auto &change : changes_) {
+            const auto [it, isNew] = placed.emplace(change.change_.key_, &change);
+            if (!isNew)
+                reader_.fault(change.field_, change.change_.key_.text()
+                                                     + " occurs twice, first at line "
+                                                     + std::to_string(it->second->field_.line_));
+        }
+        for (const auto &[key, change] : placed)
+            note.changes_.push_back(change->change_);
+        for (const auto &fault : details::contradictions(note))
+            reader_.fault(placed.at(fault.key_)->field_, fault.message_);
+    }
+
+    YamlReader reader_;
+    std::vector<PlacedChange> changes_;
+};
+
+} // namespace
+
+ParseResult parseNote(std::string_view text, const std::string &file)
+{
+    return NoteParser(file).parse(text);
+}
+
+} // namespace note
--- /dev/null
+++ b/libs/note/src/State.cpp
@@ -0,0 +1,237 @@
+#include <note/State.h>
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+#include <base/Overloaded.h>
+#include <note/Limits.h>
+#include <note/Record.h>
+
+namespace note {
+
+namespace {
+
+/** The higher of two items is the later change; the rest makes the order total. */
+bool isLater(const Item &a, const Item &b)
+{
+    if (a.changed_ != b.changed_)
+        return a.changed_ > b.changed_;
+    if (a.noteId_ != b.noteId_)
+        return a.noteId_ > b.noteId_;
+    return a.value_.has_value() && !b.value_.has_value();
+}
+
+/** Forgets the oldest withdrawn items beyond the limit, all of one revision together. */
+void forgetWithdrawn(State &state)
+{
+    std::vector<model::Revision> withdrawn;
+    for (const auto &[key, item] : state.items_) {
+        if (!item.value_)
+            withdrawn.push_back(item.changed_);
+    }
+    if (withdrawn.size() > limits::withdrawnKept) {
+        std::sort(withdrawn.begin(), withdrawn.end());
+        state.floor_
+                = std::max(state.floor_, withdrawn[withdrawn.size() - limits::withdrawnKept - 1]);
+    }
+    std::erase_if(state.items_, [&](const auto &entry) {
+        return !entry.second.value_ && entry.second.changed_ <= state.floor_;
+    });
+}
+
+void forgetOutcomes(State &state)
+{
+    while (state.outcomes_.size() > limits::outcomesKept) {
+        const auto oldest = std::min_element(
+                state.outcomes_.begin(), state.outcomes_.end(),
+                [](const auto &a, const auto &b) { return a.second.offset_ < b.second.offset_; });
+        state.outcomes_.erase(oldest);
+    }
+}
+
+/** Adds what `from` holds to `into`, unless `into` has seen it and forgotten it. */
+void addItems(State &into, const State &from)
+{
+    for (const auto &[key, item] : from.items_) {
+        const auto it = into.items_.find(key);
+        if (it == into.items_.end()) {
+            if (item.changed_ > into.floor_)
+                into.items_.emplace(key, item);
+        } else if (isLater(item, it->second)) {
+            it->second = item;
+        }
+    }
+}
+
+bool isLive(const State &state, const ItemKey &key)
+{
+    const auto it = state.items_.find(key);
+    return it != state.items_.end() && it->second.value_;
+}
+
+std::string lastNote(const State &state, const ItemKey &key)
+{
+    const auto it = state.items_.find(key);
+    return it == state.items_.end() ? std::string()
+                                    : " (note \"" + it->second.noteId_ + "\", revision "
+                                              + std::to_string(it->second.changed_) + ")";
+}
+
+std::optional<std::string> changeRejection(const State &state, const ReleaseNote &note,
+                                           const Change &change)
+{
+    const auto it = state.items_.find(change.key_);
+    if (it != state.items_.end() && it->second.changed_ > note.base_)
+        return "conflicts with note \"" + it->second.noteId_ + "\", which touched "
+               + change.key_.text() + " at revision " + std::to_string(it->second.changed_)
+               + ", after this note's base " + std::to_string(note.base_);
+    const bool live = isLive(state, change.key_);
+    if (change.action_ == Action::Add && live)
+        return change.key_.text() + " is there already" + lastNote(state, change.key_);
+    if (change.action_ != Action::Add && !live)
+        return change.key_.text() + " is not there" + lastNote(state, change.key_);
+    return std::nullopt;
+}
+
+void applyChanges(State &state, const ReleaseNote &note, model::Revision revision)
+{
+    for (const auto &change : note.changes_)
+        state.items_[change.key_] = Item{revision, note.id_, change.value_};
+    state.revision_ = revision;
+}
+
+std::optional<std::string> referenceFault(const State &state, const Item &item)
+{
+    const auto check = base::Overloaded{
+            [&](const model::RequestClass &v) -> std::optional<std::string> {
+                const ItemKey service{ItemKind::Service, v.service_};
+                if (isLive(state, service))
+                    return std::nullopt;
+                return "class \"" + v.name_ + "\" (note \"" + item.noteId_ + "\") names "
+                       + service.text() + ", which is not there" + lastNote(state, service);
+            },
+            [&](const RetryRule &v) -> std::optional<std::string> {
+                const ItemKey key{ItemKind::RequestClass, v.tolerance_.requestClass_};
+                if (!isLive(state, key))
+                    return "a retry tolerance (note \"" + item.noteId_ + "\") names " + key.text()
+                           + ", which is not there" + lastNote(state, key);
+                const auto &named = std::get<model::RequestClass>(*state.items_.at(key).value_);
+                if (!named.idempotent_ && !v.callsBelowOnly_)
+                    return key.text()
+                           + " is not idempotent and never repeated, but has a retry "
+                             "tolerance (note \""
+                           + item.noteId_ + "\") without `scope: calls-below`";
+                return std::nullopt;
+            },
+            [](const auto &) -> std::optional<std::string> { return std::nullopt; },
+    };
+    return item.value_ ? std::visit(check, *item.value_) : std::nullopt;
+}
+
+std::optional<std::string> sizeFault(const State &state)
+{
+    static constexpr std::array<std::size_t, itemKinds> limit{limits::services, limits::classes,
+                                                              limits::customers, limits::classes};
+    std::array<std::size_t, itemKinds> count{};
+    for (const auto &[key, item] : state.items_) {
+        if (item.value_)
+            ++count.at(static_cast<std::size_t>(key.kind_));
+    }
+    for (std::size_t i = 0; i < limit.size(); ++i) {
+        if (count.at(i) > limit.at(i))
+            return "there would be more than " + std::to_string(limit.at(i))
+                   + " items of one kind (" + ItemKey{static_cast<ItemKind>(i), "..."}.text() + ")";
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+model::Config configOf(const State &state)
+{
+    model::Config config;
+    config.revision_ = state.revision_;
+    const auto add = base::Overloaded{
+            [&](const model::Service &v) { config.services_.emplace(v.name_, v); },
+            [&](const model::RequestClass &v) { config.classes_.emplace(v.name_, v); },
+            [&](const model::Customer &v) { config.customers_.emplace(v.name_, v); },
+            [&](const RetryRule &v) {
+                config.retryTolerances_.emplace(v.tolerance_.requestClass_, v.tolerance_);
+            },
+    };
+    for (const auto &[key, item] : state.items_) {
+        if (item.value_)
+            std::visit(add, *item.value_);
+    }
+    return config;
+}
+
+State merge(const State &a, const State &b)
+{
+    State result;
+    result.revision_ = std::max(a.revision_, b.revision_);
+    result.nextOffset_ = std::max(a.nextOffset_, b.nextOffset_);
+    // Each side drops what the other has seen withdrawn and forgotten since.
+    const auto known = [](const State &own, const State &other) {
+        State kept = own;
+        std::erase_if(kept.items_, [&](const auto &entry) {
+            return entry.second.changed_ <= other.floor_ && !other.items_.contains(entry.first);
+        });
+        return kept;
+    };
+    result.items_ = known(a, b).items_;
+    addItems(result, known(b, a));
+    result.floor_ = std::max(a.floor_, b.floor_);
+    forgetWithdrawn(result);
+    result.outcomes_ = a.outcomes_;
+    for (const auto &[id, outcome] : b.outcomes_) {
+        auto &slot = result.outcomes_[id];
+        slot = std::max(slot, outcome);
+    }
+    forgetOutcomes(result);
+    return result;
+}
+
+std::optional<std::string> rejection(const State &state, const ReleaseNote &note)
+{
+    if (note.base_ > state.revision_)
+        return "its base " + std::to_string(note.base_) + " is above the revision "
+               + std::to_string(state.revision_) + " then in force";
+    if (note.base_ < state.floor_)
+        return "its base " + std::to_string(note.base_)
+               + " is too old to be compared; write it against the present revision";
+    for (const auto &change : note.changes_) {
+        if (auto reason = changeRejection(state, note, change))
+            return reason;
+    }
+    State after = state;
+    applyChanges(after, note, state.revision_ + 1);
+    for (const auto &[key, item] : after.items_) {
+        if (auto reason = referenceFault(after, item))
+            return reason;
+    }
+    return sizeFault(after);
+}
+
+State applyNote(State state, std::uint64_t offset, const ReleaseNote &note)
+{
+    state.nextOffset_ = std::max(state.nextOffset_, offset + 1);
+    if (state.outcomes_.contains(note.id_))
+        return state;
+    Outcome outcome{offset, true, 0, digestOf(note), ""};
+    if (const auto reason = rejection(state, note)) {
+        outcome.accepted_ = false;
+        outcome.reason_ = *reason;
+        outcome.revision_ = state.revision_;
+    } else {
+        outcome.revision_ = std::max(offset + 1, state.revision_ + 1);
+        applyChanges(state, note, outcome.revision_);
+        forgetWithdrawn(state);
+    }
+    state.outcomes_.emplace(note.id_, std::move(outcome));
+    forgetOutcomes(state);
+    return state;
+}
+
+} // namespace note
--- /dev/null
+++ b/libs/note/tests/ParseTest.cpp
@@ -0,0 +1,193 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "RandomNotes.h"
+#include <note/Limits.h>
+#include <note/Parse.h>
+
+namespace {
+
+const char *const validNote = R"(id: prize-day-1
+base: 4
+added:
+  services: [redeem, {name: wallet}]
+  classes:
+    - name: redemption
+      service: redeem
+      match: {method: POST, path: /redemptions}
+      rank: 0
+      idempotent: false
+      deadline: 2000ms
+    - {name: balance, service: wallet, rank: 7, idempotent: true, deadline: 2s}
+  customers:
+    - {name: school-7, share: 3, limit: 40}
+  retries:
+    - {class: balance, budget: 2, ratio: 0.05}
+    - {class: redemption, budget: 3, scope: calls-below}
+withdrawn:
+  customers: [school-1]
+)";
+
+struct BadNote
+{
+    const char *text_;
+    int line_;
+    const char *field_;
+    const char *message_;
+};
+
+const BadNote badNotes[] = {
+        {"id: a\nbase: 0\nadd: {}\n", 3, "add", "unknown key"},
+        {"id: a\nid: b\nbase: 0\n", 2, "id", "given twice"},
+        {"base: 0\nwithdrawn: {services: [a]}\n", 1, "id", "is missing"},
+        {"id: a b\nbase: 0\n", 1, "id", "letters"},
+        {"id: a\nbase: -1\n", 2, "base", "whole number"},
+        {"id: a\nbase: 0\n", 1, "", "nothing"},
+        {"id: a\nbase: 0\nadded:\n  customers:\n  - {name: x, share: 0}\n", 5,
+         "added.customers[0].share", "1 to"},
+        {"id: a\nbase: 0\nadded:\n  customers:\n  - {name: x, share: 4294967297}\n", 5,
+         "added.customers[0].share", "1 to"},
+        {"id: a\nbase: 0\nadded:\n  customers:\n  - {name: x, limit: 4ms}\n", 5,
+         "added.customers[0].limit", "without unit"},
+        {"id: a\nbase: 0\nadded:\n  classes:\n  - name: c\n    service: s\n    rank: 10\n"
+         "    idempotent: true\n    deadline: 1s\n",
+         7, "added.classes[0].rank", "0 (matters most) to 9"},
+        {"id: a\nbase: 0\nadded:\n  classes:\n  - name: c\n    service: s\n    rank: 1\n"
+         "    idempotent: yes\n    deadline: 1s\n",
+         8, "added.classes[0].idempotent", "true or false"},
+        {"id: a\nbase: 0\nadded:\n  classes:\n  - name: c\n    service: s\n    rank: 1\n"
+         "    idempotent: true\n    deadline: 2000us\n",
+         9, "added.classes[0].deadline", "2000ms or 2s"},
+        {"id: a\nbase: 0\nadded:\n  classes:\n  - name: c\n    service: s\n    rank: 1\n"
+         "    idempotent: true\n    match: {path: x}\n    deadline: 2000\n",
+         9, "added.classes[0].match.path", "start with '/'"},
+        {"id: a\nbase: 0\nadded:\n  retries:\n  - {class: c, budget: 1, ratio: 10%}\n", 5,
+         "added.retries[0].ratio", "such as 0.1"},
+        {"id: a\nbase: 0\nadded:\n  classes:\n"
+         "  - {name: c, service: s, rank: 1, idempotent: false, deadline: 1s}\n"
+         "  retries:\n  - {class: c, budget: 1}\n",
+         7, "added.retries[0]", "not idempotent"},
+        {"id: a\nbase: 0\nadded:\n  classes:\n"
+         "  - {name: c, service: s, rank: 1, idempotent: true, deadline: 1s}\n"
+         "withdrawn:\n  services: [s]\n",
+         5, "added.classes[0]", "the same note withdraws"},
+        {"id: a\nbase: 0\nadded: {services: [x]}\nwithdrawn:\n  services: [x]\n", 5,
+         "withdrawn.services[0]", "occurs twice, first at line 3"},
+        {"id: a\nbase: 0\nadded: [x]\n", 3, "added", "mapping"},
+        {"id: a\nbase: 0\nadded: {services: x}\n", 3, "added.services", "list"},
+        {"id: a\n base: [0\n", 2, "", "not YAML"},
+        {"just text", 1, "", "mapping"},
+        {"", 1, "", "mapping"},
+};
+
+TEST(ParseNote, ReadsEveryField)
+{
+    const auto parsed = note::parseNote(validNote, "f.yaml");
+    ASSERT_TRUE(parsed) << parsed.error().front().text();
+    EXPECT_EQ(parsed->id_, "prize-day-1");
+    EXPECT_EQ(parsed->base_, 4U);
+    ASSERT_EQ(parsed->changes_.size(), 8U);
+    const model::RequestClass redemption{"redemption", "redeem",          "POST", "/redemptions", 0,
+                                         false,        base::Millis(2000)};
+    const note::ItemValue expected = redemption;
+    const auto it = std::find_if(parsed->changes_.begin(), parsed->changes_.end(),
+                                 [&](const auto &c) { return c.key_ == note::keyOf(expected); });
+    ASSERT_NE(it, parsed->changes_.end());
+    EXPECT_EQ(it->value_, expected);
+    EXPECT_EQ(std::get<note::ReleaseNote>(note::decodeRecord(note::encodeRecord(*parsed)).value()),
+              *parsed);
+}
+
+TEST(ParseNote, NamesFileLineAndFieldOfEachFault)
+{
+    for (const auto &bad : badNotes) {
+        const auto parsed = note::parseNote(bad.text_, "f.yaml");
+        ASSERT_FALSE(parsed) << bad.text_;
+        const auto &faults = parsed.error();
+        const bool found = std::any_of(faults.begin(), faults.end(), [&](const note::Fault &f) {
+            return f.file_ == "f.yaml" && f.line_ == bad.line_ && f.field_ == bad.field_
+                   && f.message_.find(bad.message_) != std::string::npos;
+        });
+        EXPECT_TRUE(found) << bad.text_ << "\n" << faults.front().text();
+    }
+}
+
+TEST(ParseNote, ReportsAllFaultsAtOnceButNotEndlessly)
+{
+    const auto parsed = note::parseNote(
+            "id: ''\nbase: x\nadded:\n  services: [{nam: x}]\n  customers: [{name: y, share: 0}]\n",
+            "f");
+    ASSERT_FALSE(parsed);
+    EXPECT_EQ(parsed.error().size(), 5U);
+
+    std::string many = "id: a\nbase: 0\nx: &x {";
+    for (int i = 0; i < 500; ++i)
+        many += "k" + std::to_string(i) + ": 1, ";
+    many += "}\nadded: {customers: [";
+    for (int i = 0; i < 5000; ++i)
+        many += "*x, ";
+    EXPECT_EQ(note::parseNote(many + "]}", "f").error().size(), note::limits::faultsReported);
+    EXPECT_FALSE(note::parseNote(std::string(note::limits::noteBytes + 1, '#'), "f"));
+    EXPECT_FALSE(note::parseNote(std::string(note::limits::noteBytes, '['), "f"));
+}
+
+std::string mutated(std::string text, base::Random &random)
+{
+    const auto edits = 1 + random.below(4);
+    for (std::uint64_t i = 0; i < edits && !text.empty(); ++i) {
+        const auto at = random.below(text.size());
+        switch (random.below(4)) {
+        case 0:
+            text[at] = static_cast<char>(random.below(256));
+            break;
+        case 1:
+            text.erase(at, 1 + random.below(8));
+            break;
+        case 2:
+            text.insert(at, text.substr(random.below(text.size()), random.below(20)));
+            break;
+        default:
+            text.resize(at);
+        }
+    }
+    return text;
+}
+
+RC_GTEST_PROP(ParserProperty, AnyTextGivesANoteOrFaults, (std::uint64_t seed))
+{
+    base::Random random(seed);
+    for (int i = 0; i < 20; ++i) {
+        const auto text = mutated(validNote, random);
+        const auto parsed = note::parseNote(text, "f");
+        if (parsed)
+            RC_ASSERT(note::decodeRecord(note::encodeRecord(*parsed)).has_value());
+        else
+            RC_ASSERT(!parsed.error().empty());
+    }
+}
+
+RC_GTEST_PROP(ParserProperty, RandomBytesNeverCrash, (const std::string &bytes))
+{
+    (void)note::parseNote(bytes, "f");
+    RC_ASSERT(!note::decodeRecord(bytes));
+    RC_ASSERT(!note::decodeState(bytes));
+}
+
+RC_GTEST_PROP(ParserProperty, AnAlteredRecordIsRefusedOrIsWhole, (std::uint64_t seed))
+{
+    RandomNotes notes(seed);
+    note::State state;
+    for (std::uint64_t i = 0; i < 10; ++i)
+        state = note::applyNote(state, i, notes.note(state.revision_));
+    const auto valid = note::encodeState(state);
+    const auto record = note::encodeRecord(notes.note(state.revision_));
+    for (int i = 0; i < 20; ++i) {
+        if (const auto decoded = note::decodeState(mutated(valid, notes.random())))
+            RC_ASSERT(note::digestOf(*decoded) == note::digestOf(state));
+        if (const auto decoded = note::decodeRecord(mutated(record, notes.random())))
+            RC_ASSERT(note::decodeRecord(note::encodeRecord(*decoded)).value() == *decoded);
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/libs/note/tests/RandomNotes.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <base/Random.h>
+#include <note/Record.h>
+
+/** Random valid notes over few names, so that they often conflict. */
+class RandomNotes
+{
+public:
+    explicit RandomNotes(std::uint64_t seed)
+        : random_(seed)
+    {}
+
+    note::ReleaseNote note(model::Revision maxBase)
+    {
+        std::map<note::ItemKey, note::Change> changes;
+        const auto count = 1 + random_.below(3);
+        for (std::uint64_t i = 0; i < count; ++i) {
+            auto change = oneChange();
+            changes.emplace(change.key_, change);
+        }
+        note::ReleaseNote result{"n" + std::to_string(random_.below(30)),
+                                 maxBase - std::min(maxBase, random_.below(4)),
+                                 {}};
+        for (const auto &[key, change] : changes)
+            result.changes_.push_back(change);
+        return result;
+    }
+
+    base::Random &random() { return random_; }
+
+private:
+    std::string name(const char *prefix) { return prefix + std::to_string(random_.below(3)); }
+
+    note::ItemValue value()
+    {
+        switch (random_.below(4)) {
+        case 0:
+            return model::Service{name("s")};
+        case 1:
+            return model::RequestClass{name("c"), name("s"), "POST",         "/p",
+                                       3,         true,      base::Millis(5)};
+        case 2:
+            return model::Customer{name("u"), 1 + static_cast<std::uint32_t>(random_.below(9)), 0};
+        default:
+            return note::RetryRule{{name("c"), 2, 0.1}, false};
+        }
+    }
+
+    note::Change oneChange()
+    {
+        const auto made = value();
+        const auto key = note::keyOf(made);
+        switch (random_.below(4)) {
+        case 0:
+            return {note::Action::Withdraw, key, std::nullopt};
+        case 1:
+            return {note::Action::Change, key, made};
+        default:
+            return {note::Action::Add, key, made};
+        }
+    }
+
+    base::Random random_;
+};
