Add stand-ins for the log and backend servers, and an open-loop load

Cause: the daemon needs something to talk to before its whole path can be run: a log, backend servers that announce themselves, and callers who check what they get.

Changed: fuchsiadock-bench with the commands log, backend and load; libs/bench holds what decides counts and verdicts (log store, echo check, request mix, percentiles, tallies) with its tests. The log takes faults at run time (down, silent, slow, lost append answers, trim) and caps appends. A backend server serves on timers, up to its slots, refuses what is late, makes its own calls through its daemon and counts runs by request and by idempotency key, so that a second run shows. The load is open-loop with seeded Poisson arrivals, fetches keys ahead, retries as told, and checks that each answer is whole and its own.

Ruled out: a thread for each request, since a slot is only a timer; a loop that waits for answers, since it would slow down with the system and hide the overload.

--- /dev/null
+++ b/libs/bench/include/bench/LogRecord.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <base/Millis.h>
+
+namespace bench {
+
+/** One record of a stream of the log. */
+struct LogRecord
+{
+    std::uint64_t offset_ = 0;
+    base::Millis appendedAt_;
+    std::string data_;
+
+    bool operator==(const LogRecord &) const = default;
+};
+
+} // namespace bench
--- /dev/null
+++ b/tools/bench/Commands.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace bench {
+
+/** Subcommands of fuchsiadock-bench. Each takes its own arguments and returns the exit code. */
+int runLog(int argc, char **argv);
+int runBackend(int argc, char **argv);
+int runLoad(int argc, char **argv);
+
+} // namespace bench
--- /dev/null
+++ b/tools/bench/LoadGenerator.cpp
@@ -0,0 +1,197 @@
+#include <LoadGenerator.h>
+
+#include <cmath>
+#include <utility>
+
+#include <Protocol.h>
+#include <base/Clock.h>
+#include <bench/Echo.h>
+#include <net/Reactor.h>
+
+namespace bench {
+
+namespace {
+
+constexpr double microsPerSecond = 1e6;
+constexpr base::Millis answerSlack(100); // lets an answer given at the deadline arrive
+constexpr std::uint32_t maxKeyFetches = 2;
+constexpr int statusNeedsKey = 428;
+constexpr int firstErrorStatus = 400;
+
+net::HttpRequest requestFor(const RequestKind &kind, const std::string &id)
+{
+    net::HttpRequest request{kind.method_, "/" + kind.service_ + kind.path_, {}, ""};
+    request.body_ = echoBody("body of " + id, kind.bodyBytes_);
+    request.headers_ = {
+            {std::string(echo::requestId), id},
+            {std::string(echo::answerBytes), std::to_string(kind.answerBytes_)},
+            {std::string(protocol::deadlineMs), std::to_string(kind.deadline_.count())},
+    };
+    if (!kind.customer_.empty()) {
+        request.headers_.push_back({std::string(protocol::customer), kind.customer_});
+    }
+    if (!kind.idempotent_) {
+        request.headers_.push_back({std::string(echo::once), "1"});
+    }
+    return request;
+}
+
+} // namespace
+
+LoadGenerator::LoadGenerator(net::Reactor &reactor, LoadOptions options, Finished onFinished)
+    : reactor_(reactor)
+    , options_(std::move(options))
+    , onFinished_(std::move(onFinished))
+    , random_(options_.seed_)
+    , client_(reactor)
+    , keys_(client_)
+{}
+
+void LoadGenerator::start()
+{
+    nextArrival_ = base::monotonicNow();
+    scheduleArrival();
+}
+
+void LoadGenerator::stop()
+{
+    stopped_ = true;
+}
+
+void LoadGenerator::setRate(double rate)
+{
+    options_.rate_ = rate;
+}
+
+void LoadGenerator::setDaemons(std::vector<model::Address> daemons)
+{
+    options_.daemons_ = std::move(daemons);
+}
+
+const RequestKind &LoadGenerator::kindOf(const Pending &pending) const
+{
+    return options_.mix_.kinds_[pending.record_.kind_];
+}
+
+const model::Address &LoadGenerator::anyDaemon()
+{
+    return options_.daemons_[random_.below(options_.daemons_.size())];
+}
+
+void LoadGenerator::scheduleArrival()
+{
+    const double gap = -std::log(1.0 - random_.unit()) * microsPerSecond / options_.rate_;
+    nextArrival_ = nextArrival_ + base::Millis::fromMicros(static_cast<std::int64_t>(gap));
+    const base::Millis delay = nextArrival_ - base::monotonicNow();
+    reactor_.schedule(std::max(delay, base::Millis(0)), [this] { arriveDue(); });
+}
+
+void LoadGenerator::arriveDue()
+{
+    if (stopped_) {
+        return;
+    }
+    arrive();
+    scheduleArrival();
+}
+
+void LoadGenerator::arrive()
+{
+    const std::uint64_t number = ++lastNumber_;
+    Pending pending;
+    pending.record_.kind_ = options_.mix_.pick(random_);
+    pending.record_.id_ = std::to_string(options_.seed_) + "-" + std::to_string(number);
+    pending.record_.arrivedAt_ = nextArrival_;
+    pending.request_ = requestFor(kindOf(pending), pending.record_.id_);
+    pending_.emplace(number, std::move(pending));
+    attempt(number);
+}
+
+void LoadGenerator::attempt(std::uint64_t number)
+{
+    Pending &pending = pending_.at(number);
+    const RequestKind &kind = kindOf(pending);
+    const model::Address daemon = anyDaemon();
+    if (!kind.idempotent_ && pending.key_.empty()) {
+        pending.key_ = keys_.take(kind, daemon).value_or("");
+    }
+    net::HttpRequest request = pending.request_;
+    if (!pending.key_.empty()) {
+        request.headers_.push_back({std::string(protocol::idempotencyKey), pending.key_});
+    }
+    ++pending.record_.attempts_;
+    client_.send(daemon, std::move(request), kind.deadline_ + answerSlack,
+                 [this, number](const net::CallResult &result) { onAnswer(number, result); });
+}
+
+void LoadGenerator::onAnswer(std::uint64_t number, const net::CallResult &result)
+{
+    Pending &pending = pending_.at(number);
+    keepNextKey(pending, result);
+    if (result && result->status_ == statusNeedsKey && pending.keyFetches_ < maxKeyFetches) {
+        ++pending.keyFetches_;
+        --pending.record_.attempts_;
+        pending.key_.clear();
+        attempt(number);
+        return;
+    }
+    const RequestOutcome outcome = judge(pending, result);
+    finishOrRetry(number, outcome);
+}
+
+void LoadGenerator::keepNextKey(const Pending &pending, const net::CallResult &result)
+{
+    if (!result) {
+        return;
+    }
+    const auto key = net::headerValue(result->headers_, protocol::nextKey);
+    if (!key.empty()) {
+        keys_.add(kindOf(pending), std::string(key));
+    }
+}
+
+RequestOutcome LoadGenerator::judge(const Pending &pending, const net::CallResult &result) const
+{
+    if (!result) {
+        const bool unsent = result.error().kind_ == net::FailureKind::NotSent;
+        return unsent ? RequestOutcome::NotRun : RequestOutcome::Unknown;
+    }
+    auto outcome = net::headerValue(result->headers_, protocol::outcome);
+    if (options_.direct_ && outcome.empty()) {
+        outcome = protocol::complete;
+    }
+    if (outcome == protocol::notRun) {
+        return RequestOutcome::NotRun;
+    }
+    if (outcome == protocol::unknown) {
+        return RequestOutcome::Unknown;
+    }
+    if (outcome == protocol::complete && result->status_ >= firstErrorStatus) {
+        return RequestOutcome::Failed;
+    }
+    if (outcome != protocol::complete || !isEchoOf(pending.request_, *result)) {
+        return RequestOutcome::Wrong;
+    }
+    const base::Millis waited = base::monotonicNow() - pending.record_.arrivedAt_;
+    return waited > kindOf(pending).deadline_ ? RequestOutcome::Late : RequestOutcome::Complete;
+}
+
+void LoadGenerator::finishOrRetry(std::uint64_t number, RequestOutcome outcome)
+{
+    Pending &pending = pending_.at(number);
+    const bool retryable = outcome == RequestOutcome::NotRun || outcome == RequestOutcome::Unknown;
+    if (retryable && pending.record_.attempts_ <= options_.retries_) {
+        if (outcome == RequestOutcome::NotRun) {
+            pending.key_.clear();
+        }
+        reactor_.schedule(options_.retryDelay_, [this, number] { attempt(number); });
+        return;
+    }
+    pending.record_.outcome_ = outcome;
+    pending.record_.endedAt_ = base::monotonicNow();
+    const FinishedRequest finished = pending.record_;
+    pending_.erase(number);
+    onFinished_(finished);
+}
+
+} // namespace bench
--- /dev/null
+++ b/tools/bench/LoadReport.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <iosfwd>
+#include <vector>
+
+#include <bench/FinishedRequest.h>
+#include <bench/RequestMix.h>
+#include <bench/Tally.h>
+#include <nlohmann/json_fwd.hpp>
+
+namespace bench {
+
+/** Prints a line for each class, with counts, goodput and latency. */
+void printTallies(std::ostream &out, const RequestMix &mix, const std::vector<Tally> &tallies,
+                  base::Millis duration);
+
+/** The same as JSON, by class name. */
+nlohmann::json talliesJson(const RequestMix &mix, const std::vector<Tally> &tallies,
+                           base::Millis duration);
+
+/** A tally for each class of the requests that arrived in [from, to). */
+std::vector<Tally> talliesOf(const RequestMix &mix, const std::vector<FinishedRequest> &requests,
+                             base::Millis from, base::Millis to);
+
+} // namespace bench
