--- a/libs/admission/src/details/ConcurrencyLimit.cpp
+++ b/libs/admission/src/details/ConcurrencyLimit.cpp
@@ -1,63 +1,104 @@
 #include <details/ConcurrencyLimit.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace admission::details {
 
 namespace {
 
 constexpr double slowdownTolerated = 2.0;
+constexpr double slowdownForGrowth = 1.5;
 constexpr double shrinkOnShed = 0.9;
-constexpr double shrinkOnTrial = 0.8;
+constexpr double trialStep = 0.7;
 constexpr double growth = 0.05;
-constexpr int trialWindows = 5;
-// A trial succeeds when service times fall by at least this part of what the limit fell.
+constexpr int shortestPause = 2;
+constexpr int longestPause = 16;
+// Judged are at least as many requests as may run, and enough for a steady mean.
+constexpr std::size_t fewestJudged = 60;
+// Running requests delay each other if service times change by this part of the limit's change.
 constexpr double effectNeeded = 0.5;
 
 } // namespace
 
 void ConcurrencyLimit::setSlots(std::uint32_t slots)
 {
-    if (slots_ == 0 || slots == 0 || slots > slots_)
+    if (slots == slots_)
+        return;
+    if (slots_ == 0 || slots > slots_)
         limit_ = slots;
     slots_ = slots;
     limit_ = std::min<double>(limit_, slots);
-    trialWindowsLeft_ = 0;
+    trial_ = Trial::None;
 }
 
-bool ConcurrencyLimit::closeWindow(const Window &window)
+void ConcurrencyLimit::closeWindow(const Window &window)
 {
     if (slots_ == 0)
-        return false;
+        return;
+    round_.count_ += window.served_.count_;
+    round_.measuredMillis_ += window.served_.measuredMillis_;
+    round_.baselineMillis_ += window.served_.baselineMillis_;
+    wasBound_ = wasBound_ || window.wasBound_;
     if (window.hasShed_) {
         limit_ = std::max(1.0, limit_ * shrinkOnShed);
-        trialWindowsLeft_ = 0;
-        return false;
+        trial_ = Trial::None;
+        return;
     }
-    if (trialWindowsLeft_ > 0) {
-        --trialWindowsLeft_;
-        return trialWindowsLeft_ == 0 && judgeTrial(window.slowdown_);
+    if (round_.count_ >= std::max<std::size_t>(fewestJudged, value()))
+        endRound();
+    const bool isSlow = slowdown_ > slowdownForGrowth && window.wasBound_;
+    if (trial_ == Trial::None && !isSlow && !window.isReportedFull_)
+        grow();
+}
+
+void ConcurrencyLimit::endRound()
+{
+    slowdown_ = round_.measuredMillis_ / round_.baselineMillis_;
+    round_ = {};
+    const bool wasBound = std::exchange(wasBound_, false);
+    if (trial_ == Trial::Settling) {
+        trial_ = Trial::Judging;
+        return;
     }
-    if (window.slowdown_ > slowdownTolerated && window.wasBound_ && limit_ > 1.0) {
-        limitBeforeTrial_ = limit_;
-        slowdownBeforeTrial_ = window.slowdown_;
-        limit_ = std::max(1.0, limit_ * shrinkOnTrial);
-        trialWindowsLeft_ = trialWindows;
-        return false;
+    if (trial_ == Trial::Judging)
+        return judgeTrial();
+    if (slowdown_ <= slowdownTolerated) {
+        pauseLeft_ = 0;
+        pause_ = shortestPause;
+        triesLess_ = true;
+    } else if (pauseLeft_ > 0) {
+        --pauseLeft_;
+    } else if (wasBound) {
+        startTrial();
     }
-    if (!window.isReportedFull_)
-        grow();
-    return false;
 }
 
-bool ConcurrencyLimit::judgeTrial(double slowdown)
+void ConcurrencyLimit::startTrial()
 {
-    const double shrunkBy = 1.0 - limit_ / limitBeforeTrial_;
-    const bool isFaster = slowdown < slowdownBeforeTrial_ * (1.0 - effectNeeded * shrunkBy);
-    if (isFaster)
-        return false;
-    limit_ = limitBeforeTrial_;
-    return true;
+    before_ = {limit_, slowdown_};
+    if (limit_ >= slots_)
+        triesLess_ = true;
+    const double moved = triesLess_ ? limit_ * trialStep : limit_ / trialStep;
+    limit_ = std::clamp<double>(moved, 1.0, slots_);
+    trial_ = Trial::Settling;
+}
+
+void ConcurrencyLimit::judgeTrial()
+{
+    trial_ = Trial::None;
+    const double limitChange = limit_ / before_.limit_ - 1.0;
+    const double slowdownChange = slowdown_ / before_.slowdown_ - 1.0;
+    const bool delayEachOther = triesLess_ ? slowdownChange < effectNeeded * limitChange
+                                           : slowdownChange > effectNeeded * limitChange;
+    if (delayEachOther == triesLess_) {
+        pause_ = shortestPause;
+        return;
+    }
+    limit_ = before_.limit_;
+    triesLess_ = !triesLess_;
+    pauseLeft_ = pause_;
+    pause_ = std::min(2 * pause_, longestPause);
 }
 
 void ConcurrencyLimit::grow()
--- a/libs/admission/src/details/ConcurrencyLimit.h
+++ b/libs/admission/src/details/ConcurrencyLimit.h
@@ -2,14 +2,17 @@
 
 #include <cstdint>
 
+#include <details/ServiceTimes.h>
+
 namespace admission::details {
 
 /**
  * Number of requests that may run at once: at most the slots, less while fewer serve better.
  *
- * Shrinks when the backend server sheds, and on trial when requests take far longer than their
- * baseline. A trial that does not make them faster is undone: then it is not this instance that
- * is too busy, but something that it waits for.
+ * Shrinks when the backend server sheds. When requests take far longer than their baseline, the
+ * limit is moved on trial; a trial that does not change service times accordingly is undone or
+ * kept so that more requests run: then what is too busy is not this instance, but something that
+ * it waits for.
  */
 class ConcurrencyLimit
 {
@@ -18,27 +21,51 @@
 
     std::uint32_t value() const { return static_cast<std::uint32_t>(limit_); }
 
+    /** Whether fewer requests than slots may run. */
+    bool isReduced() const { return value() < slots_; }
+
     /** What was measured in one window. */
     struct Window
     {
-        double slowdown_ = 0.0; ///< service time over its baseline; 0: nothing served
+        ServedWork served_;
         bool hasShed_ = false;  ///< the backend server refused a request
         bool wasBound_ = false; ///< the limit was reached
         bool isReportedFull_ = false;
     };
 
-    /** Adapts to one window; returns whether the present service times are to be the baseline. */
-    bool closeWindow(const Window &window);
+    /** Adapts to one window. */
+    void closeWindow(const Window &window);
 
 private:
-    bool judgeTrial(double slowdown);
+    enum class Trial : std::uint8_t {
+        None,     ///< the limit is not on trial
+        Settling, ///< the limit was moved; requests started before still end
+        Judging,  ///< service times under the new limit are measured
+    };
+
+    /** What each round of served requests is judged for. */
+    struct Before
+    {
+        double limit_ = 0.0;
+        double slowdown_ = 0.0;
+    };
+
+    void endRound();
+    void judgeTrial();
+    void startTrial();
     void grow();
 
     std::uint32_t slots_ = 0;
     double limit_ = 0.0;
-    double limitBeforeTrial_ = 0.0;
-    double slowdownBeforeTrial_ = 0.0;
-    int trialWindowsLeft_ = 0;
+    double slowdown_ = 0.0; ///< service time over its baseline in the last round
+    ServedWork round_;
+    bool wasBound_ = false;
+
+    Trial trial_ = Trial::None;
+    Before before_; ///< limit and slowdown before the trial
+    bool triesLess_ = true;
+    int pause_ = 0;
+    int pauseLeft_ = 0; ///< rounds until the next trial
 };
 
 } // namespace admission::details
--- a/libs/admission/src/details/ServiceTimes.cpp
+++ b/libs/admission/src/details/ServiceTimes.cpp
@@ -1,14 +1,17 @@
 #include <details/ServiceTimes.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace admission::details {
 
 namespace {
 
 constexpr double sampleGain = 0.1;
+// Means of few samples scatter, and the baseline would follow the lowest ones.
+constexpr std::size_t samplesForBaseline = 20;
 constexpr double baselineFallGain = 0.2;
-constexpr double baselineRiseGain = 0.005;
+constexpr double baselineRiseGain = 0.01;
 constexpr double unsampledDecay = 0.9;
 
 } // namespace
@@ -40,9 +43,14 @@
     const double sample = serviceTime.fractional();
     const bool isFirst = state.expectedMillis_ == 0.0;
     state.expectedMillis_ += (sample - state.expectedMillis_) * (isFirst ? 1.0 : sampleGain);
-    state.windowSumMillis_ += sample;
-    ++state.windowCount_;
-    state.windowSampled_ = true;
+    state.sumMillis_ += sample;
+    ++state.count_;
+    state.isSampled_ = true;
+    if (state.baselineMillis_ == 0.0)
+        return;
+    ++window_.count_;
+    window_.measuredMillis_ += sample;
+    window_.baselineMillis_ += state.baselineMillis_;
 }
 
 void ServiceTimes::noteCutShort(ClassIndex index, base::Millis elapsed)
@@ -52,39 +60,33 @@
     if (sample <= state.expectedMillis_)
         return;
     state.expectedMillis_ += (sample - state.expectedMillis_) * sampleGain;
-    state.windowSampled_ = true;
+    state.isSampled_ = true;
 }
 
-double ServiceTimes::closeWindow()
+ServedWork ServiceTimes::closeWindow(bool mayBaselineRise)
 {
-    double measured = 0.0;
-    double baseline = 0.0;
     for (State &state : states_) {
-        if (state.windowCount_ > 0) {
-            const double count = static_cast<double>(state.windowCount_);
-            const double mean = state.windowSumMillis_ / count;
-            if (state.baselineMillis_ == 0.0)
-                state.baselineMillis_ = mean;
-            measured += state.windowSumMillis_;
-            baseline += state.baselineMillis_ * count;
-            const bool isFaster = mean < state.baselineMillis_;
-            state.baselineMillis_ += (mean - state.baselineMillis_)
-                                     * (isFaster ? baselineFallGain : baselineRiseGain);
-        }
+        if (state.count_ >= samplesForBaseline)
+            moveBaseline(state, mayBaselineRise);
         // Without samples the estimate fades, so that a class judged too slow is tried again.
-        if (!state.windowSampled_)
+        if (!state.isSampled_)
             state.expectedMillis_ *= unsampledDecay;
-        state.windowSumMillis_ = 0.0;
-        state.windowCount_ = 0;
-        state.windowSampled_ = false;
+        state.isSampled_ = false;
     }
-    return baseline > 0.0 ? measured / baseline : 0.0;
+    return std::exchange(window_, {});
 }
 
-void ServiceTimes::acceptPresentAsBaseline()
+void ServiceTimes::moveBaseline(State &state, bool mayRise)
 {
-    for (State &state : states_)
-        state.baselineMillis_ = std::max(state.baselineMillis_, state.expectedMillis_);
+    const double mean = state.sumMillis_ / static_cast<double>(state.count_);
+    if (state.baselineMillis_ == 0.0)
+        state.baselineMillis_ = mean;
+    if (mean < state.baselineMillis_)
+        state.baselineMillis_ += (mean - state.baselineMillis_) * baselineFallGain;
+    else if (mayRise)
+        state.baselineMillis_ += (mean - state.baselineMillis_) * baselineRiseGain;
+    state.sumMillis_ = 0.0;
+    state.count_ = 0;
 }
 
 } // namespace admission::details
--- a/libs/admission/src/details/ServiceTimes.h
+++ b/libs/admission/src/details/ServiceTimes.h
@@ -13,6 +13,14 @@
 /** Position of a request class in ServiceTimes; 0 stands for all classes beyond the bound. */
 using ClassIndex = std::size_t;
 
+/** Requests served in some time, with the service times that their baselines would give. */
+struct ServedWork
+{
+    std::size_t count_ = 0;
+    double measuredMillis_ = 0.0;
+    double baselineMillis_ = 0.0;
+};
+
 /** Service time of each request class: the present mean, and a baseline that moves slowly. */
 class ServiceTimes
 {
@@ -31,14 +39,8 @@
     /** Notes a request that was ended early: it would have taken longer. */
     void noteCutShort(ClassIndex index, base::Millis elapsed);
 
-    /**
-     * Ends a window. Returns how many times the baseline the served requests took on average,
-     * or 0 when none was served.
-     */
-    double closeWindow();
-
-    /** Takes the present means as the baseline. */
-    void acceptPresentAsBaseline();
+    /** Ends a window and returns its service times; the baseline rises only if told so. */
+    ServedWork closeWindow(bool mayBaselineRise);
 
     static constexpr std::size_t maxClasses = 256;
 
@@ -47,13 +49,16 @@
     {
         double expectedMillis_ = 0.0;
         double baselineMillis_ = 0.0;
-        double windowSumMillis_ = 0.0;
-        std::size_t windowCount_ = 0;
-        bool windowSampled_ = false;
+        double sumMillis_ = 0.0; ///< since the baseline was last moved
+        std::size_t count_ = 0;
+        bool isSampled_ = false; ///< in this window
     };
 
+    static void moveBaseline(State &state, bool mayRise);
+
     std::map<std::string, ClassIndex, std::less<>> indexes_;
     std::vector<State> states_;
+    ServedWork window_;
 };
 
 } // namespace admission::details
--- a/libs/admission/src/details/State.cpp
+++ b/libs/admission/src/details/State.cpp
@@ -126,12 +126,11 @@
               || (starts == 0 && queue_.size() > 0);
     levels_.closeWindow(isLate_);
     overloadedWindows_ = isLate_ ? overloadedWindows_ + 1 : 0;
-    const ConcurrencyLimit::Window window = {.slowdown_ = times_.closeWindow(),
+    const ConcurrencyLimit::Window window = {.served_ = times_.closeWindow(!limit_.isReduced()),
                                              .hasShed_ = windowBackendShed_,
                                              .wasBound_ = windowBound_,
                                              .isReportedFull_ = isReportedFull_};
-    if (limit_.closeWindow(window))
-        times_.acceptPresentAsBaseline();
+    limit_.closeWindow(window);
     windowWait_ = base::Millis();
     windowStarts_ = 0;
     windowExpired_ = false;
--- /dev/null
+++ b/libs/admission/tests/OverloadTest.cpp
@@ -0,0 +1,112 @@
+#include <QueueingModel.h>
+
+#include <gtest/gtest.h>
+
+using namespace admission;
+using namespace admission::tests;
+using base::Millis;
+
+namespace {
+
+constexpr int protectedRank = 0;
+constexpr int lowRank = 5;
+constexpr int surgeStart = 10;
+constexpr int surgeEnd = 30;
+constexpr int end = 60;
+
+/** 0.7 of the capacity before and after a surge of `factor` times the capacity. */
+void addSurge(QueueingModel &model, double factor)
+{
+    const auto add = [&](double load, int from, int until) {
+        const double rate = load * model.capacity();
+        model.add({protectedRank, "", 0.6 * rate, Millis(1000 * from), Millis(1000 * until)});
+        model.add({lowRank, "", 0.4 * rate, Millis(1000 * from), Millis(1000 * until)});
+    };
+    add(0.7, 0, surgeStart);
+    add(factor, surgeStart, surgeEnd);
+    add(0.7, surgeEnd, end);
+}
+
+double protectedGoodput(QueueingModel &model, int from, int until)
+{
+    return model.completed(protectedRank, from, until) / (model.capacity() * (until - from));
+}
+
+class Surge : public testing::TestWithParam<double>
+{};
+
+} // namespace
+
+TEST_P(Surge, protectedGoodputStaysAtCapacityAndTheInstanceRecovers)
+{
+    QueueingModel model({.slots_ = 20});
+    addSurge(model, GetParam());
+    model.run(Millis(1000 * end));
+    const double goodput = protectedGoodput(model, surgeStart, surgeEnd);
+    RecordProperty("goodput", std::to_string(goodput));
+    EXPECT_GE(goodput, 0.95);
+    for (int second = surgeEnd + 5; second < end; ++second) {
+        EXPECT_EQ(model.counts(lowRank, second).refusals_, 0) << "second " << second;
+        EXPECT_EQ(model.levels().at(second), Level::all()) << "second " << second;
+    }
+}
+
+TEST_P(Surge, collapsesWithoutAdmission)
+{
+    QueueingModel model({.hasAdmission_ = false, .slots_ = 20});
+    addSurge(model, GetParam());
+    model.run(Millis(1000 * end));
+    const double goodput = protectedGoodput(model, surgeStart + 5, surgeEnd);
+    RecordProperty("goodput", std::to_string(goodput));
+    EXPECT_LT(goodput, 0.5);
+    EXPECT_LT(protectedGoodput(model, surgeEnd, surgeEnd + 5), 0.5 * 0.42);
+}
+
+INSTANTIATE_TEST_SUITE_P(Load, Surge, testing::Values(2.0, 4.0));
+
+TEST(Overload, customersOfOneRankShareByWeight)
+{
+    QueueingModel model({.customers_ = {{"big", {.name_ = "big", .share_ = 3}},
+                                        {"small", {.name_ = "small", .share_ = 1}}}});
+    for (const char *customer : {"big", "small"})
+        model.add({protectedRank, customer, 2.0 * model.capacity(), Millis(1), Millis(20000)});
+    model.run(Millis(20000));
+    const double big = model.completed(protectedRank, 5, 20, "big");
+    const double small = model.completed(protectedRank, 5, 20, "small");
+    EXPECT_NEAR(big / small, 3.0, 0.3);
+    EXPECT_GE(big + small, 0.95 * 15 * model.capacity());
+}
+
+TEST(Overload, oneFloodingCustomerDoesNotTakeTheShareOfOthers)
+{
+    QueueingModel model({.customers_ = {{"quiet", {.name_ = "quiet"}}}});
+    model.add({protectedRank, "quiet", 0.4 * model.capacity(), Millis(1), Millis(20000)});
+    model.add({protectedRank, "flood", 4.0 * model.capacity(), Millis(1), Millis(20000)});
+    model.run(Millis(20000));
+    EXPECT_GE(model.completed(protectedRank, 5, 20, "quiet"), 0.95 * 0.4 * 15 * model.capacity());
+}
+
+TEST(Overload, limitFallsWhereFewerRunningRequestsServeBetter)
+{
+    const auto contention = [](std::size_t running, Millis) {
+        const double over = static_cast<double>(running) / 10.0;
+        return over <= 1.0 ? 1.0 : over * over;
+    };
+    QueueingModel model({.slots_ = 40, .slowdown_ = contention});
+    model.add({protectedRank, "", 100.0, Millis(1), Millis(10000)});
+    model.add({protectedRank, "", 2000.0, Millis(10000), Millis(60000)});
+    model.run(Millis(60000));
+    // 40 running requests would be served at 125 a second, 10 at 500.
+    EXPECT_GE(model.completed(protectedRank, 20, 60) / 40.0, 0.5 * 500.0);
+}
+
+TEST(Overload, limitStaysWhenWhatTheInstanceWaitsForIsSlow)
+{
+    const auto slowService = [](std::size_t, Millis now) {
+        return now < Millis(10000) ? 1.0 : 4.0;
+    };
+    QueueingModel model({.slots_ = 20, .slowdown_ = slowService});
+    model.add({protectedRank, "", 2.0 * model.capacity(), Millis(1), Millis(40000)});
+    model.run(Millis(40000));
+    EXPECT_GE(model.completed(protectedRank, 15, 40) / 25.0, 0.9 * model.capacity() / 4.0);
+}
