--- a/libs/retry/src/Core.cpp
+++ b/libs/retry/src/Core.cpp
@@ -28,6 +28,11 @@
     std::vector<std::string> avoid_;
 };
 
+bool neverStarted(AttemptResult result)
+{
+    return result == AttemptResult::NotSent || result == AttemptResult::Overloaded;
+}
+
 } // namespace
 
 struct Core::Impl
@@ -93,8 +98,8 @@
     auto &call = found->second;
     if (auto *budget = budgetOf(call); budget && event.budgetLeft_)
         budget->takeBack(call.handedDown_, *event.budgetLeft_);
-    // What a request that was not sent carried cannot have been used.
-    else if (budget && event.result_ == AttemptResult::NotSent)
+    // What a request carried that was not sent or not admitted cannot have been used.
+    else if (budget && neverStarted(event.result_))
         budget->takeBack(call.handedDown_, call.handedDown_);
     call.handedDown_ = 0;
     if (event.result_ == AttemptResult::Answered) {
