Decide membership in a core without I/O, with a datagram codec

Cause: daemons must know each other, with no list of them and no coordination service.

The core follows SWIM (Das, Gupta, Motivala 2002) inside a data centre: probes, indirect probes, suspicion that can be refuted, updates carried by all datagrams and by gossip rounds of their own. Three relays for each data centre, chosen by rendezvous hash, talk to those of the others. Records are totally ordered, so that the order of arrival does not matter. Lost updates are found by hashes in each datagram.

--- /dev/null
+++ b/libs/membership/src/details/CoreImpl.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <base/Random.h>
+#include <details/ByteBudget.h>
+#include <details/MemberTable.h>
+#include <details/Probes.h>
+#include <details/RevisionBoard.h>
+#include <details/UpdateQueue.h>
+#include <membership/Core.h>
+
+namespace membership {
+
+using details::ByteBudget;
+using details::Entry;
+using details::MemberTable;
+using details::Probes;
+using details::RevisionBoard;
+using details::UpdateQueue;
+
+/** State of a Core; its members are spread over Events.cpp, Timers.cpp and Sending.cpp. */
+struct Core::Impl
+{
+    explicit Impl(Options options);
+
+    // Events.cpp
+    void on(const Tick &);
+    void on(const DatagramReceived &event);
+    void on(const StateFetched &event);
+    void on(const StateFetchFailed &event);
+    void on(const SeedsFound &event);
+    void on(const ServiceChanged &event);
+    void on(const RevisionInForce &event);
+    void on(const LeaveRequested &);
+
+    void onBody(const DatagramReceived &event, const Ping &ping);
+    void onBody(const DatagramReceived &event, const PingRequest &request);
+    void onBody(const DatagramReceived &event, const Ack &ack);
+    void onBody(const DatagramReceived &, const Gossip &) {}
+    void onBody(const DatagramReceived &event, const DigestRequest &request);
+    void onBody(const DatagramReceived &event, const FetchAdvice &advice);
+    void learnFromHeader(const DatagramReceived &event);
+    void compareViews(const DatagramReceived &event);
+
+    // Merging.cpp
+    /** Takes a record into account; true when it was news. */
+    bool absorb(Record record, const std::string &senderDataCentre, bool spread);
+    bool absorbSelf(const Record &record);
+    bool absorbHearsay(Record record);
+    bool apply(Record record, bool spread);
+    bool settleAddress(Record &record);
+    void declare(const std::string &id, Status status);
+    void announceSelf();
+
+    // Timers.cpp
+    void advance();
+    void onPause(base::Millis gap);
+    void judge();
+    void probeNext();
+    void reconnect();
+    void relayProbe();
+    void join();
+    void fetch(const model::Address &from, const std::string &dataCentre);
+    void countRevisions();
+    void forgetUnreachable();
+    bool isDue(base::Millis &next, base::Millis interval);
+
+    // Sending.cpp
+    Datagram datagram(const std::string &toDataCentre, Body body);
+    void send(const Entry &to, Body body, std::vector<Record> records = {});
+    void reply(const DatagramReceived &to, Body body);
+    void sendRecords(const model::Address &to, const std::string &toDataCentre,
+                     std::vector<Record> records);
+    void fill(Datagram &datagram, UpdateQueue &queue, std::uint32_t limit);
+    void push(const model::Address &to, Datagram datagram);
+    void gossip();
+    void gossipToRelays();
+    void gossipToOtherDataCentres();
+    std::uint32_t sendLimit() const;
+
+    // Selection.cpp
+    const Entry *random(const std::vector<const Entry *> &entries);
+    std::vector<const Entry *> randomPeers(std::size_t count, const std::string &exceptId = {});
+    std::vector<std::string> otherDataCentres() const;
+    std::vector<Record> differing(const std::string &dataCentre, const Digest &digest) const;
+    Record exported(const Entry &entry) const;
+    bool isSelf(const std::string &id) const { return id == self_.id_; }
+    bool isOwn(const std::string &dataCentre) const { return dataCentre == self_.dataCentre_; }
+    bool isRelay() const;
+    bool isIsolated() const;
+    bool isUnreachable(const std::string &dataCentre) const;
+
+    Options options_;
+    const Timing &timing_;
+    model::Member self_;
+    std::uint64_t incarnation_ = 0;
+    bool isLeaving_ = false;
+    std::uint32_t generationRaises_ = 0;
+
+    MemberTable table_;
+    UpdateQueue updates_;                             ///< for the own data centre
+    std::map<std::string, UpdateQueue> relayUpdates_; ///< for each other data centre
+    RevisionBoard revisions_;
+    model::Revision highestRevision_ = 0;
+    std::map<std::string, base::Millis> heard_; ///< last answer of another data centre
+
+    Probes probes_;
+    std::vector<std::string> probeOrder_;
+    base::Random random_;
+    ByteBudget budget_;
+
+    base::Millis now_;
+    base::Millis running_; ///< time without pauses of this process; judgements use it alone
+    base::Millis lastTick_;
+    bool hasTicked_ = false;
+    base::Millis lastContact_;
+    bool hasContact_ = false;
+    bool hasJoined_ = false;
+    bool isCatchingUp_ = false;
+    base::Millis catchUpEnd_; ///< running time
+    bool isFetching_ = false;
+    std::vector<model::Address> joinCandidates_;
+    std::vector<model::Address> foundSeeds_;
+    std::uint32_t hintRounds_ = 0;
+    std::uint32_t relayRounds_ = 0;
+    bool isChanged_ = false;
+
+    base::Millis nextProbe_;
+    base::Millis nextGossip_;
+    base::Millis nextRelayProbe_;
+    std::map<std::string, base::Millis> nextDigest_; ///< for each data centre of senders
+    base::Millis nextReconnect_;
+    base::Millis nextJoin_;
+    base::Millis nextSeedSearch_;
+    base::Millis nextCount_;
+    base::Millis nextExpiry_;
+
+    std::vector<Command> commands_;
+};
+
+} // namespace membership
--- /dev/null
+++ b/libs/membership/src/details/Events.cpp
@@ -0,0 +1,207 @@
+#include <algorithm>
+#include <bit>
+
+#include <details/CoreImpl.h>
+
+namespace membership {
+namespace {
+
+/** Fetched news of another data centre up to this number are gossiped on; more are compared. */
+constexpr std::size_t maxSpreadRecords = 64;
+constexpr std::size_t maxFoundSeeds = 64;
+constexpr std::uint64_t hearsayShare = 4;
+
+} // namespace
+
+void Core::Impl::on(const Tick &)
+{
+    advance();
+}
+
+void Core::Impl::on(const DatagramReceived &event)
+{
+    if (isSelf(event.datagram_.senderId_))
+        return;
+    lastContact_ = now_;
+    hasContact_ = true;
+    learnFromHeader(event);
+    for (const auto &record : event.datagram_.records_)
+        absorb(record, event.datagram_.senderDataCentre_, !isCatchingUp_);
+    std::visit([&](const auto &body) { onBody(event, body); }, event.datagram_.body_);
+    compareViews(event);
+}
+
+void Core::Impl::learnFromHeader(const DatagramReceived &event)
+{
+    const auto &message = event.datagram_;
+    table_.raiseRevision(message.senderId_, message.senderGeneration_, message.senderRevision_);
+    if (message.senderRevision_ > highestRevision_) {
+        highestRevision_ = message.senderRevision_;
+        isChanged_ = true;
+    }
+    for (const auto &summary : message.revisions_)
+        revisions_.merge(summary);
+    if (!isOwn(message.senderDataCentre_))
+        return;
+    for (const auto &[dataCentre, age, hash] : message.views_) {
+        if (const auto found = heard_.find(dataCentre); found != heard_.end())
+            found->second = std::max(found->second, now_ - age);
+    }
+}
+
+/** Asks for one part of what the sender holds differently, so that lost updates are made good. */
+void Core::Impl::compareViews(const DatagramReceived &event)
+{
+    const auto &message = event.datagram_;
+    std::vector<std::string> different;
+    for (const auto &[dataCentre, age, hash] : message.views_) {
+        // What another data centre holds on this one is asked for less often: it is hearsay.
+        const bool isHearsay = isOwn(dataCentre) && !isOwn(message.senderDataCentre_);
+        if (isHearsay && random_.below(hearsayShare) != 0)
+            continue;
+        if (hash != table_.hash(dataCentre))
+            different.push_back(dataCentre);
+    }
+    if (different.empty() || isCatchingUp_)
+        return;
+    const bool isKnown
+            = isOwn(message.senderDataCentre_) || heard_.contains(message.senderDataCentre_);
+    if (!isDue(nextDigest_[isKnown ? message.senderDataCentre_ : std::string()],
+               timing_.digestInterval_))
+        return;
+    const auto &subject = different[random_.below(different.size())];
+    reply(event, DigestRequest{subject, table_.digest(subject)});
+}
+
+void Core::Impl::onBody(const DatagramReceived &event, const Ping &ping)
+{
+    if (isSelf(ping.targetId_))
+        reply(event, Ack{ping.sequence_, self_.id_});
+    else
+        sendRecords(event.from_, event.datagram_.senderDataCentre_,
+                    {table_.find(self_.id_)->record_});
+}
+
+void Core::Impl::onBody(const DatagramReceived &event, const PingRequest &request)
+{
+    const auto sequence
+            = probes_.startForward({event.from_, request.sequence_, request.targetId_, running_});
+    if (const auto *target = table_.find(request.targetId_);
+        target && target->record_.member_.controlAddress_ == request.target_)
+        send(*target, Ping{sequence, request.targetId_});
+    else
+        push(request.target_, datagram(self_.dataCentre_, Ping{sequence, request.targetId_}));
+}
+
+void Core::Impl::onBody(const DatagramReceived &, const Ack &ack)
+{
+    if (const auto forward = probes_.finishForward(ack.sequence_, ack.targetId_))
+        push(forward->origin_,
+             datagram(self_.dataCentre_, Ack{forward->originSequence_, ack.targetId_}));
+    if (const auto probe = probes_.finish(ack.sequence_, ack.targetId_);
+        probe && !isOwn(probe->dataCentre_))
+        heard_[probe->dataCentre_] = now_;
+}
+
+void Core::Impl::onBody(const DatagramReceived &event, const DigestRequest &request)
+{
+    if (isCatchingUp_)
+        return;
+    auto records = differing(request.dataCentre_, request.digest_);
+    if (records.size() > timing_.digestRecords_)
+        reply(event, FetchAdvice{request.dataCentre_});
+    else if (!records.empty())
+        sendRecords(event.from_, event.datagram_.senderDataCentre_, std::move(records));
+}
+
+void Core::Impl::onBody(const DatagramReceived &event, const FetchAdvice &advice)
+{
+    fetch(event.from_, advice.dataCentre_);
+}
+
+void Core::Impl::on(const StateFetched &event)
+{
+    isFetching_ = false;
+    lastContact_ = now_;
+    hasContact_ = true;
+    const auto *source = table_.ownerOf(event.from_);
+    auto sourceDataCentre = source ? source->record_.member_.dataCentre_ : std::string();
+    for (const auto &record : event.records_) {
+        if (record.isLive() && record.member_.controlAddress_ == event.from_)
+            sourceDataCentre = record.member_.dataCentre_;
+    }
+    std::vector<std::string> news;
+    for (const auto &record : event.records_) {
+        if (absorb(record, sourceDataCentre, false))
+            news.push_back(record.member_.id_);
+    }
+    if (hasJoined_ && news.size() <= maxSpreadRecords) {
+        for (const auto &id : news)
+            updates_.add(id);
+    }
+    isCatchingUp_ = false;
+    if (!hasJoined_) {
+        hasJoined_ = true;
+        announceSelf();
+        sendRecords(event.from_, sourceDataCentre, {table_.find(self_.id_)->record_});
+    }
+}
+
+void Core::Impl::on(const StateFetchFailed &)
+{
+    isFetching_ = false;
+}
+
+void Core::Impl::on(const SeedsFound &event)
+{
+    for (const auto &address : event.addresses_) {
+        const bool isKnown
+                = std::find(foundSeeds_.begin(), foundSeeds_.end(), address) != foundSeeds_.end();
+        if (isKnown || address == self_.controlAddress_)
+            continue;
+        if (foundSeeds_.size() == maxFoundSeeds)
+            foundSeeds_.erase(foundSeeds_.begin());
+        foundSeeds_.push_back(address);
+    }
+}
+
+void Core::Impl::on(const ServiceChanged &event)
+{
+    const bool isSame = event.serving_ == self_.serving_ && event.service_ == self_.service_
+                        && event.slots_ == self_.slots_;
+    if (isSame || isLeaving_)
+        return;
+    self_.serving_ = event.serving_;
+    self_.service_ = event.service_;
+    self_.slots_ = event.slots_;
+    ++incarnation_;
+    announceSelf();
+    gossip();
+}
+
+void Core::Impl::on(const RevisionInForce &event)
+{
+    if (event.revision_ <= self_.revision_)
+        return;
+    self_.revision_ = event.revision_;
+    table_.raiseRevision(self_.id_, self_.generation_, self_.revision_);
+    highestRevision_ = std::max(highestRevision_, self_.revision_);
+    isChanged_ = true;
+    hintRounds_
+            = static_cast<std::uint32_t>(std::bit_width(table_.live(self_.dataCentre_).size())) / 2
+              + 1;
+    relayRounds_ = 2;
+    if (isRelay())
+        relayProbe();
+}
+
+void Core::Impl::on(const LeaveRequested &)
+{
+    if (isLeaving_)
+        return;
+    isLeaving_ = true;
+    announceSelf();
+    gossip();
+}
+
+} // namespace membership
--- /dev/null
+++ b/libs/membership/src/details/MemberTable.cpp
@@ -0,0 +1,204 @@
+#include <details/MemberTable.h>
+
+#include <algorithm>
+#include <functional>
+#include <numeric>
+
+#include <base/Hash.h>
+
+namespace membership::details {
+namespace {
+
+/** Suspect and Alive have the same hash: a digest shall not differ because of a suspicion. */
+std::uint64_t hashOf(const Record &record)
+{
+    const auto seed = record.member_.generation_ * 0x9e3779b97f4a7c15ULL + record.incarnation_;
+    return base::hash64(record.member_.id_, seed);
+}
+
+/** A tombstone travels without addresses; they are kept for later attempts to reconnect. */
+void keepDescription(Record &record, const Record &old)
+{
+    if (record.isLive() || !record.member_.controlAddress_.host_.empty())
+        return;
+    const auto generation = record.member_.generation_;
+    record.member_ = old.member_;
+    record.member_.generation_ = generation;
+}
+
+const std::vector<const Entry *> noEntries;
+
+} // namespace
+
+Merge MemberTable::merge(Record record, base::Millis now)
+{
+    const auto found = entries_.find(record.member_.id_);
+    if (found != entries_.end()) {
+        auto &known = found->second.record_;
+        if (record.version() < known.version())
+            return Merge::Older;
+        if (record.version() == known.version()) {
+            known.member_.revision_ = std::max(known.member_.revision_, record.member_.revision_);
+            return Merge::Same;
+        }
+        if (record.member_.generation_ == known.member_.generation_ && record.isLive())
+            record.member_.revision_ = std::max(known.member_.revision_, record.member_.revision_);
+        keepDescription(record, known);
+        unlink(found->second);
+    }
+    const auto since = now - record.age_;
+    record.age_ = base::Millis();
+    auto &entry = entries_[record.member_.id_];
+    entry = Entry{std::move(record), since, base::Millis::max()};
+    link(entry);
+    return Merge::Newer;
+}
+
+void MemberTable::setRefuteBy(const std::string &id, base::Millis time)
+{
+    if (const auto found = entries_.find(id); found != entries_.end())
+        found->second.refuteBy_ = time;
+}
+
+bool MemberTable::raiseRevision(const std::string &id, std::uint64_t generation,
+                                model::Revision revision)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return false;
+    auto &member = found->second.record_.member_;
+    if (member.generation_ != generation || member.revision_ >= revision)
+        return false;
+    member.revision_ = revision;
+    return true;
+}
+
+void MemberTable::expireBefore(base::Millis time)
+{
+    std::erase_if(entries_, [time](const auto &item) {
+        return !item.second.record_.isLive() && item.second.since_ < time;
+    });
+}
+
+void MemberTable::forget(const std::string &dataCentre, const std::string &exceptId)
+{
+    std::erase_if(entries_, [&](const auto &item) {
+        const auto &[id, entry] = item;
+        const bool isMeant = dataCentre.empty() || entry.record_.member_.dataCentre_ == dataCentre;
+        if (!isMeant || id == exceptId)
+            return false;
+        unlink(entry);
+        return true;
+    });
+}
+
+const Entry *MemberTable::find(const std::string &id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+const Entry *MemberTable::ownerOf(const model::Address &controlAddress) const
+{
+    const auto found = owners_.find(controlAddress);
+    return found == owners_.end() ? nullptr : find(found->second);
+}
+
+const std::vector<const Entry *> &MemberTable::live(const std::string &dataCentre) const
+{
+    const auto *index = refreshed(dataCentre);
+    return index ? index->live_ : noEntries;
+}
+
+const std::vector<const Entry *> &MemberTable::relays(const std::string &dataCentre) const
+{
+    const auto *index = refreshed(dataCentre);
+    return index ? index->relays_ : noEntries;
+}
+
+std::vector<std::string> MemberTable::dataCentres() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, dataCentre] : dataCentres_) {
+        if (dataCentre.liveCount_ > 0)
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::uint64_t MemberTable::hash(const std::string &dataCentre) const
+{
+    const auto found = dataCentres_.find(dataCentre);
+    if (found == dataCentres_.end())
+        return 0;
+    const auto &digest = found->second.digest_;
+    return std::accumulate(digest.begin(), digest.end(), std::uint64_t(0), std::bit_xor<>());
+}
+
+Digest MemberTable::digest(const std::string &dataCentre) const
+{
+    const auto found = dataCentres_.find(dataCentre);
+    return found == dataCentres_.end() ? Digest{} : found->second.digest_;
+}
+
+std::size_t MemberTable::bucketOf(const std::string &id)
+{
+    return base::hash64(id) % digestBuckets;
+}
+
+void MemberTable::link(const Entry &entry)
+{
+    const auto &[member, incarnation, status, age] = entry.record_;
+    if (!entry.record_.isLive())
+        return;
+    auto &dataCentre = dataCentres_[member.dataCentre_];
+    dataCentre.digest_[bucketOf(member.id_)] ^= hashOf(entry.record_);
+    dataCentre.stale_ = true;
+    ++dataCentre.liveCount_;
+    owners_[member.controlAddress_] = member.id_;
+}
+
+void MemberTable::unlink(const Entry &entry)
+{
+    const auto &[member, incarnation, status, age] = entry.record_;
+    if (!entry.record_.isLive())
+        return;
+    auto &dataCentre = dataCentres_[member.dataCentre_];
+    dataCentre.digest_[bucketOf(member.id_)] ^= hashOf(entry.record_);
+    dataCentre.stale_ = true;
+    --dataCentre.liveCount_;
+    const auto owner = owners_.find(member.controlAddress_);
+    if (owner != owners_.end() && owner->second == member.id_)
+        owners_.erase(owner);
+}
+
+const MemberTable::DataCentre *MemberTable::refreshed(const std::string &name) const
+{
+    const auto found = dataCentres_.find(name);
+    if (found == dataCentres_.end())
+        return nullptr;
+    if (found->second.stale_)
+        refresh(name, found->second);
+    return &found->second;
+}
+
+void MemberTable::refresh(const std::string &name, const DataCentre &dataCentre) const
+{
+    dataCentre.live_.clear();
+    std::vector<std::pair<std::uint64_t, const Entry *>> weighted;
+    for (const auto &[id, entry] : entries_) {
+        if (!entry.record_.isLive() || entry.record_.member_.dataCentre_ != name)
+            continue;
+        dataCentre.live_.push_back(&entry);
+        weighted.emplace_back(base::rendezvousWeight(name, id), &entry);
+    }
+    const auto count = std::min(relaysPerDataCentre_, weighted.size());
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(count),
+                      weighted.end(), std::greater<>());
+    dataCentre.relays_.clear();
+    for (std::size_t i = 0; i < count; ++i)
+        dataCentre.relays_.push_back(weighted[i].second);
+    dataCentre.stale_ = false;
+}
+
+} // namespace membership::details
