--- a/libs/membership/tests/CoreTest.cpp
+++ b/libs/membership/tests/CoreTest.cpp
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 
 using base::Millis;
-using membership::Status;
 
 namespace {
 
--- a/libs/membership/tests/Pump.h
+++ b/libs/membership/tests/Pump.h
@@ -105,7 +105,7 @@
     {
         const auto end = now_ + time;
         while (now_ < end) {
-            now_ = now_ + tickInterval_;
+            now_ = now_ + tickInterval;
             while (!pending_.empty() && pending_.begin()->first <= now_) {
                 const auto action = std::move(pending_.begin()->second);
                 pending_.erase(pending_.begin());
@@ -153,7 +153,7 @@
         while (!condition()) {
             if (now_ >= end)
                 return false;
-            run(tickInterval_);
+            run(tickInterval);
         }
         return true;
     }
@@ -265,7 +265,7 @@
         });
     }
 
-    static constexpr base::Millis tickInterval_ = base::Millis(100);
+    static constexpr base::Millis tickInterval = base::Millis(100);
     membership::Codec codec_ = membership::Codec("secret");
     std::uint64_t generation_ = 1'000'000;
     std::multimap<base::Millis, std::function<void()>> pending_;
