--- a/libs/membership/include/membership/Codec.h
+++ b/libs/membership/include/membership/Codec.h
@@ -32,6 +32,9 @@
     /** Hexadecimal MAC of a text; empty when there is no secret. */
     std::string signature(std::string_view text) const;
 
+    /** Whether it is the signature of the text; takes the same time for all of one length. */
+    bool isSignature(std::string_view signature, std::string_view text) const;
+
     /** Upper bound of the bytes that a record takes in a datagram. */
     static std::size_t sizeBound(const Record &record);
 
--- a/libs/membership/src/Codec.cpp
+++ b/libs/membership/src/Codec.cpp
@@ -111,6 +111,13 @@
     return result;
 }
 
+bool Codec::isSignature(std::string_view candidate, std::string_view text) const
+{
+    const auto expected = signature(text);
+    return candidate.size() == expected.size()
+           && CRYPTO_memcmp(candidate.data(), expected.data(), expected.size()) == 0;
+}
+
 std::size_t Codec::sizeBound(const Record &record)
 {
     constexpr std::size_t fixedBytes = 48;
