Add overload experiments on real processes, with plans for both users

Cause: goodput under overload and the time to recover have to be measured against the baseline in one run, with a verdict against stated targets.

Changed: fuchsiadock-bench experiment reads a plan, starts the log, daemons and backend servers, publishes the release note, waits until requests complete, drives the phases with their fault steps and judges goodput of protected classes, recovery, second runs, false denials and wrong answers. experiments/ holds the plans and notes of Sen Vang and Nilambur, with their scale stated. A call of a backend server takes its key from the key of the request it serves.

Ruled out: counting runs by idempotency key alone, since a retry after not-run carries a fresh key and a false denial would stay hidden.

--- /dev/null
+++ b/libs/bench/include/bench/PlannedService.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <bench/ServiceTime.h>
+
+namespace bench {
+
+/** One service of an experiment; its instances are all alike. */
+struct PlannedService
+{
+    std::string name_;
+    std::uint32_t instances_ = 1;
+    std::uint32_t slots_ = 8;
+    std::uint32_t connections_ = 64;
+    std::size_t queueLimit_ = 64;
+    ServiceTime time_;
+    double contention_ = 0.0;
+    std::vector<std::string> calls_; ///< as CallSpec::parse() reads them
+
+    bool operator==(const PlannedService &) const = default;
+};
+
+} // namespace bench
--- a/libs/bench/src/RequestMix.cpp
+++ b/libs/bench/src/RequestMix.cpp
@@ -1,30 +1,16 @@
 #include <bench/RequestMix.h>
 
-#include <set>
-
-#include <yaml-cpp/yaml.h>
+#include <details/YamlFields.h>
 
 namespace bench {
 
 namespace {
 
-const std::set<std::string> knownFields
-        = {"name",      "service",     "method",     "path",       "customer", "weight",
-           "bodyBytes", "answerBytes", "deadlineMs", "idempotent", "protected"};
-
-void checkFields(const YAML::Node &node)
-{
-    for (const auto &entry : node) {
-        if (const auto name = entry.first.as<std::string>(); !knownFields.contains(name)) {
-            throw YAML::RepresentationException(entry.first.Mark(),
-                                                "unknown field \"" + name + "\"");
-        }
-    }
-}
-
 RequestKind parseKind(const YAML::Node &node)
 {
-    checkFields(node);
+    details::requireKnownFields(node, {"name", "service", "method", "path", "customer", "weight",
+                                       "bodyBytes", "answerBytes", "deadlineMs", "idempotent",
+                                       "protected"});
     RequestKind kind;
     kind.name_ = node["name"].as<std::string>();
     kind.service_ = node["service"].as<std::string>();
@@ -38,7 +24,7 @@
     kind.idempotent_ = node["idempotent"].as<bool>(kind.idempotent_);
     kind.protected_ = node["protected"].as<bool>(kind.protected_);
     if (!(kind.weight_ > 0.0)) {
-        throw YAML::RepresentationException(node.Mark(), "weight must be above 0");
+        details::rejectValue(node, "weight must be above 0");
     }
     return kind;
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -83,20 +83,19 @@
 }
 
 wait_for_answers() {
-    local address
-    for address in "${data_addresses[@]}"; do
-        for attempt in $(seq 80); do
-            if curl -s -m 2 -o /dev/null -D - "http://$address/redeem/balance" \
-                | grep -qi '^fuchsiadock-outcome: complete'; then
-                break
-            fi
-            if [ "$attempt" = 80 ]; then
-                echo "no complete answer through $address"
-                return 1
-            fi
-            sleep 0.25
-        done
+    cat >"$work/ready.yaml" <<EOF
+classes:
+  - {name: balance, service: redeem, path: /balance, customer: south-schools}
+EOF
+    for _ in $(seq 20); do
+        if "$bin/fuchsiadock-bench" load --daemons "$daemons" --mix "$work/ready.yaml" \
+            --rate 60 --seconds 1 --all-complete >"$work/ready.out"; then
+            return
+        fi
     done
+    echo "not every daemon answers completely:"
+    cat "$work/ready.out"
+    return 1
 }
 
 echo "$token" >"$work/token"
@@ -112,7 +111,8 @@
         --call "/redemptions: wallet POST /debits once" --call "/balance: wallet GET /balance"
     start_backend $((i + 3)) wallet --slots 9 --connections 65 --time-ms 5
 done
+daemons=$(IFS=,; echo "${data_addresses[*]}")
 wait_for_answers
 echo "two services of three instances each, 10 s at 200 requests/s, chain redeem -> wallet"
-"$bin/fuchsiadock-bench" load --daemons "$(IFS=,; echo "${data_addresses[*]}")" \
+"$bin/fuchsiadock-bench" load --daemons "$daemons" \
     --mix examples/demo/mix.yaml --rate 200 --seconds 10 --seed 1
--- a/tools/bench/BackendServer.cpp
+++ b/tools/bench/BackendServer.cpp
@@ -121,7 +121,7 @@
         counters_.lastWorkAfterLeave_ = base::monotonicNow() - leftAt_;
     }
     const base::Millis deadlineAt = deadlineOf(request);
-    Work work{std::move(request), deadlineAt};
+    Work work{std::move(request), deadlineAt, counters_.received_};
     if (!faults_.shed_ && running_.size() < options_.slots_) {
         begin(id, std::move(work));
     } else if (!faults_.shed_ && waiting_.size() < options_.queueLimit_) {
@@ -178,7 +178,7 @@
             {std::string(protocol::deadlineMs), std::to_string(remaining.count())});
     request.headers_.push_back({std::string(echo::requestId), callId});
     if (call.once_) {
-        request.headers_.push_back({std::string(protocol::idempotencyKey), callId});
+        request.headers_.push_back({std::string(protocol::idempotencyKey), callKey(work)});
         request.headers_.push_back({std::string(echo::once), "1"});
     }
     work.call_ = client_.send(*options_.daemon_, request, remaining,
@@ -187,6 +187,14 @@
                               });
 }
 
+std::string BackendServer::callKey(const Work &work) const
+{
+    // A request without a key of its own may be repeated; then its calls are new ones.
+    const std::string own = header(work.request_, protocol::idempotencyKey);
+    const std::string prefix = own.empty() ? options_.listen_.text() + "-" + std::to_string(work.number_) : own;
+    return prefix + "." + std::to_string(work.nextCall_);
+}
+
 void BackendServer::onCallDone(net::ExchangeId id, const CallSpec &call,
                                const net::HttpRequest &sent, const net::CallResult &result)
 {
--- a/tools/bench/BackendServer.h
+++ b/tools/bench/BackendServer.h
@@ -38,6 +38,7 @@
     {
         net::HttpRequest request_;
         base::Millis deadlineAt_;
+        std::uint64_t number_ = 0; ///< counts the requests received
         std::size_t nextCall_ = 0;
         net::CallId call_ = 0;
         net::TimerId timer_ = 0;
@@ -62,6 +63,7 @@
     void begin(net::ExchangeId id, Work work);
     void callNext(net::ExchangeId id);
     void sendCall(net::ExchangeId id, const CallSpec &call);
+    std::string callKey(const Work &work) const;
     void onCallDone(net::ExchangeId id, const CallSpec &call, const net::HttpRequest &sent,
                     const net::CallResult &result);
     void work(net::ExchangeId id);
--- /dev/null
+++ b/tools/bench/Cluster.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <ChildProcess.h>
+#include <bench/ExperimentPlan.h>
+#include <model/Address.h>
+
+namespace bench {
+
+/** Where a cluster runs. */
+struct ClusterOptions
+{
+    std::string binaryDirectory_;
+    std::string workDirectory_; ///< settings, tokens and the output of the processes
+    std::string noteFile_;
+    std::uint16_t firstPort_ = 20200;
+    std::string mode_ = "fuchsiadock";
+};
+
+/** A daemon and the backend server beside it. */
+struct ClusterInstance
+{
+    std::string service_;
+    std::uint32_t number_ = 0; ///< within its service
+    model::Address data_;
+    model::Address backend_;
+    std::unique_ptr<ChildProcess> daemonProcess_;
+    std::unique_ptr<ChildProcess> backendProcess_;
+};
+
+/** The log, daemons and backend servers of an experiment, as real processes on loopback. */
+class Cluster
+{
+public:
+    /** Starts all processes and publishes the release note. */
+    static base::Result<std::unique_ptr<Cluster>> start(const ExperimentPlan &plan,
+                                                        const ClusterOptions &options);
+
+    /** Asks all processes to end, and kills those that do not. */
+    ~Cluster();
+    Cluster(const Cluster &) = delete;
+    Cluster &operator=(const Cluster &) = delete;
+
+    const std::vector<ClusterInstance> &instances() const { return instances_; }
+    model::Address logAddress() const;
+
+    /** Data ports of all daemons. */
+    std::vector<model::Address> dataAddresses() const;
+
+    /** Sends a signal to the processes that a step acts on. */
+    void signal(const PlannedStep &step, int number);
+
+    /** Instances that a step acts on. */
+    std::vector<const ClusterInstance *> targetsOf(const PlannedStep &step) const;
+
+private:
+    Cluster(const ExperimentPlan &plan, ClusterOptions options);
+
+    base::Result<void> startAll();
+    base::Result<void> startInstance(const PlannedService &service, std::uint32_t number);
+    base::Result<void> writeSettings(const std::string &id, std::size_t index) const;
+    base::Result<void> publishNote();
+    model::Address address(std::size_t index, std::uint16_t offset) const;
+    std::string seeds() const;
+    std::string program(const char *name) const;
+    std::string workFile(const std::string &name) const;
+    std::vector<std::string> backendCommand(const PlannedService &service,
+                                            const ClusterInstance &instance) const;
+
+    const ExperimentPlan &plan_;
+    ClusterOptions options_;
+    std::unique_ptr<ChildProcess> log_;
+    std::vector<ClusterInstance> instances_;
+};
+
+} // namespace bench
--- a/tools/bench/Commands.h
+++ b/tools/bench/Commands.h
@@ -6,5 +6,6 @@
 int runLog(int argc, char **argv);
 int runBackend(int argc, char **argv);
 int runLoad(int argc, char **argv);
+int runExperiment(int argc, char **argv);
 
 } // namespace bench
--- a/tools/bench/LoadCommand.cpp
+++ b/tools/bench/LoadCommand.cpp
@@ -1,8 +1,8 @@
-#include <fstream>
+#include <algorithm>
 #include <iostream>
-#include <sstream>
 
 #include <Commands.h>
+#include <Files.h>
 #include <LoadGenerator.h>
 #include <LoadReport.h>
 #include <Options.h>
@@ -17,15 +17,11 @@
 
 base::Result<RequestMix> readMix(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file) {
-        return base::fail("bad-mix", "cannot read " + path);
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return RequestMix::parseText(text.str()).map_error([&path](const base::Error &error) {
-        return base::Error{error.code_, path + ": " + error.message_};
-    });
+    return readFile(path)
+            .and_then(RequestMix::parseText)
+            .map_error([&path](const base::Error &error) {
+                return base::Error{error.code_, path + ": " + error.message_};
+            });
 }
 
 base::Result<LoadOptions> readOptions(const cxxopts::ParseResult &arguments)
@@ -72,6 +68,13 @@
     return finished;
 }
 
+bool succeeded(const std::vector<Tally> &tallies, bool allComplete)
+{
+    return std::all_of(tallies.begin(), tallies.end(), [allComplete](const Tally &tally) {
+        return allComplete ? tally.complete_ == tally.sent_ : tally.wrong_ == 0;
+    });
+}
+
 base::Result<int> run(const cxxopts::ParseResult &arguments)
 {
     const auto options = readOptions(arguments);
@@ -86,11 +89,8 @@
     } else {
         printTallies(std::cout, options->mix_, tallies, duration);
     }
-    std::uint64_t wrong = 0;
-    for (const Tally &tally : tallies) {
-        wrong += tally.wrong_;
-    }
-    return wrong == 0 ? exitcode::success : exitcode::failure;
+    return succeeded(tallies, arguments.count("all-complete") > 0) ? exitcode::success
+                                                                   : exitcode::failure;
 }
 
 } // namespace
@@ -110,6 +110,7 @@
             cxxopts::value<std::int64_t>()->default_value("0"))(
             "seed", "seed of arrivals and choices",
             cxxopts::value<std::uint64_t>()->default_value("1"))(
+            "all-complete", "exit code 1 unless all requests were complete")(
             "direct", "the addresses are of backend servers")("json", "print JSON");
     return withOptions(options, argc, argv, run);
 }
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -14,6 +14,7 @@
   log          stand-in of the platform's append-only log
   backend      stand-in of one backend server instance
   load         open-loop load on daemons
+  experiment   overload experiment with real processes, judged against targets
 
 Every command has --help.
 )";
@@ -26,6 +27,7 @@
             {"log", bench::runLog},
             {"backend", bench::runBackend},
             {"load", bench::runLoad},
+            {"experiment", bench::runExperiment},
     };
     const std::string name = argc > 1 ? argv[1] : "";
     if (name == "--help") {
