Compare the latency of direct and layered calls in turn

Cause: the added latency of two daemons has a target, and the direct call's own p99 moves from run to run by as much as is to be measured.

Changed: fuchsiadock-bench latency starts two daemons of which one has the backend server beside it, calls the backend server directly and through the other daemon in turn, and prints the median and range of the differences over several rounds at each rate.

--- a/tools/bench/BackendServer.cpp
+++ b/tools/bench/BackendServer.cpp
@@ -191,7 +191,8 @@
 {
     // A request without a key of its own may be repeated; then its calls are new ones.
     const std::string own = header(work.request_, protocol::idempotencyKey);
-    const std::string prefix = own.empty() ? options_.listen_.text() + "-" + std::to_string(work.number_) : own;
+    const std::string prefix
+            = own.empty() ? options_.listen_.text() + "-" + std::to_string(work.number_) : own;
     return prefix + "." + std::to_string(work.nextCall_);
 }
 
--- a/tools/bench/Cluster.cpp
+++ b/tools/bench/Cluster.cpp
@@ -1,5 +1,6 @@
 #include <Cluster.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <thread>
@@ -21,6 +22,15 @@
 constexpr base::Millis publishTimeout(10'000);
 constexpr base::Millis stopTimeout(8000);
 
+std::size_t instanceCount(const ExperimentPlan &plan)
+{
+    std::size_t count = 0;
+    for (const PlannedService &service : plan.services_) {
+        count += service.instances_;
+    }
+    return count;
+}
+
 base::Result<void> writeFile(const std::string &path, const std::string &text)
 {
     std::ofstream file(path);
@@ -195,7 +205,7 @@
 std::string Cluster::seeds() const
 {
     std::string text;
-    for (std::size_t index = 0; index < maxSeeds; ++index) {
+    for (std::size_t index = 0; index < std::min(maxSeeds, instanceCount(plan_)); ++index) {
         text += (index == 0 ? "" : ", ") + address(index, controlOffset).text();
     }
     return text;
--- a/tools/bench/Commands.h
+++ b/tools/bench/Commands.h
@@ -7,5 +7,6 @@
 int runBackend(int argc, char **argv);
 int runLoad(int argc, char **argv);
 int runExperiment(int argc, char **argv);
+int runLatency(int argc, char **argv);
 
 } // namespace bench
--- /dev/null
+++ b/tools/bench/LatencyCommand.cpp
@@ -0,0 +1,148 @@
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <thread>
+
+#include <Cluster.h>
+#include <Commands.h>
+#include <Files.h>
+#include <LatencyRun.h>
+#include <Options.h>
+#include <bench/Statistics.h>
+
+namespace bench {
+
+namespace {
+
+constexpr double targetP99Ms = 0.32;
+constexpr double targetRate = 2000.0;
+constexpr double heldRatio = 0.99; // a lower fraction of complete calls: the rate is not held
+constexpr int readyAttempts = 20;
+
+constexpr const char *note = R"(id: latency
+base: 0
+added:
+  services: [front, work]
+  classes:
+    - {name: call, service: work, match: {method: GET, path: /call}, rank: 0, idempotent: true,
+       deadline: 1000ms}
+)";
+
+ExperimentPlan clusterPlan()
+{
+    PlannedService front{.name_ = "front", .slots_ = 1000, .connections_ = 1000};
+    front.time_ = {base::Millis(0), 0.0};
+    PlannedService work = front;
+    work.name_ = "work";
+    ExperimentPlan plan;
+    plan.name_ = "latency";
+    plan.region_ = "local";
+    plan.dataCentres_ = {"a"};
+    plan.services_ = {front, work};
+    return plan;
+}
+
+bool waitUntilReady(const LatencyOptions &options)
+{
+    LatencyOptions probe = options;
+    probe.rate_ = 20.0;
+    probe.rounds_ = 1;
+    probe.length_ = base::Millis(500);
+    for (int attempt = 0; attempt < readyAttempts; ++attempt) {
+        if (measureLatency(probe).front().layered_.completeRatio_ == 1.0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void printDifferences(const char *name, const std::vector<double> &values)
+{
+    const auto [low, high] = std::minmax_element(values.begin(), values.end());
+    std::cout << "  added " << name << ": median " << median(values) << " ms, range " << *low
+              << " to " << *high << " ms\n";
+}
+
+/** Whether the rate was held and, where a target is stated for it, the target was met. */
+bool reportRate(double rate, const std::vector<LatencyRound> &rounds)
+{
+    std::cout << std::fixed << std::setprecision(0) << rate << " calls/s, " << rounds.size()
+              << " rounds\n"
+              << std::setprecision(3);
+    std::vector<double> p50;
+    std::vector<double> p99;
+    double held = 1.0;
+    for (const auto &[direct, layered] : rounds) {
+        p50.push_back(layered.p50Ms_ - direct.p50Ms_);
+        p99.push_back(layered.p99Ms_ - direct.p99Ms_);
+        held = std::min({held, direct.completeRatio_, layered.completeRatio_});
+        std::cout << "  direct p50 " << direct.p50Ms_ << " p99 " << direct.p99Ms_ << " complete "
+                  << direct.completeRatio_ << "; through both daemons p50 " << layered.p50Ms_
+                  << " p99 " << layered.p99Ms_ << " complete " << layered.completeRatio_ << '\n';
+    }
+    printDifferences("p50", p50);
+    printDifferences("p99", p99);
+    std::cout << (held >= heldRatio ? "  rate held\n" : "  rate not held\n");
+    if (rate != targetRate) {
+        return true;
+    }
+    const bool met = held >= heldRatio && median(p99) <= targetP99Ms;
+    std::cout << (met ? "pass" : "FAIL") << " added p99 within " << targetP99Ms << " ms\n";
+    return met;
+}
+
+base::Result<int> run(const cxxopts::ParseResult &arguments)
+{
+    const TemporaryDirectory work;
+    const ExperimentPlan plan = clusterPlan();
+    ClusterOptions clusterOptions;
+    clusterOptions.binaryDirectory_
+            = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+    clusterOptions.workDirectory_ = work.path();
+    clusterOptions.noteFile_ = work.path() + "/note.yaml";
+    clusterOptions.firstPort_ = arguments["first-port"].as<std::uint16_t>();
+    std::ofstream(clusterOptions.noteFile_) << note;
+    const auto cluster = Cluster::start(plan, clusterOptions);
+    if (!cluster) {
+        return tl::unexpected(cluster.error());
+    }
+    LatencyOptions options;
+    options.layered_ = (*cluster)->instances().at(0).data_;
+    options.direct_ = (*cluster)->instances().at(1).backend_;
+    options.rounds_ = arguments["rounds"].as<int>();
+    options.length_ = base::Millis(arguments["seconds"].as<std::int64_t>() * 1000);
+    options.seed_ = arguments["seed"].as<std::uint64_t>();
+    if (!waitUntilReady(options)) {
+        return base::fail("not-ready", "calls through the daemons do not complete");
+    }
+    bool passed = true;
+    for (const double rate : arguments["rates"].as<std::vector<double>>()) {
+        options.rate_ = rate;
+        passed = reportRate(rate, measureLatency(options)) && passed;
+        std::cout.flush();
+    }
+    return passed ? exitcode::success : exitcode::failure;
+}
+
+} // namespace
+
+int runLatency(int argc, char **argv)
+{
+    cxxopts::Options options("fuchsiadock-bench latency",
+                             "Latency that two daemons add to a call. Exit code 1 when the target "
+                             "is missed.");
+    options.add_options()("rates", "calls a second, separated by commas",
+                          cxxopts::value<std::vector<double>>()->default_value("200,2000,4000"))(
+            "rounds", "direct and layered calls in turn, so many times",
+            cxxopts::value<int>()->default_value("7"))(
+            "seconds", "length of each half of a round",
+            cxxopts::value<std::int64_t>()->default_value("3"))(
+            "first-port", "first of the ports used",
+            cxxopts::value<std::uint16_t>()->default_value("20400"))(
+            "seed", "seed of the arrivals", cxxopts::value<std::uint64_t>()->default_value("1"));
+    return withOptions(options, argc, argv, run);
+}
+
+} // namespace bench
--- a/tools/bench/LoadGenerator.cpp
+++ b/tools/bench/LoadGenerator.cpp
@@ -18,9 +18,11 @@
 constexpr int statusNeedsKey = 428;
 constexpr int firstErrorStatus = 400;
 
-net::HttpRequest requestFor(const RequestKind &kind, const std::string &id)
+net::HttpRequest requestFor(const RequestKind &kind, const std::string &id, bool direct)
 {
-    net::HttpRequest request{kind.method_, "/" + kind.service_ + kind.path_, {}, ""};
+    // A daemon takes the service from the path and removes it.
+    const std::string target = direct ? kind.path_ : "/" + kind.service_ + kind.path_;
+    net::HttpRequest request{kind.method_, target, {}, ""};
     request.body_ = echoBody("body of " + id, kind.bodyBytes_);
     request.headers_ = {
             {std::string(echo::requestId), id},
@@ -102,7 +104,7 @@
     pending.record_.kind_ = options_.mix_.pick(random_);
     pending.record_.id_ = std::to_string(options_.seed_) + "-" + std::to_string(number);
     pending.record_.arrivedAt_ = nextArrival_;
-    pending.request_ = requestFor(kindOf(pending), pending.record_.id_);
+    pending.request_ = requestFor(kindOf(pending), pending.record_.id_, options_.direct_);
     pending_.emplace(number, std::move(pending));
     attempt(number);
 }
