Add the exchange of release notes between daemons and the log

Daemons need each accepted note within seconds, also without the log, and must not load the log in proportion to their number.

NoteSync decides without I/O: two readers per data centre by rendezvous hash poll the log, changed states are announced to a few peers which then ask for what they lack, and a higher gossiped revision or a differing digest makes the rest ask. NoteService joins it to net and logclient.

Pushing whole updates was ruled out: an announcement of a few bytes and a pull use one code path for push, gossip and anti-entropy.

Found by the fault matrix and mended: a slow read whose records a peer had brought meanwhile put duplicates into the tail for peers, and was taken for a log that had lost records.

--- a/libs/note/include/note/Fold.h
+++ b/libs/note/include/note/Fold.h
@@ -28,6 +28,9 @@
     /** Folds the record at an offset; records before position() are ignored. */
     void apply(std::uint64_t offset, std::string_view data);
 
+    /** The records before `offset` that were not applied change nothing. */
+    void skipTo(std::uint64_t offset);
+
     /** Takes in the state of another daemon. */
     void adopt(const State &state);
 
--- a/libs/note/src/Fold.cpp
+++ b/libs/note/src/Fold.cpp
@@ -37,10 +37,13 @@
         fold(offset, *record);
     else
         ++malformed_;
-    if (attached_)
-        state_->nextOffset_ = offset + 1;
-    else
-        position_ = offset + 1;
+    skipTo(offset + 1);
+}
+
+void Fold::skipTo(std::uint64_t offset)
+{
+    auto &position = attached_ ? state_->nextOffset_ : position_;
+    position = std::max(position, offset);
 }
 
 void Fold::fold(std::uint64_t offset, const Record &record)
--- /dev/null
+++ b/libs/notesync/src/details/Tail.cpp
@@ -0,0 +1,40 @@
+#include "details/Tail.h"
+
+namespace notesync::details {
+
+namespace {
+constexpr std::size_t maxRecords = 256;
+constexpr std::size_t maxBytes = 512 * 1024;
+} // namespace
+
+void Tail::add(const logclient::LogRecord &record, bool isSnapshot)
+{
+    if (isSnapshot)
+        return;
+    records_.push_back(record);
+    bytes_ += record.data_.size();
+    while (records_.size() > maxRecords || bytes_ > maxBytes) {
+        from_ = records_.front().offset_ + 1;
+        bytes_ -= records_.front().data_.size();
+        records_.pop_front();
+    }
+}
+
+void Tail::restart(std::uint64_t offset)
+{
+    records_.clear();
+    bytes_ = 0;
+    from_ = offset;
+}
+
+std::vector<logclient::LogRecord> Tail::recordsFrom(std::uint64_t offset) const
+{
+    std::vector<logclient::LogRecord> result;
+    for (const auto &record : records_) {
+        if (record.offset_ >= offset)
+            result.push_back(record);
+    }
+    return result;
+}
+
+} // namespace notesync::details
