--- a/libs/admission/include/admission/Options.h
+++ b/libs/admission/include/admission/Options.h
@@ -9,9 +9,10 @@
 /** Parameters of the admission decision. */
 struct Options
 {
-    std::size_t queuePerSlot_ = 4;                 ///< waiting requests for each slot
-    base::Millis window_ = base::Millis(100);      ///< measurements are judged once a window
-    base::Millis lateAfter_ = base::Millis(20);    ///< queueing delay that means overload
+    std::size_t queuePerSlot_ = 4;              ///< waiting requests for each slot
+    base::Millis window_ = base::Millis(100);   ///< measurements are judged once a window
+    base::Millis lateAfter_ = base::Millis(20); ///< queueing delay that means overload, unless
+    ///< requests take longer than that to run
     base::Millis rankMemory_ = base::Millis(2000); ///< headroom is kept for ranks seen this lately
     double headroom_ = 0.1; ///< part of the limit kept for better ranks seen lately
 
--- a/libs/admission/src/details/ConcurrencyLimit.cpp
+++ b/libs/admission/src/details/ConcurrencyLimit.cpp
@@ -13,11 +13,11 @@
 constexpr double trialStep = 0.7;
 constexpr double growth = 0.05;
 constexpr int shortestPause = 2;
-constexpr int longestPause = 16;
-// Judged are at least as many requests as may run, and enough for a steady mean.
-constexpr std::size_t fewestJudged = 60;
+constexpr int longestPause = 32;
+// Judged are at least twice as many requests as may run, and enough for a steady mean.
+constexpr std::size_t fewestJudged = 120;
 // Running requests delay each other if service times change by this part of the limit's change.
-constexpr double effectNeeded = 0.5;
+constexpr double effectNeeded = 0.7;
 
 } // namespace
 
@@ -45,7 +45,7 @@
         trial_ = Trial::None;
         return;
     }
-    if (round_.count_ >= std::max<std::size_t>(fewestJudged, value()))
+    if (round_.count_ >= std::max<std::size_t>(fewestJudged, 2 * value()))
         endRound();
     const bool isSlow = slowdown_ > slowdownForGrowth && window.wasBound_;
     if (trial_ == Trial::None && !isSlow && !window.isReportedFull_)
--- a/libs/admission/src/details/ConcurrencyLimit.h
+++ b/libs/admission/src/details/ConcurrencyLimit.h
@@ -21,9 +21,6 @@
 
     std::uint32_t value() const { return static_cast<std::uint32_t>(limit_); }
 
-    /** Whether fewer requests than slots may run. */
-    bool isReduced() const { return value() < slots_; }
-
     /** What was measured in one window. */
     struct Window
     {
@@ -43,7 +40,7 @@
         Judging,  ///< service times under the new limit are measured
     };
 
-    /** What each round of served requests is judged for. */
+    /** What a trial is compared with. */
     struct Before
     {
         double limit_ = 0.0;
--- a/libs/admission/src/details/State.cpp
+++ b/libs/admission/src/details/State.cpp
@@ -12,6 +12,7 @@
 constexpr base::Millis longestRetryAfter = base::Millis(5000);
 constexpr base::Millis customerShedMemory = base::Millis(1000);
 constexpr std::size_t shortestQueue = 16;
+constexpr std::size_t fewestWithHeadroom = 5;
 constexpr int idleWindowsClosed = 64;
 
 } // namespace
@@ -126,12 +127,13 @@
               || (starts == 0 && queue_.size() > 0);
     levels_.closeWindow(isLate_);
     overloadedWindows_ = isLate_ ? overloadedWindows_ + 1 : 0;
-    const ConcurrencyLimit::Window window = {.served_ = times_.closeWindow(!limit_.isReduced()),
+    const ConcurrencyLimit::Window window = {.served_ = times_.closeWindow(!windowBound_),
                                              .hasShed_ = windowBackendShed_,
                                              .wasBound_ = windowBound_,
                                              .isReportedFull_ = isReportedFull_};
     limit_.closeWindow(window);
     windowWait_ = base::Millis();
+    windowService_ = base::Millis();
     windowStarts_ = 0;
     windowExpired_ = false;
     windowBackendShed_ = false;
@@ -191,9 +193,11 @@
 {
     const Waiting waiting = queue_.remove(id);
     customers_.noteLeftQueue(waiting.customer_);
-    customers_.noteStarted(waiting.customer_, times_.expected(waiting.requestClass_));
+    const base::Millis expected = times_.expected(waiting.requestClass_);
+    customers_.noteStarted(waiting.customer_, expected);
     levels_.noteStarted();
     windowWait_ = windowWait_ + (now_ - waiting.arrivedAt_);
+    windowService_ = windowService_ + expected;
     ++windowStarts_;
     running_.emplace(id, Running{waiting.customer_, waiting.requestClass_, now_});
     commands_.emplace_back(Start{id});
@@ -232,11 +236,12 @@
     const auto isRecent = [this](base::Millis seen) {
         return now_ - seen < options_.rankMemory_;
     };
-    if (limit < 2 || std::none_of(lastSeen_.begin(), lastSeen_.begin() + rank, isRecent))
+    if (limit < fewestWithHeadroom
+        || std::none_of(lastSeen_.begin(), lastSeen_.begin() + rank, isRecent))
         return limit;
     const auto kept
             = static_cast<std::size_t>(std::ceil(options_.headroom_ * static_cast<double>(limit)));
-    return limit - std::min(kept, limit - 1);
+    return limit - kept;
 }
 
 base::Millis State::retryAfter() const
--- a/libs/admission/src/details/State.h
+++ b/libs/admission/src/details/State.h
@@ -78,7 +78,8 @@
     std::uint64_t nextSequence_ = 0;
     base::Millis now_;
     base::Millis windowEnd_;
-    base::Millis windowWait_; ///< sum over the requests started in this window
+    base::Millis windowWait_;    ///< sum over the requests started in this window
+    base::Millis windowService_; ///< sum of their expected service times
     std::size_t windowStarts_ = 0;
     bool windowExpired_ = false;
     bool windowBackendShed_ = false;
