--- a/libs/admission/tests/CorePropertyTest.cpp
+++ b/libs/admission/tests/CorePropertyTest.cpp
@@ -158,6 +158,7 @@
     void checkQueue() const
     {
         RC_ASSERT(core_.queued() == undecided_.size());
+        RC_ASSERT(core_.queued() <= 16u);
         RC_ASSERT(core_.running() == running_.size());
         const auto kept = static_cast<std::size_t>(std::ceil(headroom * core_.limit()));
         for (const auto &[id, waiting] : undecided_) {
--- /dev/null
+++ b/libs/routing/tests/CorePropertyTest.cpp
@@ -0,0 +1,187 @@
+#include <Fixture.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+using namespace routing;
+using namespace routing::tests;
+using admission::Level;
+using admission::Priority;
+using base::Millis;
+
+namespace {
+
+constexpr int memberCount = 9;
+
+/** Sends random calls with random ends through two cores of the same seed. */
+class Checker
+{
+public:
+    Checker()
+        : core_(options())
+        , twin_(options())
+    {
+        for (int i = 0; i < memberCount; ++i)
+            members_.push_back(walletInstance(i, i < 5 ? "a" : "b"));
+        handle(MembersChanged{members_});
+    }
+
+    void randomStep()
+    {
+        now_ = now_ + Millis(*rc::gen::inRange(0, 300));
+        switch (*rc::gen::weightedElement<int>({{8, 0}, {8, 1}, {1, 2}, {1, 3}})) {
+        case 0:
+            return choose();
+        case 1:
+            return end();
+        case 2:
+            return changeMember();
+        default:
+            return handle(Reported{instance(), *rc::gen::arbitrary<bool>(),
+                                   *rc::gen::element(0.0, 0.5, 9.0)});
+        }
+    }
+
+private:
+    static Options options()
+    {
+        Options result = ownOptions();
+        result.failuresToEject_ = 2;
+        return result;
+    }
+
+    static std::string instance()
+    {
+        return "w" + std::to_string(*rc::gen::inRange(0, memberCount));
+    }
+
+    static Priority priority()
+    {
+        return {.rank_ = *rc::gen::inRange(0, 10),
+                .inProgress_ = *rc::gen::arbitrary<bool>(),
+                .bucket_ = *rc::gen::inRange(0, Priority::bucketCount)};
+    }
+
+    void handle(const Event &event)
+    {
+        const auto before = ejectedByDataCentre();
+        core_.handle(event, now_);
+        twin_.handle(event, now_);
+        if (std::holds_alternative<Failed>(event))
+            checkEjections(before);
+    }
+
+    void choose()
+    {
+        const Priority wanted = priority();
+        const std::vector<std::string> excluded(*rc::gen::inRange(0, 3), instance());
+        const auto choice = core_.choose("wallet", wanted, excluded, now_);
+        const auto twinChoice = twin_.choose("wallet", wanted, excluded, now_);
+        RC_ASSERT(choice.has_value() == twinChoice.has_value());
+        RC_ASSERT(!choice || choice->member_->id_ == twinChoice->member_->id_);
+        if (!choice)
+            return checkRefusal(choice.error(), wanted, excluded);
+        const std::string &id = choice->member_->id_;
+        RC_ASSERT(std::find(excluded.begin(), excluded.end(), id) == excluded.end());
+        RC_ASSERT(statusOf(id).isDraining_ == false);
+        RC_ASSERT(statusOf(id).level_.admits(wanted));
+        handle(Sent{id, wanted});
+        sent_.emplace_back(id, wanted);
+    }
+
+    // A request is refused only when no instance that takes work may be tried for it.
+    void checkRefusal(const NoChoice &refusal, const Priority &wanted,
+                      const std::vector<std::string> &excluded) const
+    {
+        bool isShed = false;
+        for (const InstanceStatus &status : core_.instances("wallet", now_)) {
+            if (std::find(excluded.begin(), excluded.end(), status.id_) != excluded.end())
+                continue;
+            RC_ASSERT(status.isDraining_ || !status.level_.admits(wanted));
+            isShed = isShed || !status.isDraining_;
+        }
+        RC_ASSERT((refusal.reason_ == NoChoiceReason::AllShed) == isShed);
+        RC_ASSERT(refusal.retryAfter_ > Millis(0));
+    }
+
+    void end()
+    {
+        if (sent_.empty())
+            return;
+        const auto ended = sent_.begin() + *rc::gen::inRange<std::size_t>(0, sent_.size());
+        const auto [id, sentPriority] = *ended;
+        sent_.erase(ended);
+        if (*rc::gen::arbitrary<bool>()) {
+            const auto kind = *rc::gen::element(FailureKind::NotSent, FailureKind::Lost,
+                                                FailureKind::TimedOut, FailureKind::Cancelled);
+            return handle(Failed{id, kind});
+        }
+        const auto kind = *rc::gen::element(AnswerKind::Complete, AnswerKind::Shed,
+                                            AnswerKind::Refused, AnswerKind::Unknown);
+        const bool isLeaving = *rc::gen::weightedElement<bool>({{15, false}, {1, true}});
+        handle(Answered{id, kind, sentPriority,
+                        Level::fromNumber(*rc::gen::inRange(-1, Level::highest + 1)), isLeaving});
+    }
+
+    void changeMember()
+    {
+        model::Member &member = members_[*rc::gen::inRange(0, memberCount)];
+        member.serving_
+                = *rc::gen::element(model::ServingState::Ready, model::ServingState::Ready,
+                                    model::ServingState::Draining, model::ServingState::Absent);
+        member.generation_ += *rc::gen::inRange(0, 2);
+        handle(MembersChanged{members_});
+    }
+
+    InstanceStatus statusOf(const std::string &id) const
+    {
+        for (const InstanceStatus &status : core_.instances("wallet", now_)) {
+            if (status.id_ == id)
+                return status;
+        }
+        RC_FAIL("chosen instance is not in the pool");
+    }
+
+    std::map<std::string, std::pair<int, int>> ejectedByDataCentre() const
+    {
+        std::map<std::string, std::pair<int, int>> result;
+        for (const InstanceStatus &status : core_.instances("wallet", now_)) {
+            auto &[ejected, all] = result[status.dataCentre_];
+            ejected += status.isEjected_ ? 1 : 0;
+            ++all;
+        }
+        return result;
+    }
+
+    // A failure ejects at most half of the instances of a data centre.
+    void checkEjections(const std::map<std::string, std::pair<int, int>> &before) const
+    {
+        for (const auto &[dataCentre, counts] : ejectedByDataCentre()) {
+            const auto &[ejected, all] = counts;
+            RC_ASSERT(ejected <= std::max(before.at(dataCentre).first, all / 2));
+        }
+    }
+
+    Core core_;
+    Core twin_;
+    Millis now_ = Millis(1);
+    std::vector<model::Member> members_;
+    std::vector<std::pair<std::string, Priority>> sent_;
+};
+
+} // namespace
+
+RC_GTEST_PROP(RoutingProperty, holdsAtEveryStep, ())
+{
+    Checker checker;
+    const int steps = *rc::gen::inRange(1, 300);
+    for (int i = 0; i < steps; ++i)
+        checker.randomStep();
+}
