Run every fault at every step of a request over the joined decisions

Cause: each decision library had tests of its own; that they keep the promises together, under each fault and pair of faults, was not shown.

Changed: libs/faultmatrix, tests only: home, executor, retry, routing and admission joined by fakes in virtual time, 9 steps x 12 faults x 2 hops. 26 cells do not apply; the program prints why.

Ruled out: duplicates on the way to the backend server. It is one TCP stream, and the HTTP client refuses to send a request a second time.

--- /dev/null
+++ b/libs/faultmatrix/tests/BackendServer.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <History.h>
+#include <Network.h>
+#include <once/Answer.h>
+
+/** What a backend server is sent. */
+struct BackendRequest
+{
+    std::string name_;    ///< of the logical request
+    std::string context_; ///< token for its own calls
+    std::size_t hop_ = 0;
+};
+
+/**
+ * Fake backend server: at hop 0 it makes one call of its own through its daemon, with its own key,
+ * and repeats it under the same key; at hop 1 it only takes time.
+ */
+class BackendServer
+{
+public:
+    using CallDaemon = std::function<void(const BackendRequest &parent,
+                                          std::function<void(RemoteResult)> done)>;
+
+    BackendServer(Network &network, History &history, ProcessId id, CallDaemon callDaemon)
+        : network_(network)
+        , history_(history)
+        , id_(id)
+        , callDaemon_(std::move(callDaemon))
+    {}
+
+    void warmUpAfterNow() { coldUntil_ = network_.now() + base::Millis(1'000); }
+
+    void run(const BackendRequest &request, const Respond &respond)
+    {
+        ++history_.requests_[request.name_].runs_;
+        const bool isCold = network_.now() < coldUntil_;
+        const auto time = base::Millis(isCold ? 100 : 10);
+        network_.at(Point{Step::Running, request.hop_}, id_, [=, this] {
+            network_.inProcess(id_, time, [=, this] {
+                if (request.hop_ + 1 < hopCount)
+                    callOut(request, respond, 1);
+                else
+                    answer(request, respond, 200);
+            });
+        });
+    }
+
+private:
+    static constexpr int maxCalls = 3;
+
+    void callOut(const BackendRequest &request, const Respond &respond, int callNumber)
+    {
+        callDaemon_(request, [=, this](const RemoteResult &result) {
+            const auto name = request.name_ + "/debit";
+            if (result)
+                history_.requests_[name].told_.push_back(result->outcome_);
+            if (result && std::holds_alternative<once::Complete>(result->outcome_)) {
+                answer(request, respond, 200);
+                return;
+            }
+            if (callNumber == maxCalls) {
+                answer(request, respond, 500);
+                return;
+            }
+            network_.inProcess(id_, base::Millis(50),
+                               [=, this] { callOut(request, respond, callNumber + 1); });
+        });
+    }
+
+    void answer(const BackendRequest &request, const Respond &respond, int status)
+    {
+        once::Answer answer;
+        answer.status_ = status;
+        answer.body_ = request.name_;
+        respond(Response{once::Complete{std::make_shared<once::Answer>(std::move(answer))}, false,
+                         std::nullopt});
+    }
+
+    Network &network_;
+    History &history_;
+    ProcessId id_;
+    CallDaemon callDaemon_;
+    base::Millis coldUntil_;
+};
--- /dev/null
+++ b/libs/faultmatrix/tests/Daemon.cpp
@@ -0,0 +1,176 @@
+#include <Daemon.h>
+
+namespace {
+
+once::HomeSettings homeSettings()
+{
+    once::HomeSettings settings;
+    settings.keyLifetime_ = base::Millis(8'000);
+    settings.serialWindow_ = 1024;
+    settings.askFor_ = base::Millis(20'000);
+    return settings;
+}
+
+once::ExecutorSettings executorSettings()
+{
+    once::ExecutorSettings settings;
+    settings.keepFinished_ = base::Millis(9'000);
+    settings.keepRefused_ = base::Millis(5'000);
+    return settings;
+}
+
+} // namespace
+
+Daemon::Daemon(Cluster &cluster, ProcessId id, model::Member self, std::uint64_t seed)
+    : cluster_(cluster)
+    , network_(cluster.network_)
+    , id_(id)
+    , self_(std::move(self))
+    , seed_(seed)
+    , backend_(network_, cluster.history_, backendProcess(),
+               [this](const BackendRequest &parent, std::function<void(RemoteResult)> done) {
+                   CallerRequest request{
+                           parent.name_ + "/debit", "wallet",        "debit",
+                           parent.context_,         parent.hop_ + 1, base::Millis(400)};
+                   const RemoteCall call{backendProcess(), id_, Point{Step::Received, request.hop_},
+                                         Point{Step::Delivered, request.hop_}, base::Millis(500)};
+                   network_.call(
+                           call,
+                           [this, request](const Respond &respond) { receive(request, respond); },
+                           std::move(done));
+               })
+{
+    auto &process = network_.processes_[id_];
+    process.restart_ = [this] {
+        hasConfig_ = !network_.isLogDown();
+        start();
+    };
+    process.drain_ = [this] {
+        drain();
+    };
+    process.coldStart_ = [this] {
+        backend_.warmUpAfterNow();
+    };
+    auto &server = network_.processes_[backendProcess()];
+    server.drain_ = process.drain_;
+    server.coldStart_ = process.coldStart_;
+    start();
+}
+
+ProcessId Daemon::backendProcess() const
+{
+    return network_.processes_.size() / 2 + id_;
+}
+
+once::Incarnation Daemon::incarnation() const
+{
+    return {self_.id_, network_.processes_[id_].generation_};
+}
+
+void Daemon::start()
+{
+    waiters_.clear();
+    records_.clear();
+    jobs_.clear();
+    lastBudgetLeft_.reset();
+    wakeUpAt_ = base::Millis::max();
+    const auto secret = self_.id_ + std::to_string(incarnation().generation_);
+    home_ = std::make_unique<once::Home>(incarnation(), homeSettings(), secret);
+    executor_ = std::make_unique<once::Executor>(incarnation(), executorSettings());
+    contexts_ = std::make_unique<retry::ContextTable>(secret);
+    retry_ = std::make_unique<retry::Core>(retry::RetrySettings{}, *contexts_, seed_);
+    routing::Options options;
+    options.daemonId_ = self_.id_;
+    options.dataCentre_ = self_.dataCentre_;
+    options.seed_ = seed_;
+    routing_ = std::make_unique<routing::Core>(options);
+    admission_ = std::make_unique<admission::Core>();
+    admission_->handle(admission::Configured{self_.slots_, {}}, network_.now());
+    membersChanged();
+}
+
+void Daemon::membersChanged()
+{
+    routing_->handle(routing::MembersChanged{cluster_.members_}, network_.now());
+}
+
+std::string Daemon::issueKey(const std::string &service)
+{
+    return home_->issueKey(customer, service, network_.now()).text();
+}
+
+void Daemon::receive(const CallerRequest &request, const Respond &respond)
+{
+    const once::WaiterId waiter = nextId_++;
+    once::Request event;
+    event.waiter_ = waiter;
+    event.customer_ = customer;
+    event.service_ = request.service_;
+    event.digest_ = 1;
+    event.deadline_ = network_.now() + request.timeLeft_;
+    const bool isContextKnown = contexts_->find(request.context_) != nullptr;
+    if (isContextKnown) {
+        event.key_ = once::ContextKey{request.context_, request.key_};
+        waiters_[waiter] = Waiter{respond, request};
+        tellHome(event);
+        return;
+    }
+    const auto decision
+            = once::decideAtEntry(incarnation(), request.key_, !request.context_.empty());
+    std::visit(base::Overloaded{
+                       [&](const once::DecideHere &here) {
+                           event.key_ = here.key_;
+                           waiters_[waiter] = Waiter{respond, request};
+                           tellHome(event);
+                       },
+                       [&](const once::ForwardToHome &forward) {
+                           for (std::size_t other = 0; other < cluster_.daemons_.size(); ++other) {
+                               auto &home = *cluster_.daemons_[other];
+                               if (home.self_.id_ != forward.key_.home_.id_)
+                                   continue;
+                               network_.call(
+                                       {id_, other, std::nullopt, std::nullopt, request.timeLeft_},
+                                       [&home, request](const Respond &answer) {
+                                           home.receive(request, answer);
+                                       },
+                                       [respond](const RemoteResult &result) {
+                                           respond(result.value_or(
+                                                   Response{once::homeGaveNoAnswer(), false, {}}));
+                                       });
+                               return;
+                           }
+                           respond(Response{once::homeGaveNoAnswer(), false, {}});
+                       },
+                       [&](const auto &told) {
+                           respond(Response{told, false, {}});
+                       },
+               },
+               decision);
+}
+
+void Daemon::drain()
+{
+    if (drainingSince_)
+        return;
+    drainingSince_ = network_.now();
+    network_.inProcess(id_, base::Millis(1'000), [this] {
+        for (auto &member : cluster_.members_) {
+            if (member.id_ == self_.id_)
+                member.serving_ = model::ServingState::Draining;
+        }
+        for (const auto &daemon : cluster_.daemons_)
+            daemon->membersChanged();
+        exitWhenIdle();
+    });
+}
+
+void Daemon::exitWhenIdle()
+{
+    const bool isBusy = homeCounts().waiting_ + executorCounts().waiting_ > 0 || !jobs_.empty();
+    if (!isBusy) {
+        network_.crash(id_, true);
+        network_.crash(backendProcess(), true);
+        return;
+    }
+    network_.inProcess(id_, base::Millis(50), [this] { exitWhenIdle(); });
+}
--- /dev/null
+++ b/libs/faultmatrix/tests/Daemon.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <BackendServer.h>
+#include <History.h>
+#include <Network.h>
+#include <admission/Core.h>
+#include <base/Overloaded.h>
+#include <once/Entry.h>
+#include <once/Executor.h>
+#include <once/Home.h>
+#include <retry/ContextTable.h>
+#include <retry/Core.h>
+#include <routing/Core.h>
+
+/** A caller's request as a daemon gets it. */
+struct CallerRequest
+{
+    std::string name_; ///< of the logical request
+    std::string service_;
+    std::string key_;
+    std::string context_;
+    std::size_t hop_ = 0;
+    base::Millis timeLeft_;
+};
+
+class Daemon;
+
+/** What all daemons of one run share. */
+struct Cluster
+{
+    Network &network_;
+    History &history_;
+    std::vector<std::unique_ptr<Daemon>> daemons_;
+    std::vector<model::Member> members_; ///< as the membership says, which may be out of date
+    std::uint32_t budget_ = 0;
+};
+
+/** Fake daemon: the decision libraries joined as in the real one, with calls in virtual time. */
+class Daemon
+{
+public:
+    Daemon(Cluster &cluster, ProcessId id, model::Member self, std::uint64_t seed);
+
+    void receive(const CallerRequest &request, const Respond &respond);
+    void membersChanged();
+    void drain();
+    std::string issueKey(const std::string &service);
+    void pressWithBackgroundLoad(base::Millis until);
+
+    BackendServer &backend() { return backend_; }
+    once::RecordCounts homeCounts() const { return home_->counts(); }
+    once::RecordCounts executorCounts() const { return executor_->counts(); }
+    ProcessId backendProcess() const;
+    bool isUp() const { return network_.processes_[id_].isUp_; }
+
+    static constexpr const char *customer = "north";
+
+private:
+    /** Request of a record at this home, and the attempt under way. */
+    struct Record
+    {
+        CallerRequest request_;
+        std::string instance_;
+        std::uint32_t attempt_ = 0;
+        std::uint32_t handedDown_ = 0;
+        std::optional<std::uint32_t> budgetLeft_;
+    };
+
+    /** Request at this executor. */
+    struct Job
+    {
+        once::SubKey subKey_;
+        CallerRequest request_;
+        std::uint32_t handedDown_ = 0;
+        std::uint32_t depth_ = 0;
+        std::string token_;
+        base::Millis started_;
+    };
+
+    void start();
+    once::Incarnation incarnation() const;
+
+    void tellHome(const once::HomeEvent &event);
+    void reply(const once::Reply &reply, std::optional<std::uint32_t> budgetLeft);
+    void choose(const once::ChooseExecutor &choose);
+    void obeyRetry(once::RecordId id, const std::vector<retry::Command> &commands,
+                   const once::NotRun &why);
+    void route(once::RecordId id, const retry::StartAttempt &start);
+    void delegate(const once::Delegate &command);
+    void ask(const once::Ask &command);
+    void release(once::RecordId id);
+    void handed(const once::SubKey &subKey, std::optional<once::RecordId> id,
+                const RemoteResult &result);
+    void scheduleWakeUp();
+
+    void onDelegate(const once::Delegate &command, const CallerRequest &request,
+                    std::uint32_t handedDown, std::uint32_t depth, const Respond &respond);
+    void onAsk(const once::SubKey &subKey, const Respond &respond);
+    void tellExecutor(const once::ExecutorEvent &event);
+    void obey(const std::vector<once::ExecutorCommand> &commands);
+    void admit(const once::Admit &admit);
+    void tellAdmission(const admission::Event &event);
+    void refused(const admission::Refuse &refuse);
+    void sendToBackend(const once::SendToBackend &command);
+    void backendDone(admission::RequestId id, const RemoteResult &result);
+    void endJob(admission::RequestId id, admission::Outcome outcome);
+    admission::RequestId jobOf(const once::SubKey &subKey) const;
+    void exitWhenIdle();
+
+    Cluster &cluster_;
+    Network &network_;
+    ProcessId id_;
+    model::Member self_;
+    std::uint64_t seed_;
+    bool hasConfig_ = true;
+    std::optional<base::Millis> drainingSince_;
+
+    std::unique_ptr<once::Home> home_;
+    std::unique_ptr<once::Executor> executor_;
+    std::unique_ptr<retry::ContextTable> contexts_;
+    std::unique_ptr<retry::Core> retry_;
+    std::unique_ptr<routing::Core> routing_;
+    std::unique_ptr<admission::Core> admission_;
+    BackendServer backend_;
+
+    struct Waiter
+    {
+        Respond respond_;
+        CallerRequest request_;
+    };
+
+    std::unordered_map<once::WaiterId, Waiter> waiters_;
+    std::unordered_map<once::RecordId, Record> records_;
+    std::map<admission::RequestId, Job> jobs_;
+    std::optional<std::uint32_t> lastBudgetLeft_; ///< goes with the replies being sent
+    std::uint64_t nextId_ = 1;
+    base::Millis wakeUpAt_ = base::Millis::max();
+};
