Read and check a daemon's settings

Cause: a daemon learns its addresses and data centre from its settings; a fault must be named. Change: settings::Loader reads YAML by a table of fields and reports all faults at once with file, line and field; contradictions (token given twice, remote administration without a token) are faults as well.

--- /dev/null
+++ b/libs/settings/include/settings/Fault.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+
+namespace settings {
+
+/** One fault of a settings file. */
+struct Fault
+{
+    std::string file_;
+    int line_ = 0; ///< counted from 1; 0 when the fault has no place, such as a missing field
+    std::string field_;
+    std::string problem_;
+
+    /** One line: "file:line: field: problem". */
+    std::string text() const;
+
+    bool operator==(const Fault &) const = default;
+};
+
+} // namespace settings
--- /dev/null
+++ b/libs/settings/include/settings/Settings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <base/Millis.h>
+#include <model/Address.h>
+
+namespace settings {
+
+/** Which decisions a daemon makes. */
+enum class Mode : std::uint8_t {
+    Full,     ///< admission, retry budgets and routing by load
+    Baseline, ///< comparison for experiments: no admission, three retries at each hop
+};
+
+/** All that one daemon reads from its settings file. Immutable after loading. */
+struct Settings
+{
+    std::string id_;
+    std::string region_;
+    std::string dataCentre_;
+    model::Address dataAddress_;
+    model::Address peerAddress_;
+    model::Address controlAddress_;
+    model::Address adminAddress_;
+    model::Address logAddress_;
+    std::vector<model::Address> seeds_;
+    std::string adminToken_;
+    std::string clusterSecret_;
+    std::string logLevel_ = "info";
+    std::string traceFile_;
+    Mode mode_ = Mode::Full;
+    std::size_t maxBodyBytes_ = 16 * 1024 * 1024;
+    std::uint32_t maxConnections_ = 4096;
+    std::uint32_t onceRecords_ = 20'000;
+    std::size_t onceBytes_ = 64 * 1024 * 1024;
+    base::Millis keyLifetime_ = base::Millis(60'000);
+    base::Millis drainTimeout_ = base::Millis(30'000);
+
+    bool operator==(const Settings &) const = default;
+};
+
+} // namespace settings
--- /dev/null
+++ b/libs/settings/src/Loader.cpp
@@ -0,0 +1,353 @@
+#include <settings/Loader.h>
+
+#include <fstream>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+
+#include <yaml-cpp/yaml.h>
+
+namespace settings {
+
+namespace {
+
+/** Problem of one value, or nothing when it was taken over. */
+using Problem = std::optional<std::string>;
+
+/** How one field of the file gets into the settings. */
+struct Field
+{
+    bool isRequired_;
+    std::function<Problem(const YAML::Node &, Settings &)> read_;
+};
+
+constexpr std::size_t longestName = 64;
+constexpr std::uint64_t bytesPerMebibyte = 1024 * 1024;
+
+Problem readText(const YAML::Node &node, std::string &target)
+{
+    if (!node.IsScalar() || node.Scalar().empty())
+        return "must be a text that is not empty";
+    target = node.Scalar();
+    return {};
+}
+
+bool isNameCharacter(char c)
+{
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.';
+}
+
+Problem readName(const YAML::Node &node, std::string &target)
+{
+    if (auto problem = readText(node, target))
+        return problem;
+    const bool isValid = target.size() <= longestName
+                         && std::all_of(target.begin(), target.end(), isNameCharacter);
+    if (!isValid)
+        return "must have at most 64 letters, digits, '-', '_' or '.'";
+    return {};
+}
+
+Problem readAddress(const YAML::Node &node, model::Address &target)
+{
+    if (!node.IsScalar())
+        return "must be an address such as 10.0.0.1:7000";
+    auto parsed = model::Address::parse(node.Scalar());
+    if (!parsed)
+        return parsed.error().message_;
+    target = *parsed;
+    return {};
+}
+
+Problem readSeeds(const YAML::Node &node, std::vector<model::Address> &target)
+{
+    if (!node.IsSequence())
+        return "must be a list of addresses";
+    for (const auto &entry : node) {
+        model::Address address;
+        if (auto problem = readAddress(entry, address))
+            return problem;
+        target.push_back(address);
+    }
+    return {};
+}
+
+template<typename Number>
+Problem readNumber(const YAML::Node &node, Number least, Number most, Number &target)
+{
+    long long value = 0;
+    const auto range = "must be a whole number from " + std::to_string(least) + " to "
+                       + std::to_string(most);
+    if (!node.IsScalar() || !YAML::convert<long long>::decode(node, value))
+        return range;
+    if (value < static_cast<long long>(least) || value > static_cast<long long>(most))
+        return range;
+    target = static_cast<Number>(value);
+    return {};
+}
+
+Problem readMillis(const YAML::Node &node, std::int64_t least, std::int64_t most,
+                   base::Millis &target)
+{
+    std::int64_t value = 0;
+    if (auto problem = readNumber(node, least, most, value))
+        return *problem + " (milliseconds)";
+    target = base::Millis(value);
+    return {};
+}
+
+Problem readMebibytes(const YAML::Node &node, std::size_t most, std::size_t &target)
+{
+    std::size_t value = 0;
+    if (auto problem = readNumber<std::size_t>(node, 1, most, value))
+        return *problem + " (MiB)";
+    target = value * bytesPerMebibyte;
+    return {};
+}
+
+Problem readMode(const YAML::Node &node, Mode &target)
+{
+    const std::string text = node.IsScalar() ? node.Scalar() : "";
+    if (text != "full" && text != "baseline")
+        return "must be 'full' or 'baseline'";
+    target = text == "full" ? Mode::Full : Mode::Baseline;
+    return {};
+}
+
+Problem readLogLevel(const YAML::Node &node, std::string &target)
+{
+    static const std::set<std::string> levels = {"debug", "info", "warning", "error"};
+    if (!node.IsScalar() || !levels.contains(node.Scalar()))
+        return "must be 'debug', 'info', 'warning' or 'error'";
+    target = node.Scalar();
+    return {};
+}
+
+Problem readTokenFile(const YAML::Node &node, std::string &target)
+{
+    std::string path;
+    if (auto problem = readText(node, path))
+        return problem;
+    std::ifstream stream(path);
+    if (!std::getline(stream, target) || target.empty())
+        return "cannot read a token from '" + path + "'";
+    return {};
+}
+
+const std::map<std::string, Field> &fields()
+{
+    using Node = YAML::Node;
+    static const std::map<std::string, Field> table = {
+            {"id",
+             {true,
+              [](const Node &n, Settings &s) {
+                  return readName(n, s.id_);
+              }}},
+            {"region",
+             {true,
+              [](const Node &n, Settings &s) {
+                  return readName(n, s.region_);
+              }}},
+            {"dataCentre",
+             {true,
+              [](const Node &n, Settings &s) {
+                  return readName(n, s.dataCentre_);
+              }}},
+            {"dataAddress",
+             {true,
+              [](const Node &n, Settings &s) {
+                  return readAddress(n, s.dataAddress_);
+              }}},
+            {"peerAddress",
+             {true,
+              [](const Node &n, Settings &s) {
+                  return readAddress(n, s.peerAddress_);
+              }}},
+            {"controlAddress",
+             {true,
+              [](const Node &n, Settings &s) {
+                  return readAddress(n, s.controlAddress_);
+              }}},
+            {"adminAddress",
+             {true,
+              [](const Node &n, Settings &s) {
+                  return readAddress(n, s.adminAddress_);
+              }}},
+            {"log",
+             {true,
+              [](const Node &n, Settings &s) {
+                  return readAddress(n, s.logAddress_);
+              }}},
+            {"seeds",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readSeeds(n, s.seeds_);
+              }}},
+            {"adminToken",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readText(n, s.adminToken_);
+              }}},
+            {"adminTokenFile",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readTokenFile(n, s.adminToken_);
+              }}},
+            {"clusterSecret",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readText(n, s.clusterSecret_);
+              }}},
+            {"logLevel",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readLogLevel(n, s.logLevel_);
+              }}},
+            {"traceFile",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readText(n, s.traceFile_);
+              }}},
+            {"mode",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readMode(n, s.mode_);
+              }}},
+            {"maxBodyMiB",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readMebibytes(n, 1024, s.maxBodyBytes_);
+              }}},
+            {"maxConnections",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readNumber<std::uint32_t>(n, 1, 100'000, s.maxConnections_);
+              }}},
+            {"onceRecords",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readNumber<std::uint32_t>(n, 100, 10'000'000, s.onceRecords_);
+              }}},
+            {"onceMiB",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readMebibytes(n, 65'536, s.onceBytes_);
+              }}},
+            {"keyLifetimeMs",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readMillis(n, 1000, 3'600'000, s.keyLifetime_);
+              }}},
+            {"drainTimeoutMs",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readMillis(n, 0, 3'600'000, s.drainTimeout_);
+              }}},
+    };
+    return table;
+}
+
+/** Collects the settings and the faults of one file. */
+class Reader
+{
+public:
+    explicit Reader(std::string file)
+        : file_(std::move(file))
+    {}
+
+    LoadResult read(const std::string &yaml)
+    {
+        try {
+            readDocument(YAML::Load(yaml));
+        } catch (const YAML::Exception &error) {
+            addFault(error.mark.line + 1, "", "is no valid YAML: " + error.msg);
+        }
+        if (!faults_.empty())
+            return tl::unexpected(faults_);
+        return settings_;
+    }
+
+private:
+    void readDocument(const YAML::Node &document)
+    {
+        if (!document.IsMap()) {
+            addFault(1, "", "must hold fields such as 'id: redeem-a-1'");
+            return;
+        }
+        for (const auto &entry : document)
+            readField(entry.first, entry.second);
+        for (const auto &[name, field] : fields()) {
+            if (field.isRequired_ && !seen_.contains(name))
+                addFault(0, name, "is missing");
+        }
+        checkTogether();
+    }
+
+    void readField(const YAML::Node &key, const YAML::Node &value)
+    {
+        const auto line = key.Mark().line + 1;
+        const std::string name = key.IsScalar() ? key.Scalar() : "";
+        const auto found = fields().find(name);
+        if (found == fields().end()) {
+            addFault(line, name, "is no known field");
+            return;
+        }
+        if (!seen_.insert(name).second) {
+            addFault(line, name, "is given twice");
+            return;
+        }
+        if (auto problem = found->second.read_(value, settings_))
+            addFault(value.Mark().line + 1, name, *problem);
+    }
+
+    void checkTogether()
+    {
+        if (seen_.contains("adminToken") && seen_.contains("adminTokenFile"))
+            addFault(0, "adminTokenFile", "cannot be given together with 'adminToken'");
+        const bool isRemoteAdmin = !settings_.adminAddress_.host_.starts_with("127.");
+        if (isRemoteAdmin && settings_.adminToken_.empty() && seen_.contains("adminAddress"))
+            addFault(0, "adminToken", "is needed when 'adminAddress' is not on loopback");
+    }
+
+    void addFault(int line, std::string field, std::string problem)
+    {
+        faults_.push_back({file_, line, std::move(field), std::move(problem)});
+    }
+
+    std::string file_;
+    Settings settings_;
+    std::set<std::string> seen_;
+    std::vector<Fault> faults_;
+};
+
+} // namespace
+
+std::string Fault::text() const
+{
+    auto result = file_;
+    if (line_ > 0)
+        result += ":" + std::to_string(line_);
+    result += ": ";
+    if (!field_.empty())
+        result += "'" + field_ + "' ";
+    return result + problem_;
+}
+
+LoadResult parse(const std::string &yaml, const std::string &file)
+{
+    return Reader(file).read(yaml);
+}
+
+LoadResult loadFile(const std::string &path)
+{
+    const std::ifstream stream(path);
+    if (!stream)
+        return tl::unexpected(std::vector<Fault>{{path, 0, "", "cannot be read"}});
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parse(text.str(), path);
+}
+
+} // namespace settings
