--- /dev/null
+++ b/libs/dock/include/dock/AttemptAnswer.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+
+#include <admission/Level.h>
+#include <once/Outcome.h>
+
+namespace dock {
+
+/** What the executing daemon tells the entry of one attempt. */
+struct AttemptAnswer
+{
+    once::Outcome outcome_;
+    admission::Level level_;       ///< worst priority admitted here and further down
+    std::uint32_t budgetLeft_ = 0; ///< retries handed down and not used
+    bool isLeaving_ = false;       ///< the instance is draining
+    bool isReplaced_ = false;      ///< another process than the one meant; nothing was run
+
+    bool operator==(const AttemptAnswer &) const = default;
+};
+
+} // namespace dock
--- /dev/null
+++ b/libs/dock/include/dock/Daemon.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <future>
+#include <memory>
+
+#include <base/Error.h>
+#include <dock/ControlTask.h>
+#include <dock/DataTask.h>
+#include <settings/Settings.h>
+
+namespace dock {
+
+/** One daemon: its two tasks and the messages between them. */
+class Daemon
+{
+public:
+    explicit Daemon(settings::Settings settings);
+    ~Daemon();
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    /** Binds all ports and starts; fails with the first port that cannot be bound. */
+    base::Result<void> start();
+
+    /** Begins to leave. Safe from any thread. */
+    void beginDrain();
+
+    /** Becomes ready when this daemon has left. To be taken once. */
+    std::future<void> ended();
+
+private:
+    const settings::Settings settings_;
+    std::promise<void> ended_;
+    std::unique_ptr<DataTask> data_;
+    std::unique_ptr<ControlTask> control_;
+};
+
+} // namespace dock
--- /dev/null
+++ b/libs/dock/include/dock/HeaderNames.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+
+namespace dock::header {
+
+// Between callers or backend servers and a daemon.
+inline const std::string idempotencyKey = "idempotency-key";
+inline const std::string deadlineMs = "fuchsiadock-deadline-ms";
+inline const std::string customer = "fuchsiadock-customer";
+inline const std::string context = "fuchsiadock-context";
+inline const std::string outcome = "fuchsiadock-outcome";
+inline const std::string reason = "fuchsiadock-reason";
+inline const std::string nextKey = "fuchsiadock-next-key";
+inline const std::string retryAfter = "retry-after";
+
+// Between daemons only; removed before a message leaves the system.
+inline const std::string peerPrefix = "fd-";
+inline const std::string kind = "fd-kind";
+inline const std::string service = "fd-service";
+inline const std::string requestClass = "fd-class";
+inline const std::string peerCustomer = "fd-customer";
+inline const std::string priority = "fd-priority";
+inline const std::string timeLeftMicros = "fd-time-left-us";
+inline const std::string budget = "fd-budget";
+inline const std::string depth = "fd-depth";
+inline const std::string subKey = "fd-sub-key";
+inline const std::string settledBelow = "fd-settled-below";
+inline const std::string level = "fd-level";
+inline const std::string peerReason = "fd-reason";
+inline const std::string retryAfterMs = "fd-retry-after-ms";
+inline const std::string flags = "fd-flags";
+
+} // namespace dock::header
--- /dev/null
+++ b/libs/dock/include/dock/IdempotentCalls.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include <dock/AttemptSender.h>
+#include <dock/CallInfo.h>
+#include <once/Outcome.h>
+#include <retry/Command.h>
+#include <retry/Core.h>
+#include <retry/Event.h>
+#include <routing/Choice.h>
+
+namespace net {
+class Reactor;
+}
+namespace routing {
+class Core;
+}
+
+namespace dock {
+
+/**
+ * Calls that may be repeated: routing, attempts and retries until there is an outcome.
+ *
+ * All members are for the data task's thread; done never runs inside start().
+ */
+class IdempotentCalls
+{
+public:
+    using Done = std::function<void(once::Outcome)>;
+    using LevelLearnt = std::function<void(const CallInfo &, const admission::Level &)>;
+
+    /** All that is passed in must outlive this object. */
+    IdempotentCalls(net::Reactor &reactor, retry::Core &retry, routing::Core &routing,
+                    AttemptSender &sender, LevelLearnt onLevel);
+    ~IdempotentCalls();
+
+    /** Starts a call; done is called once, unless the call is cancelled before. */
+    retry::CallId start(CallInfo call, Done done);
+
+    /** The caller hung up: ends what runs for it. */
+    void cancel(retry::CallId id);
+
+    std::size_t activeCount() const { return calls_.size(); }
+
+private:
+    struct Call
+    {
+        CallInfo info_;
+        Done done_;
+        SendId send_ = 0;
+        std::uint32_t attempt_ = 0;
+        bool mayHaveRun_ = false;
+        once::NotRun lastRefusal_;
+    };
+
+    void perform(const std::vector<retry::Command> &commands);
+    void startAttempt(const retry::StartAttempt &order);
+    void sendAttempt(const retry::StartAttempt &order);
+    void attemptDone(retry::CallId id, const std::string &instance, SendResult result);
+    void finish(retry::CallId id, const once::Outcome &outcome);
+    once::Outcome failureOutcome(const Call &call) const;
+
+    net::Reactor &reactor_;
+    retry::Core &retry_;
+    routing::Core &routing_;
+    AttemptSender &sender_;
+    LevelLearnt onLevel_;
+    std::map<retry::CallId, Call> calls_;
+    retry::CallId nextId_ = 1;
+    std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
+};
+
+/** How retrying sees an outcome that is not a whole answer. */
+retry::AttemptResult attemptResultOf(const once::NotRun &why);
+
+/** The outcome of a call for which routing has no instance. */
+once::NotRun notRunOf(const routing::NoChoice &none);
+
+} // namespace dock
--- /dev/null
+++ b/libs/dock/src/CallInfo.cpp
@@ -0,0 +1,30 @@
+#include <dock/CallInfo.h>
+
+namespace dock {
+
+Attempt attemptOf(const CallInfo &call, std::uint32_t handedDown, base::Millis now)
+{
+    return {.kind_ = AttemptKind::Run,
+            .service_ = call.service_,
+            .requestClass_ = call.class_.name_,
+            .customer_ = call.customer_,
+            .priority_ = call.priority_,
+            .timeLeft_ = call.deadline_ - now,
+            .budget_ = handedDown,
+            .depth_ = call.depth_,
+            .request_ = call.request_};
+}
+
+retry::Origin originOf(const CallInfo &call)
+{
+    if (call.isChild())
+        return retry::ChildCall{call.contextToken_};
+    // A key of the caller's own may have been sent before, here or through another daemon, and a
+    // context that has ended may belong to a request whose budget is spent.
+    const bool mayBeRepetition = call.class_.idempotent_ && !call.keyText_.empty();
+    if (mayBeRepetition || call.hasUnknownContext_)
+        return retry::UnbudgetedCall{};
+    return retry::RootCall{call.budget_};
+}
+
+} // namespace dock
--- /dev/null
+++ b/libs/dock/src/CallerAnswer.cpp
@@ -0,0 +1,82 @@
+#include <dock/CallerAnswer.h>
+
+#include <base/Overloaded.h>
+
+namespace dock {
+
+namespace {
+
+constexpr std::int64_t millisPerSecond = 1000;
+
+void addField(net::HttpResponse &response, const char *name, std::string value)
+{
+    response.headers_.push_back({name, std::move(value)});
+}
+
+net::HttpResponse complete(const once::Answer &answer)
+{
+    net::HttpResponse response{.status_ = answer.status_, .body_ = answer.body_};
+    for (const auto &[name, value] : answer.headers_)
+        addField(response, name.c_str(), value);
+    addField(response, "Fuchsiadock-Outcome", "complete");
+    return response;
+}
+
+net::HttpResponse unknown(once::Reason reason)
+{
+    const std::string text(once::reasonText(reason));
+    net::HttpResponse response{.status_ = statusUnknown,
+                               .body_ = "unknown: the request may have run (" + text + ")\n"};
+    addField(response, "Fuchsiadock-Outcome", "unknown");
+    addField(response, "Fuchsiadock-Reason", text);
+    return response;
+}
+
+int statusOf(once::Reason reason)
+{
+    switch (reason) {
+    case once::Reason::BadKey:
+    case once::Reason::KeyBurned:
+    case once::Reason::KeyExpired:
+    case once::Reason::KeyMismatch:
+        return statusKeyNeeded;
+    default:
+        return statusUnavailable;
+    }
+}
+
+} // namespace
+
+net::HttpResponse refusal(int status, std::string_view reason, base::Millis retryAfter,
+                          const std::string &nextKey)
+{
+    const std::string text(reason);
+    net::HttpResponse response{.status_ = status, .body_ = "not run: " + text + "\n"};
+    addField(response, "Fuchsiadock-Outcome", "not-run");
+    addField(response, "Fuchsiadock-Reason", text);
+    // Whole seconds are all that the field can say, and at least one.
+    const auto seconds = (retryAfter.count() + millisPerSecond - 1) / millisPerSecond;
+    addField(response, "Retry-After", std::to_string(std::max<std::int64_t>(1, seconds)));
+    if (!nextKey.empty())
+        addField(response, "Fuchsiadock-Next-Key", nextKey);
+    return response;
+}
+
+net::HttpResponse callerAnswer(const once::Outcome &outcome, const std::string &nextKey)
+{
+    auto response = std::visit(
+            base::Overloaded{
+                    [](const once::Complete &whole) { return complete(*whole.answer_); },
+                    [](const once::NotRun &why) {
+                        return refusal(statusOf(why.reason_), once::reasonText(why.reason_),
+                                       why.retryAfter_);
+                    },
+                    [](const once::Unknown &why) { return unknown(why.reason_); },
+            },
+            outcome);
+    if (!nextKey.empty())
+        addField(response, "Fuchsiadock-Next-Key", nextKey);
+    return response;
+}
+
+} // namespace dock
--- /dev/null
+++ b/libs/dock/src/ControlTask.cpp
@@ -0,0 +1,220 @@
+#include <dock/ControlTask.h>
+
+#include <base/Overloaded.h>
+#include <events/Catalogue.h>
+#include <events/Log.h>
+#include <gossip/GossipService.h>
+#include <gossip/Options.h>
+#include <logclient/HttpLogClient.h>
+#include <net/HttpServer.h>
+#include <net/Reactor.h>
+#include <notesync/NoteService.h>
+#include <settings/Settings.h>
+
+namespace dock {
+
+namespace {
+
+constexpr base::Millis logTimeout(2000);
+
+/** Time for the last datagrams to be sent before the process ends. */
+constexpr base::Millis leaveTime(500);
+
+constexpr int statusNoSuchPath = 404;
+
+} // namespace
+
+struct ControlTask::Impl
+{
+    using Members = std::shared_ptr<const std::vector<model::Member>>;
+
+    Impl(const settings::Settings &settings, once::Incarnation self, Outbox outbox, Ended onEnded)
+        : settings_(settings)
+        , self_(std::move(self))
+        , outbox_(std::move(outbox))
+        , onEnded_(std::move(onEnded))
+    {}
+
+    base::Result<void> listen();
+    base::Result<void> startGossip();
+    void startNotes();
+    void onControlRequest(net::ExchangeId id, const net::HttpRequest &request);
+    void onMembers(Members members);
+    void onConfig(std::shared_ptr<const model::Config> config);
+    void handle(const ToControl &message);
+    void updateSelf();
+    void beginDrain();
+    void leave();
+
+    const settings::Settings &settings_;
+    once::Incarnation self_;
+    Outbox outbox_;
+    Ended onEnded_;
+    net::Reactor reactor_;
+    std::unique_ptr<net::HttpServer> controlServer_;
+    std::unique_ptr<gossip::GossipService> gossip_;
+    std::unique_ptr<notesync::NoteService> notes_;
+    DataStatus dataStatus_;
+    BackendServer backend_;
+    bool isDraining_ = false;
+    bool wasIsolated_ = false;
+};
+
+base::Result<void> ControlTask::Impl::listen()
+{
+    auto server
+            = net::HttpServer::start(reactor_, {.listen_ = settings_.controlAddress_},
+                                     [this](net::ExchangeId id, const net::HttpRequest &request) {
+                                         onControlRequest(id, request);
+                                     });
+    if (!server)
+        return tl::unexpected(server.error());
+    controlServer_ = std::move(*server);
+    return {};
+}
+
+base::Result<void> ControlTask::Impl::startGossip()
+{
+    const model::Member self{.id_ = settings_.id_,
+                             .generation_ = self_.generation_,
+                             .region_ = settings_.region_,
+                             .dataCentre_ = settings_.dataCentre_,
+                             .peerAddress_ = settings_.peerAddress_,
+                             .controlAddress_ = settings_.controlAddress_};
+    auto service = gossip::GossipService::start(
+            reactor_,
+            {.self_ = self, .seeds_ = settings_.seeds_, .clusterSecret_ = settings_.clusterSecret_},
+            {.onMembers_ = [this](Members members) {
+                onMembers(std::move(members));
+            }});
+    if (!service)
+        return tl::unexpected(service.error());
+    gossip_ = std::move(*service);
+    return {};
+}
+
+void ControlTask::Impl::startNotes()
+{
+    notesync::SyncOptions options;
+    options.selfId_ = settings_.id_;
+    options.dataCentre_ = settings_.dataCentre_;
+    options.seed_ = self_.generation_;
+    auto log = std::make_unique<logclient::HttpLogClient>(reactor_, settings_.logAddress_,
+                                                          logTimeout);
+    notes_ = std::make_unique<notesync::NoteService>(
+            reactor_, std::move(log), options,
+            [this](std::shared_ptr<const model::Config> config) { onConfig(std::move(config)); });
+}
+
+void ControlTask::Impl::onControlRequest(net::ExchangeId id, const net::HttpRequest &request)
+{
+    auto answer = gossip_->handleControlRequest(request);
+    if (!answer)
+        answer = notes_->handleControlRequest(request);
+    if (!answer)
+        answer = net::HttpResponse{.status_ = statusNoSuchPath};
+    controlServer_->respond(id, std::move(*answer));
+}
+
+void ControlTask::Impl::onMembers(Members members)
+{
+    events::log(events::membersChanged, "live=" + std::to_string(members->size()));
+    if (const bool isIsolated = gossip_->isIsolated(); isIsolated != wasIsolated_) {
+        wasIsolated_ = isIsolated;
+        if (isIsolated)
+            events::log(events::isolated, "no other daemon answers");
+    }
+    if (const auto generation = gossip_->self().generation_; generation != self_.generation_) {
+        self_.generation_ = generation;
+        events::log(events::generationRaised, "generation=" + std::to_string(generation));
+        outbox_(IncarnationChanged{self_});
+    }
+    notes_->setMembers(members);
+    outbox_(MembersKnown{std::move(members)});
+}
+
+void ControlTask::Impl::onConfig(std::shared_ptr<const model::Config> config)
+{
+    events::log(events::configInForce, "revision=" + std::to_string(config->revision_));
+    outbox_(ConfigInForce{std::move(config)});
+    updateSelf();
+}
+
+void ControlTask::Impl::updateSelf()
+{
+    gossip_->updateSelf(backend_.serving_, backend_.service_, backend_.slots_, notes_->revision());
+}
+
+void ControlTask::Impl::handle(const ToControl &message)
+{
+    std::visit(base::Overloaded{
+                       [this](const BackendStateChanged &change) {
+                           backend_ = change.backend_;
+                           updateSelf();
+                       },
+                       [this](const DataStatus &status) { dataStatus_ = status; },
+                       [this](const DrainEnded &) { leave(); },
+               },
+               message);
+}
+
+void ControlTask::Impl::beginDrain()
+{
+    if (isDraining_)
+        return;
+    isDraining_ = true;
+    outbox_(BeginDrain{});
+}
+
+void ControlTask::Impl::leave()
+{
+    gossip_->leave();
+    reactor_.schedule(leaveTime, [this] { onEnded_(); });
+}
+
+ControlTask::ControlTask(const settings::Settings &settings, once::Incarnation self, Outbox outbox,
+                         Ended onEnded)
+    : impl_(std::make_unique<Impl>(settings, std::move(self), std::move(outbox),
+                                   std::move(onEnded)))
+{}
+
+ControlTask::~ControlTask()
+{
+    stop();
+}
+
+base::Result<void> ControlTask::start()
+{
+    if (auto gossiping = impl_->startGossip(); !gossiping)
+        return gossiping;
+    impl_->startNotes();
+    if (auto listening = impl_->listen(); !listening)
+        return listening;
+    activate();
+    return {};
+}
+
+void ControlTask::deliver(ToControl message)
+{
+    impl_->reactor_.post(
+            [impl = impl_.get(), message = std::move(message)] { impl->handle(message); });
+}
+
+void ControlTask::beginDrain()
+{
+    impl_->reactor_.post([impl = impl_.get()] { impl->beginDrain(); });
+}
+
+void ControlTask::stop()
+{
+    impl_->reactor_.stop();
+    wait();
+}
+
+int ControlTask::svc()
+{
+    impl_->reactor_.run();
+    return 0;
+}
+
+} // namespace dock
--- /dev/null
+++ b/libs/dock/src/Entry.cpp
@@ -0,0 +1,444 @@
+#include <dock/Entry.h>
+
+#include <unordered_map>
+
+#include <base/Clock.h>
+#include <base/Overloaded.h>
+#include <dock/AttemptCodec.h>
+#include <dock/AttemptSender.h>
+#include <dock/CallerAnswer.h>
+#include <dock/Executor.h>
+#include <dock/HeaderNames.h>
+#include <dock/IdempotentCalls.h>
+#include <dock/KeyedCalls.h>
+#include <events/Catalogue.h>
+#include <events/Log.h>
+#include <net/PeerClient.h>
+#include <net/Reactor.h>
+#include <once/Entry.h>
+#include <once/Home.h>
+#include <openssl/rand.h>
+#include <retry/ContextTable.h>
+#include <retry/Core.h>
+#include <routing/Core.h>
+#include <settings/Settings.h>
+
+namespace dock {
+
+namespace {
+
+constexpr std::size_t secretBytes = 32;
+constexpr std::size_t longestCustomer = 64;
+constexpr std::uint64_t longestDeadlineMs = 600'000;
+constexpr base::Millis retryWhenUnconfigured(1000);
+
+/** Customer of requests that state none, or one that the configuration does not name. */
+const std::string defaultCustomer = "default";
+
+std::string randomSecret()
+{
+    std::string secret(secretBytes, '\0');
+    RAND_bytes(reinterpret_cast<unsigned char *>(secret.data()), secretBytes);
+    return secret;
+}
+
+std::uint64_t randomSeed()
+{
+    std::uint64_t seed = 0;
+    RAND_bytes(reinterpret_cast<unsigned char *>(&seed), sizeof(seed));
+    return seed;
+}
+
+/** Splits "/service/rest?query" into the service and the target below it. */
+std::pair<std::string, std::string> splitTarget(const std::string &target)
+{
+    const auto begin = target.find_first_not_of('/');
+    if (begin == std::string::npos)
+        return {"", "/"};
+    const auto end = target.find_first_of("/?", begin);
+    if (end == std::string::npos)
+        return {target.substr(begin), "/"};
+    auto rest = target.substr(end);
+    if (rest.front() == '?')
+        rest.insert(rest.begin(), '/');
+    return {target.substr(begin, end - begin), rest};
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+/** Fields that concern this hop only; the context is that of the caller's own request. */
+void removeOwnFields(net::Headers &headers)
+{
+    std::erase_if(headers, [](const net::Header &field) {
+        return isHopByHop(field.name_) || field.name_.starts_with(header::peerPrefix)
+               || net::equalsIgnoringCase(field.name_, header::deadlineMs)
+               || net::equalsIgnoringCase(field.name_, header::context);
+    });
+    for (auto &field : headers) {
+        for (auto &c : field.name_)
+            c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    }
+}
+
+} // namespace
+
+struct Entry::Impl
+{
+    Impl(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
+         net::PeerClient &client, Executor &executor, retry::ContextTable &contexts)
+        : settings_(settings)
+        , self_(std::move(self))
+        , client_(client)
+        , executor_(executor)
+        , contexts_(contexts)
+        , routing_({.daemonId_ = settings.id_,
+                    .dataCentre_ = settings.dataCentre_,
+                    .region_ = settings.region_,
+                    .seed_ = randomSeed()})
+        , home_(std::in_place, self_, homeSettings(settings), randomSecret())
+        , retryIdempotent_(retrySettings(settings), contexts, randomSeed())
+        , retryKeyed_({}, contexts, randomSeed())
+        , sender_(reactor, client, executor, routing_, settings.id_)
+        , idempotent_(reactor, retryIdempotent_, routing_, sender_,
+                      [this](const CallInfo &call, const admission::Level &level) {
+                          levelLearnt(call, level);
+                      })
+        , keyed_(
+                  reactor, *home_, retryKeyed_, routing_, sender_,
+                  [this](const std::string &id) { return findMember(id); },
+                  [this](const CallInfo &call, const admission::Level &level) {
+                      levelLearnt(call, level);
+                  })
+    {}
+
+    /** How to end one request before its answer. */
+    using Cancel = std::function<void()>;
+
+    static once::HomeSettings homeSettings(const settings::Settings &settings);
+    static retry::RetrySettings retrySettings(const settings::Settings &settings);
+    bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
+    bool needsKey(const CallInfo &call) const { return !call.class_.idempotent_ && !isBaseline(); }
+    const model::Member *findMember(const std::string &id) const;
+    std::string customerOf(const std::string &stated) const;
+    void levelLearnt(const CallInfo &call, const admission::Level &level);
+    CallInfo describe(net::HttpRequest request, std::string service, std::string target);
+    void inheritFrom(CallInfo &call, const retry::RunningCall &parent) const;
+    void addTolerance(CallInfo &call) const;
+    std::string freshKey(const CallInfo &call);
+    void startIdempotent(EntryId id, CallInfo call);
+    void startKeyed(EntryId id, CallInfo call, RequestSource source);
+    void startAtHome(EntryId id, CallInfo call,
+                     const std::variant<once::Key, once::ContextKey> &key);
+    void forward(EntryId id, const CallInfo &call, const once::Key &key);
+    void finish(EntryId id, net::HttpResponse response);
+    void finishWith(EntryId id, const once::Outcome &outcome, const std::string &nextKey = {});
+
+    const settings::Settings &settings_;
+    once::Incarnation self_;
+    net::PeerClient &client_;
+    Executor &executor_;
+    retry::ContextTable &contexts_;
+    routing::Core routing_;
+    std::optional<once::Home> home_;
+    retry::Core retryIdempotent_;
+    retry::Core retryKeyed_;
+    AttemptSender sender_;
+    IdempotentCalls idempotent_;
+    KeyedCalls keyed_;
+    std::shared_ptr<const model::Config> config_;
+    Members members_;
+    std::unordered_map<std::string, const model::Member *> memberById_;
+    std::unordered_map<EntryId, Respond> open_;
+    std::unordered_map<EntryId, Cancel> cancels_;
+    EntryId nextId_ = 1;
+    std::uint64_t nextOwnKey_ = 1;
+    bool isDraining_ = false;
+};
+
+once::HomeSettings Entry::Impl::homeSettings(const settings::Settings &settings)
+{
+    return {.keyLifetime_ = settings.keyLifetime_,
+            .maxRecords_ = settings.onceRecords_,
+            .maxAnswerBytes_ = settings.onceBytes_};
+}
+
+retry::RetrySettings Entry::Impl::retrySettings(const settings::Settings &settings)
+{
+    retry::RetrySettings result;
+    if (settings.mode_ == settings::Mode::Baseline) {
+        // Three retries at each hop without regard to load, as many a client library does.
+        result.initialTokens_ = 1e9;
+        result.maxTokens_ = 1e9;
+        result.maxOverloaded_ = 1000;
+    }
+    return result;
+}
+
+const model::Member *Entry::Impl::findMember(const std::string &id) const
+{
+    const auto found = memberById_.find(id);
+    return found != memberById_.end() ? found->second : nullptr;
+}
+
+std::string Entry::Impl::customerOf(const std::string &stated) const
+{
+    // Callers can make up names; only those of the configuration are told apart.
+    return config_->customers_.contains(stated) ? stated : defaultCustomer;
+}
+
+void Entry::Impl::levelLearnt(const CallInfo &call, const admission::Level &level)
+{
+    if (call.isChild())
+        executor_.observeLevel(call.contextToken_, call.service_, level);
+}
+
+CallInfo Entry::Impl::describe(net::HttpRequest request, std::string service, std::string target)
+{
+    CallInfo call;
+    const auto &headers = request.headers_;
+    call.receivedAt_ = base::monotonicNow();
+    call.service_ = std::move(service);
+    call.class_ = config_->classify(call.service_, request.method_, pathOf(target));
+    call.keyText_ = net::headerValue(headers, header::idempotencyKey);
+    call.keyCustomer_ = net::headerValue(headers, header::customer).substr(0, longestCustomer);
+    call.customer_ = customerOf(call.keyCustomer_);
+    const auto stated = numberOr(net::headerValue(headers, header::deadlineMs),
+                                 static_cast<std::uint64_t>(call.class_.deadline_.count()));
+    call.deadline_ = call.receivedAt_
+                     + base::Millis(static_cast<std::int64_t>(std::min(stated, longestDeadlineMs)));
+    const std::string token(net::headerValue(headers, header::context));
+    if (const auto *parent = contexts_.find(token); parent != nullptr) {
+        call.contextToken_ = token;
+        inheritFrom(call, *parent);
+    } else {
+        call.hasUnknownContext_ = !token.empty();
+        const auto name
+                = call.keyText_.empty() ? settings_.id_ + std::to_string(nextId_) : call.keyText_;
+        call.priority_ = admission::Priority::ofRoot(call.class_.rank_, name);
+    }
+    addTolerance(call);
+    request.target_ = std::move(target);
+    removeOwnFields(request.headers_);
+    call.request_ = std::move(request);
+    return call;
+}
+
+void Entry::Impl::inheritFrom(CallInfo &call, const retry::RunningCall &parent) const
+{
+    call.customer_ = parent.customer_;
+    call.priority_ = admission::Priority::unpack(static_cast<int>(parent.priority_)).forChild();
+    call.deadline_ = std::min(call.deadline_, parent.deadline_);
+    call.depth_ = parent.depth_ + 1;
+}
+
+void Entry::Impl::addTolerance(CallInfo &call) const
+{
+    if (isBaseline()) {
+        call.budget_ = 3;
+        call.retryRatio_ = 1;
+        return;
+    }
+    const auto found = config_->retryTolerances_.find(call.class_.name_);
+    if (found == config_->retryTolerances_.end())
+        return;
+    call.budget_ = found->second.budget_;
+    call.retryRatio_ = found->second.ratio_;
+}
+
+std::string Entry::Impl::freshKey(const CallInfo &call)
+{
+    if (isDraining_ || call.isChild())
+        return {};
+    return home_->issueKey(call.keyCustomer_, call.service_, base::monotonicNow()).text();
+}
+
+void Entry::Impl::startIdempotent(EntryId id, CallInfo call)
+{
+    const auto started = idempotent_.start(
+            std::move(call), [this, id](const once::Outcome &outcome) { finishWith(id, outcome); });
+    cancels_[id] = [this, started] {
+        idempotent_.cancel(started);
+    };
+}
+
+void Entry::Impl::startKeyed(EntryId id, CallInfo call, RequestSource source)
+{
+    if (call.isChild()) {
+        auto text = call.keyText_;
+        if (text.empty())
+            text = "unnamed-" + std::to_string(nextOwnKey_++);
+        const once::ContextKey key{call.contextToken_, text};
+        startAtHome(id, std::move(call), key);
+        return;
+    }
+    if (call.keyText_.empty()) {
+        finish(id, refusal(statusKeyNeeded, "key-needed", {}, freshKey(call)));
+        return;
+    }
+    const auto decision = once::decideAtEntry(self_, call.keyText_, call.hasUnknownContext_);
+    std::visit(base::Overloaded{
+                       [&](const once::DecideHere &here) {
+                           startAtHome(id, std::move(call), here.key_);
+                       },
+                       [&](const once::ForwardToHome &there) {
+                           if (source == RequestSource::Daemon)
+                               finishWith(id, once::homeGaveNoAnswer(), freshKey(call));
+                           else
+                               forward(id, call, there.key_);
+                       },
+                       [&](const once::NotRun &why) { finishWith(id, why, freshKey(call)); },
+                       [&](const once::Unknown &why) { finishWith(id, why, freshKey(call)); },
+               },
+               decision);
+}
+
+void Entry::Impl::startAtHome(EntryId id, CallInfo call,
+                              const std::variant<once::Key, once::ContextKey> &key)
+{
+    const CallInfo caller{.service_ = call.service_,
+                          .keyCustomer_ = call.keyCustomer_,
+                          .contextToken_ = call.contextToken_};
+    const auto started
+            = keyed_.start(std::move(call), key, [this, id, caller](const once::Outcome &outcome) {
+                  finishWith(id, outcome, freshKey(caller));
+              });
+    cancels_[id] = [this, started] {
+        keyed_.cancel(started);
+    };
+}
+
+void Entry::Impl::forward(EntryId id, const CallInfo &call, const once::Key &key)
+{
+    const auto *member = findMember(key.home_.id_);
+    if (member == nullptr || member->generation_ != key.home_.generation_) {
+        finishWith(id, once::homeGaveNoAnswer(), freshKey(call));
+        return;
+    }
+    const auto timeLeft = call.deadline_ - base::monotonicNow();
+    auto request = call.request_;
+    request.target_ = "/" + call.service_ + request.target_;
+    request.headers_.push_back({header::kind, "home"});
+    request.headers_.push_back({header::deadlineMs, std::to_string(timeLeft.count())});
+    const auto sent = client_.send(
+            member->peerAddress_, std::move(request), timeLeft,
+            [this, id, caller = call](net::CallResult result) {
+                const bool isWhole
+                        = result && !net::headerValue(result->headers_, header::outcome).empty();
+                if (isWhole)
+                    finish(id, std::move(*result));
+                else
+                    finishWith(id, once::homeGaveNoAnswer(), freshKey(caller));
+            });
+    cancels_[id] = [this, sent] {
+        client_.cancel(sent);
+    };
+}
+
+void Entry::Impl::finishWith(EntryId id, const once::Outcome &outcome, const std::string &nextKey)
+{
+    if (const auto *unknown = std::get_if<once::Unknown>(&outcome))
+        events::log(events::outcomeUnknown,
+                    "reason=" + std::string(once::reasonText(unknown->reason_)));
+    else if (const auto *notRun = std::get_if<once::NotRun>(&outcome))
+        events::log(events::requestRefused,
+                    "reason=" + std::string(once::reasonText(notRun->reason_)));
+    finish(id, callerAnswer(outcome, nextKey));
+}
+
+void Entry::Impl::finish(EntryId id, net::HttpResponse response)
+{
+    cancels_.erase(id);
+    auto node = open_.extract(id);
+    if (!node.empty())
+        node.mapped()(std::move(response));
+}
+
+Entry::Entry(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
+             net::PeerClient &client, Executor &executor, retry::ContextTable &contexts)
+    : impl_(std::make_unique<Impl>(reactor, settings, std::move(self), client, executor, contexts))
+{}
+
+Entry::~Entry() = default;
+
+EntryId Entry::receive(net::HttpRequest request, RequestSource source, Respond respond)
+{
+    const auto id = impl_->nextId_++;
+    impl_->open_.emplace(id, std::move(respond));
+    if (!impl_->config_) {
+        impl_->finish(id, refusal(statusUnavailable, "no-configuration", retryWhenUnconfigured));
+        return 0;
+    }
+    auto [service, target] = splitTarget(request.target_);
+    if (!impl_->config_->services_.contains(service)) {
+        impl_->finish(id, refusal(statusNotFound, "unknown-service"));
+        return 0;
+    }
+    auto call = impl_->describe(std::move(request), std::move(service), std::move(target));
+    if (impl_->needsKey(call))
+        impl_->startKeyed(id, std::move(call), source);
+    else
+        impl_->startIdempotent(id, std::move(call));
+    return impl_->open_.contains(id) ? id : 0;
+}
+
+void Entry::cancel(EntryId id)
+{
+    impl_->open_.erase(id);
+    if (auto node = impl_->cancels_.extract(id); !node.empty())
+        node.mapped()();
+}
+
+std::vector<std::string> Entry::issueKeys(const std::string &customer, const std::string &service,
+                                          std::size_t count)
+{
+    std::vector<std::string> keys;
+    if (impl_->isDraining_)
+        return keys;
+    for (std::size_t i = 0; i < count; ++i)
+        keys.push_back(impl_->home_
+                               ->issueKey(customer.substr(0, longestCustomer), service,
+                                          base::monotonicNow())
+                               .text());
+    return keys;
+}
+
+void Entry::contextEnded(const std::string &token)
+{
+    impl_->keyed_.contextEnded(token);
+}
+
+void Entry::configure(std::shared_ptr<const model::Config> config)
+{
+    impl_->config_ = std::move(config);
+}
+
+void Entry::setMembers(Members members)
+{
+    impl_->members_ = std::move(members);
+    impl_->memberById_.clear();
+    for (const auto &member : *impl_->members_)
+        impl_->memberById_[member.id_] = &member;
+    impl_->routing_.handle(routing::MembersChanged{*impl_->members_}, base::monotonicNow());
+}
+
+void Entry::adopt(once::Incarnation self)
+{
+    impl_->self_ = self;
+    impl_->keyed_.abandonAll();
+    impl_->home_.emplace(std::move(self), Impl::homeSettings(impl_->settings_), randomSecret());
+}
+
+void Entry::drain()
+{
+    impl_->isDraining_ = true;
+}
+
+std::size_t Entry::activeCount() const
+{
+    return impl_->open_.size();
+}
+
+} // namespace dock
--- /dev/null
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -0,0 +1,161 @@
+#include <dock/IdempotentCalls.h>
+
+#include <base/Clock.h>
+#include <base/Overloaded.h>
+#include <net/Reactor.h>
+#include <routing/Core.h>
+
+namespace dock {
+
+retry::AttemptResult attemptResultOf(const once::NotRun &why)
+{
+    if (why.reason_ == once::Reason::Overloaded)
+        return retry::AttemptResult::Overloaded;
+    return retry::AttemptResult::NotRun;
+}
+
+once::NotRun notRunOf(const routing::NoChoice &none)
+{
+    const bool isShed = none.reason_ == routing::NoChoiceReason::AllShed;
+    return {isShed ? once::Reason::Overloaded : once::Reason::NoInstance, none.retryAfter_};
+}
+
+IdempotentCalls::IdempotentCalls(net::Reactor &reactor, retry::Core &retry, routing::Core &routing,
+                                 AttemptSender &sender, LevelLearnt onLevel)
+    : reactor_(reactor)
+    , retry_(retry)
+    , routing_(routing)
+    , sender_(sender)
+    , onLevel_(std::move(onLevel))
+{}
+
+IdempotentCalls::~IdempotentCalls()
+{
+    *isAlive_ = false;
+}
+
+retry::CallId IdempotentCalls::start(CallInfo call, Done done)
+{
+    const auto id = nextId_++;
+    const retry::CallStarted event{.call_ = id,
+                                   .origin_ = originOf(call),
+                                   .customer_ = call.customer_,
+                                   .requestClass_ = call.class_.name_,
+                                   .ratio_ = call.retryRatio_,
+                                   .idempotent_ = true,
+                                   .deadline_ = call.deadline_};
+    calls_[id] = {.info_ = std::move(call), .done_ = std::move(done)};
+    // Posted, so that done never runs before the caller knows the call's id.
+    reactor_.post([this, event, alive = isAlive_] {
+        if (*alive && calls_.contains(event.call_))
+            perform(retry_.handle(event, base::monotonicNow()));
+    });
+    return id;
+}
+
+void IdempotentCalls::cancel(retry::CallId id)
+{
+    auto node = calls_.extract(id);
+    if (node.empty())
+        return;
+    sender_.cancel(node.mapped().send_);
+    retry_.handle(retry::CallEnded{id}, base::monotonicNow());
+}
+
+void IdempotentCalls::perform(const std::vector<retry::Command> &commands)
+{
+    for (const auto &command : commands) {
+        std::visit(base::Overloaded{
+                           [this](const retry::StartAttempt &order) { startAttempt(order); },
+                           [this](const retry::GiveUp &order) {
+                               const auto found = calls_.find(order.call_);
+                               if (found != calls_.end())
+                                   finish(order.call_, failureOutcome(found->second));
+                           },
+                   },
+                   command);
+    }
+}
+
+void IdempotentCalls::startAttempt(const retry::StartAttempt &order)
+{
+    if (order.delay_ <= base::Millis(0)) {
+        sendAttempt(order);
+        return;
+    }
+    reactor_.schedule(order.delay_, [this, order, alive = isAlive_] {
+        if (*alive)
+            sendAttempt(order);
+    });
+}
+
+void IdempotentCalls::sendAttempt(const retry::StartAttempt &order)
+{
+    const auto found = calls_.find(order.call_);
+    if (found == calls_.end())
+        return;
+    auto &call = found->second;
+    call.attempt_ = order.attempt_;
+    const auto now = base::monotonicNow();
+    const auto choice
+            = routing_.choose(call.info_.service_, call.info_.priority_, order.avoid_, now);
+    if (!choice) {
+        call.lastRefusal_ = notRunOf(choice.error());
+        retry_.handle(retry::CallEnded{order.call_}, now);
+        finish(order.call_, failureOutcome(call));
+        return;
+    }
+    const auto id = order.call_;
+    call.send_ = sender_.send(*choice->member_, attemptOf(call.info_, order.handedDown_, now),
+                              [this, id, instance = choice->member_->id_](SendResult result) {
+                                  attemptDone(id, instance, std::move(result));
+                              });
+}
+
+void IdempotentCalls::attemptDone(retry::CallId id, const std::string &instance, SendResult result)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end())
+        return;
+    auto &call = found->second;
+    call.send_ = 0;
+    retry::AttemptEnded event{.call_ = id, .attempt_ = call.attempt_, .instance_ = instance};
+    if (!result) {
+        const bool isUnsent = result.error() == net::FailureKind::NotSent;
+        event.result_ = isUnsent ? retry::AttemptResult::NotSent : retry::AttemptResult::Lost;
+        call.mayHaveRun_ |= !isUnsent;
+        call.lastRefusal_ = {once::Reason::NoInstance, {}};
+        perform(retry_.handle(event, base::monotonicNow()));
+        return;
+    }
+    onLevel_(call.info_, result->level_);
+    event.budgetLeft_ = result->budgetLeft_;
+    if (const auto *notRun = std::get_if<once::NotRun>(&result->outcome_)) {
+        event.result_ = attemptResultOf(*notRun);
+        call.lastRefusal_ = *notRun;
+    } else if (std::holds_alternative<once::Unknown>(result->outcome_)) {
+        event.result_ = retry::AttemptResult::Lost;
+        call.mayHaveRun_ = true;
+    }
+    const auto commands = retry_.handle(event, base::monotonicNow());
+    if (std::holds_alternative<once::Complete>(result->outcome_))
+        finish(id, result->outcome_);
+    else
+        perform(commands);
+}
+
+once::Outcome IdempotentCalls::failureOutcome(const Call &call) const
+{
+    if (call.mayHaveRun_)
+        return once::Unknown{once::Reason::AnswerLost};
+    return call.lastRefusal_;
+}
+
+void IdempotentCalls::finish(retry::CallId id, const once::Outcome &outcome)
+{
+    auto node = calls_.extract(id);
+    if (!node.empty())
+        node.mapped().done_(outcome);
+}
+
+} // namespace dock
--- /dev/null
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -0,0 +1,276 @@
+#include <dock/KeyedCalls.h>
+
+#include <base/Clock.h>
+#include <base/Hash.h>
+#include <base/Overloaded.h>
+#include <routing/Core.h>
+
+namespace dock {
+
+namespace {
+
+/** How long the answer to an Ask is awaited; the home asks again. */
+constexpr base::Millis askTimeout(1000);
+
+/** Tells requests under one key apart: the same key must come with the same request. */
+std::uint64_t digestOf(const net::HttpRequest &request)
+{
+    return base::hash64(request.body_,
+                        base::hash64(request.target_, base::hash64(request.method_)));
+}
+
+once::SendFailure sendFailureOf(net::FailureKind kind)
+{
+    return kind == net::FailureKind::NotSent ? once::SendFailure::NotSent : once::SendFailure::Lost;
+}
+
+} // namespace
+
+KeyedCalls::KeyedCalls(net::Reactor &reactor, once::Home &home, retry::Core &retry,
+                       routing::Core &routing, AttemptSender &sender, FindMember findMember,
+                       IdempotentCalls::LevelLearnt onLevel)
+    : reactor_(reactor)
+    , home_(home)
+    , retry_(retry)
+    , routing_(routing)
+    , sender_(sender)
+    , findMember_(std::move(findMember))
+    , onLevel_(std::move(onLevel))
+{}
+
+KeyedCalls::~KeyedCalls()
+{
+    *isAlive_ = false;
+    reactor_.cancel(wakeUpTimer_);
+}
+
+once::WaiterId KeyedCalls::start(CallInfo call,
+                                 const std::variant<once::Key, once::ContextKey> &key, Done done)
+{
+    const auto id = nextWaiter_++;
+    const once::Request event{.waiter_ = id,
+                              .key_ = key,
+                              .customer_ = call.keyCustomer_,
+                              .service_ = call.service_,
+                              .digest_ = digestOf(call.request_),
+                              .deadline_ = call.deadline_};
+    waiting_[id] = {std::move(call), std::move(done)};
+    // Posted, so that done never runs before the caller knows the waiter's id.
+    reactor_.post([this, event, alive = isAlive_] {
+        if (*alive && waiting_.contains(event.waiter_))
+            tell(event);
+    });
+    return id;
+}
+
+void KeyedCalls::cancel(once::WaiterId id)
+{
+    if (waiting_.erase(id) > 0)
+        tell(once::HungUp{id});
+}
+
+void KeyedCalls::abandonAll()
+{
+    const auto now = base::monotonicNow();
+    for (const auto &[id, record] : std::exchange(records_, {}))
+        retry_.handle(retry::CallEnded{id}, now);
+    for (const auto &[id, waiting] : std::exchange(waiting_, {}))
+        waiting.done_(once::Unknown{once::Reason::OtherGeneration});
+}
+
+void KeyedCalls::contextEnded(const std::string &token)
+{
+    tell(once::ContextEnded{token});
+}
+
+void KeyedCalls::tell(const once::HomeEvent &event)
+{
+    perform(home_.handle(event, base::monotonicNow()));
+    scheduleWakeUp();
+}
+
+void KeyedCalls::perform(const std::vector<once::HomeCommand> &commands)
+{
+    for (const auto &command : commands) {
+        std::visit(base::Overloaded{
+                           [this](const once::Reply &order) { reply(order); },
+                           [this](const once::ChooseExecutor &order) { chooseExecutor(order); },
+                           [this](const once::Delegate &order) { delegate(order); },
+                           [this](const once::Ask &order) { ask(order); },
+                           [this](const once::Release &order) { release(order); },
+                   },
+                   command);
+    }
+}
+
+void KeyedCalls::reply(const once::Reply &order)
+{
+    auto node = waiting_.extract(order.waiter_);
+    if (!node.empty())
+        node.mapped().done_(order.outcome_);
+}
+
+void KeyedCalls::chooseExecutor(const once::ChooseExecutor &order)
+{
+    const auto now = base::monotonicNow();
+    if (order.attempt_ == 1) {
+        const auto waiting = waiting_.find(order.waiter_);
+        if (waiting == waiting_.end()) {
+            tell(once::NotChosen{order.record_, {once::Reason::Cancelled, {}}});
+            return;
+        }
+        const auto &info = records_[order.record_].info_ = waiting->second.info_;
+        perform(retry_.handle(retry::CallStarted{.call_ = order.record_,
+                                                 .origin_ = originOf(info),
+                                                 .customer_ = info.customer_,
+                                                 .requestClass_ = info.class_.name_,
+                                                 .ratio_ = info.retryRatio_,
+                                                 .idempotent_ = false,
+                                                 .deadline_ = info.deadline_},
+                              now));
+        return;
+    }
+    const auto found = records_.find(order.record_);
+    if (found == records_.end())
+        return;
+    const retry::AttemptEnded event{
+            .call_ = order.record_,
+            .attempt_ = found->second.attempt_.attempt_,
+            .result_ = order.wasSent_ ? attemptResultOf(order.why_) : retry::AttemptResult::NotSent,
+            .instance_ = order.last_ ? order.last_->id_ : std::string(),
+            .budgetLeft_ = std::exchange(found->second.budgetLeft_, std::nullopt)};
+    const auto commands = retry_.handle(event, now);
+    for (const auto &command : commands) {
+        if (std::holds_alternative<retry::GiveUp>(command)) {
+            tell(once::NotChosen{order.record_, order.why_});
+            return;
+        }
+    }
+    perform(commands);
+}
+
+void KeyedCalls::perform(const std::vector<retry::Command> &commands)
+{
+    for (const auto &command : commands) {
+        if (std::holds_alternative<retry::GiveUp>(command)) {
+            const auto record = std::get<retry::GiveUp>(command).call_;
+            tell(once::NotChosen{record, {once::Reason::NoRoom, {}}});
+            continue;
+        }
+        const auto &order = std::get<retry::StartAttempt>(command);
+        if (order.delay_ <= base::Millis(0)) {
+            choose(order);
+            continue;
+        }
+        reactor_.schedule(order.delay_, [this, order, alive = isAlive_] {
+            if (*alive)
+                choose(order);
+        });
+    }
+}
+
+void KeyedCalls::choose(const retry::StartAttempt &order)
+{
+    const auto found = records_.find(order.call_);
+    if (found == records_.end())
+        return;
+    auto &record = found->second;
+    record.attempt_ = order;
+    const auto choice = routing_.choose(record.info_.service_, record.info_.priority_, order.avoid_,
+                                        base::monotonicNow());
+    if (!choice) {
+        tell(once::NotChosen{order.call_, notRunOf(choice.error())});
+        return;
+    }
+    const auto &member = *choice->member_;
+    tell(once::Chosen{order.call_, {member.id_, member.generation_}});
+}
+
+void KeyedCalls::delegate(const once::Delegate &order)
+{
+    const auto record = records_.find(order.record_);
+    const auto *member = findMember_(order.subKey_.executor_.id_);
+    if (record == records_.end() || member == nullptr) {
+        reactor_.post([this, subKey = order.subKey_, alive = isAlive_] {
+            if (*alive)
+                answered(subKey, tl::unexpected(net::FailureKind::NotSent));
+        });
+        return;
+    }
+    auto attempt = attemptOf(record->second.info_, record->second.attempt_.handedDown_,
+                             base::monotonicNow());
+    attempt.timeLeft_ = order.timeLeft_;
+    attempt.subKey_ = order.subKey_;
+    attempt.settledBelow_ = order.settledBelow_;
+    sender_.send(*member, std::move(attempt),
+                 [this, id = order.record_, subKey = order.subKey_](SendResult result) {
+                     const auto found = records_.find(id);
+                     if (result && found != records_.end()) {
+                         found->second.budgetLeft_ = result->budgetLeft_;
+                         onLevel_(found->second.info_, result->level_);
+                     }
+                     answered(subKey, std::move(result));
+                 });
+}
+
+void KeyedCalls::ask(const once::Ask &order)
+{
+    const auto *member = findMember_(order.subKey_.executor_.id_);
+    if (member == nullptr) {
+        reactor_.post([this, subKey = order.subKey_, alive = isAlive_] {
+            if (*alive)
+                answered(subKey, tl::unexpected(net::FailureKind::NotSent));
+        });
+        return;
+    }
+    Attempt attempt{.kind_ = AttemptKind::Ask, .timeLeft_ = askTimeout, .subKey_ = order.subKey_};
+    sender_.send(*member, std::move(attempt), [this, subKey = order.subKey_](SendResult result) {
+        answered(subKey, std::move(result));
+    });
+}
+
+void KeyedCalls::answered(const once::SubKey &subKey, SendResult result)
+{
+    if (!result)
+        tell(once::SendFailed{subKey, sendFailureOf(result.error())});
+    else if (result->isReplaced_)
+        tell(once::ExecutorReplaced{subKey});
+    else
+        tell(once::ExecutorSaid{subKey, result->outcome_});
+}
+
+void KeyedCalls::release(const once::Release &order)
+{
+    auto node = records_.extract(order.record_);
+    if (node.empty())
+        return;
+    const auto &record = node.mapped();
+    const auto now = base::monotonicNow();
+    if (record.budgetLeft_)
+        retry_.handle(retry::AttemptEnded{.call_ = order.record_,
+                                          .attempt_ = record.attempt_.attempt_,
+                                          .result_ = retry::AttemptResult::Answered,
+                                          .budgetLeft_ = record.budgetLeft_},
+                      now);
+    else
+        retry_.handle(retry::CallEnded{order.record_}, now);
+}
+
+void KeyedCalls::scheduleWakeUp()
+{
+    const auto due = home_.nextWakeUp();
+    if (due == wakeUpAt_)
+        return;
+    reactor_.cancel(wakeUpTimer_);
+    wakeUpTimer_ = 0;
+    wakeUpAt_ = due;
+    if (due >= base::Millis::max())
+        return;
+    const auto delay = std::max(base::Millis(0), due - base::monotonicNow());
+    wakeUpTimer_ = reactor_.schedule(delay, [this] {
+        wakeUpAt_ = base::Millis::max();
+        tell(once::WakeUp{});
+    });
+}
+
+} // namespace dock
--- /dev/null
+++ b/libs/events/include/events/Catalogue.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <events/Event.h>
+
+namespace events {
+
+// 1xx: process
+inline constexpr Event started = {100, Severity::Info, "started"};
+inline constexpr Event startFailed = {101, Severity::Error, "start-failed"};
+inline constexpr Event drainBegan = {102, Severity::Info, "drain-began"};
+inline constexpr Event drainEnded = {103, Severity::Info, "drain-ended"};
+inline constexpr Event drainTimedOut = {104, Severity::Warning, "drain-timed-out"};
+
+// 2xx: the backend server beside the daemon
+inline constexpr Event backendAnnounced = {200, Severity::Info, "backend-announced"};
+inline constexpr Event backendLeft = {201, Severity::Info, "backend-left"};
+inline constexpr Event backendSilent = {202, Severity::Warning, "backend-silent"};
+
+// 3xx: requests
+inline constexpr Event outcomeUnknown = {300, Severity::Warning, "outcome-unknown"};
+inline constexpr Event requestRefused = {301, Severity::Debug, "request-refused"};
+
+// 4xx: configuration and membership
+inline constexpr Event configInForce = {400, Severity::Info, "config-in-force"};
+inline constexpr Event membersChanged = {401, Severity::Debug, "members-changed"};
+inline constexpr Event isolated = {402, Severity::Warning, "isolated"};
+
+inline constexpr Event generationRaised = {403, Severity::Warning, "generation-raised"};
+
+} // namespace events
--- /dev/null
+++ b/libs/events/src/Log.cpp
@@ -0,0 +1,57 @@
+#include <events/Log.h>
+
+// The library's own source trips newer warnings when it is inlined.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wall"
+#include <easylogging++.h>
+#pragma GCC diagnostic pop
+
+namespace events {
+
+namespace {
+
+void enableFrom(el::Configurations &configuration, std::string_view level)
+{
+    const auto enable = [&configuration](el::Level which, bool isEnabled) {
+        configuration.set(which, el::ConfigurationType::Enabled, isEnabled ? "true" : "false");
+    };
+    enable(el::Level::Debug, level == "debug");
+    enable(el::Level::Info, level == "debug" || level == "info");
+    enable(el::Level::Warning, level != "error");
+}
+
+} // namespace
+
+void setUpLog(std::string_view level, std::string_view daemonId)
+{
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(el::ConfigurationType::Format,
+                              "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level " + std::string(daemonId)
+                                      + " %msg");
+    enableFrom(configuration, level);
+    el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+void log(const Event &event, const std::string &detail)
+{
+    const auto line = "E" + std::to_string(event.number_) + " " + event.name_ + " " + detail;
+    switch (event.severity_) {
+    case Severity::Debug:
+        LOG(DEBUG) << line;
+        break;
+    case Severity::Info:
+        LOG(INFO) << line;
+        break;
+    case Severity::Warning:
+        LOG(WARNING) << line;
+        break;
+    case Severity::Error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
+} // namespace events
--- /dev/null
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -0,0 +1,124 @@
+#include "DaemonCommand.h"
+
+#include <csignal>
+#include <iostream>
+
+#include <cxxopts.hpp>
+#include <dock/Daemon.h>
+#include <events/Catalogue.h>
+#include <events/Log.h>
+#include <settings/Loader.h>
+
+namespace fuchsiadock {
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;
+constexpr int exitUsage = 2;
+
+/** How often a second signal is looked for while the daemon drains, in nanoseconds. */
+constexpr long drainPollNanos = 50'000'000;
+
+sigset_t endSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+/** Waits for the end of the drain; false when a second signal asks to end at once. */
+bool waitForDrain(std::future<void> &ended, const sigset_t &signals)
+{
+    const timespec pollTime = {0, drainPollNanos};
+    while (ended.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
+        if (sigtimedwait(&signals, nullptr, &pollTime) > 0)
+            return false;
+    }
+    return true;
+}
+
+void printFaults(const std::vector<settings::Fault> &faults)
+{
+    for (const auto &fault : faults)
+        std::cerr << fault.text() << "\n";
+}
+
+int serve(const settings::Settings &settings)
+{
+    events::setUpLog(settings.logLevel_, settings.id_);
+    // Blocked before any thread starts, so that only this thread receives them.
+    const auto signals = endSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    dock::Daemon daemon(settings);
+    if (const auto started = daemon.start(); !started) {
+        events::log(events::startFailed, started.error().message_);
+        return exitFailed;
+    }
+    events::log(events::started, "data=" + settings.dataAddress_.text()
+                                         + " peer=" + settings.peerAddress_.text()
+                                         + " control=" + settings.controlAddress_.text()
+                                         + " admin=" + settings.adminAddress_.text());
+    auto ended = daemon.ended();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    daemon.beginDrain();
+    return waitForDrain(ended, signals) ? exitOk : exitFailed;
+}
+
+} // namespace
+
+int runDaemon(int argc, char **argv)
+{
+    cxxopts::Options options("fuchsiadock daemon", "Runs the daemon beside one backend server.\n"
+                                                   "SIGTERM drains it; a second one ends it at "
+                                                   "once.\n");
+    options.add_options()("settings", "settings file (YAML)", cxxopts::value<std::string>(),
+                          "FILE")("help", "show this help");
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0) {
+            std::cout << options.help();
+            return exitOk;
+        }
+        if (arguments.count("settings") == 0) {
+            std::cerr << "fuchsiadock daemon: --settings FILE is needed\n";
+            return exitUsage;
+        }
+        const auto loaded = settings::loadFile(arguments["settings"].as<std::string>());
+        if (!loaded) {
+            printFaults(loaded.error());
+            return exitUsage;
+        }
+        return serve(*loaded);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << "fuchsiadock daemon: " << error.what() << "\n";
+        return exitUsage;
+    }
+}
+
+int runSettings(int argc, char **argv)
+{
+    if (argc == 2 && std::string(argv[1]) == "--help") {
+        std::cout << "usage: fuchsiadock settings check FILE\n"
+                     "Reports every fault of a settings file with its line and field.\n";
+        return exitOk;
+    }
+    if (argc != 3 || std::string(argv[1]) != "check") {
+        std::cerr << "usage: fuchsiadock settings check FILE\n";
+        return exitUsage;
+    }
+    const auto loaded = settings::loadFile(argv[2]);
+    if (!loaded) {
+        printFaults(loaded.error());
+        return exitFailed;
+    }
+    std::cout << argv[2] << ": no faults\n";
+    return exitOk;
+}
+
+} // namespace fuchsiadock
