Add the administration API

Operators and their programs need the notes, members, status, metrics and histograms of a daemon on a port of its own.

NoteService passes the note's id to the callback, so that the answer can name it.

--- /dev/null
+++ b/libs/admin/src/Views.cpp
@@ -0,0 +1,130 @@
+#include "Views.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace admin {
+
+using nlohmann::json;
+
+namespace {
+
+const char *servingText(model::ServingState state)
+{
+    static constexpr std::array<const char *, 3> names{"absent", "ready", "draining"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+json configView(const model::Config &config)
+{
+    json view{{"services", json::array()},
+              {"classes", json::array()},
+              {"customers", json::array()},
+              {"retries", json::array()}};
+    for (const auto &[name, service] : config.services_)
+        view["services"].push_back(name);
+    for (const auto &[name, c] : config.classes_)
+        view["classes"].push_back(json{{"name", name},
+                                       {"service", c.service_},
+                                       {"method", c.method_},
+                                       {"path", c.pathPrefix_},
+                                       {"rank", c.rank_},
+                                       {"idempotent", c.idempotent_},
+                                       {"deadlineMs", c.deadline_.count()}});
+    for (const auto &[name, c] : config.customers_)
+        view["customers"].push_back(
+                json{{"name", name}, {"share", c.share_}, {"limit", c.maxConcurrent_}});
+    for (const auto &[name, r] : config.retryTolerances_)
+        view["retries"].push_back(
+                json{{"class", name}, {"budget", r.budget_}, {"ratio", r.ratio_}});
+    return view;
+}
+
+} // namespace
+
+json errorView(const char *code, const std::string &message)
+{
+    return json{{"error", code}, {"message", message}};
+}
+
+json faultsView(const std::vector<note::Fault> &faults)
+{
+    auto view = errorView("bad-note", "the note has faults; nothing was published");
+    for (const auto &fault : faults)
+        view["faults"].push_back(
+                json{{"line", fault.line_}, {"field", fault.field_}, {"message", fault.message_}});
+    return view;
+}
+
+json outcomeView(const std::string &id, const note::Outcome &outcome)
+{
+    json view{{"id", id},
+              {"outcome", outcome.accepted_ ? "accepted" : "rejected"},
+              {"revision", outcome.revision_},
+              {"offset", outcome.offset_}};
+    if (!outcome.accepted_)
+        view["reason"] = outcome.reason_;
+    return view;
+}
+
+json inForceView(model::Revision revision, const std::vector<model::Member> &members)
+{
+    std::map<std::string, std::pair<int, int>> counts;
+    for (const auto &member : members) {
+        auto &[inForce, all] = counts[member.dataCentre_];
+        inForce += member.revision_ >= revision ? 1 : 0;
+        ++all;
+    }
+    auto view = json::array();
+    for (const auto &[dataCentre, count] : counts)
+        view.push_back(json{{"dataCentre", dataCentre},
+                            {"daemonsInForce", count.first},
+                            {"daemons", count.second}});
+    return view;
+}
+
+json notesView(const note::State &state)
+{
+    std::vector<std::pair<std::string, note::Outcome>> ordered(state.outcomes_.begin(),
+                                                               state.outcomes_.end());
+    std::sort(ordered.begin(), ordered.end(),
+              [](const auto &a, const auto &b) { return a.second.offset_ < b.second.offset_; });
+    json view{{"revision", state.revision_},
+              {"notes", json::array()},
+              {"config", configView(note::configOf(state))}};
+    for (const auto &[id, outcome] : ordered)
+        view["notes"].push_back(outcomeView(id, outcome));
+    return view;
+}
+
+json membersView(const std::vector<model::Member> &members)
+{
+    auto view = json::array();
+    for (const auto &m : members)
+        view.push_back(json{{"id", m.id_},
+                            {"region", m.region_},
+                            {"dataCentre", m.dataCentre_},
+                            {"peerAddress", m.peerAddress_.text()},
+                            {"controlAddress", m.controlAddress_.text()},
+                            {"service", m.service_},
+                            {"slots", m.slots_},
+                            {"serving", servingText(m.serving_)},
+                            {"revision", m.revision_}});
+    return json{{"members", std::move(view)}};
+}
+
+json syncView(const notesync::SyncStatus &status)
+{
+    return json{{"hasConfig", status.hasConfig_},
+                {"revision", status.revision_},
+                {"digest", status.digest_},
+                {"logOffset", status.position_},
+                {"complete", status.attached_},
+                {"readsLog", status.isReader_},
+                {"malformedRecords", status.malformedRecords_},
+                {"snapshotsAppended", status.snapshotsAppended_},
+                {"logError", status.logError_}};
+}
+
+} // namespace admin
--- a/libs/notesync/include/notesync/NoteService.h
+++ b/libs/notesync/include/notesync/NoteService.h
@@ -39,7 +39,8 @@
 {
 public:
     using ConfigHandler = std::function<void(std::shared_ptr<const model::Config>)>;
-    using PublishDone = std::function<void(const PublishResult &)>;
+    /** Gets the id of the note and what came of it. */
+    using PublishDone = std::function<void(const std::string &, const PublishResult &)>;
 
     NoteService(net::Reactor &reactor, std::unique_ptr<logclient::LogClient> log,
                 const SyncOptions &options, ConfigHandler onConfig);
--- a/libs/notesync/src/NoteService.cpp
+++ b/libs/notesync/src/NoteService.cpp
@@ -70,6 +70,12 @@
 
 struct NoteService::Impl : std::enable_shared_from_this<NoteService::Impl>
 {
+    struct PendingPublish
+    {
+        std::string noteId_;
+        PublishDone done_;
+    };
+
     Impl(net::Reactor &reactor, std::unique_ptr<logclient::LogClient> log,
          const SyncOptions &options, ConfigHandler onConfig)
         : reactor_(reactor)
@@ -151,8 +157,9 @@
         auto found = publishes_.extract(command.ticket_);
         if (found.empty())
             return;
-        reactor_.post(
-                [done = std::move(found.mapped()), result = command.result_] { done(result); });
+        reactor_.post([entry = std::move(found.mapped()), result = command.result_] {
+            entry.done_(entry.noteId_, result);
+        });
     }
 
     net::HttpResponse onPull(std::string_view query) const
@@ -182,7 +189,7 @@
     NoteSync sync_;
     net::TimerId timer_ = 0;
     Ticket lastTicket_ = 0;
-    std::map<Ticket, PublishDone> publishes_;
+    std::map<Ticket, PendingPublish> publishes_;
 };
 
 NoteService::NoteService(net::Reactor &reactor, std::unique_ptr<logclient::LogClient> log,
@@ -209,7 +216,7 @@
     if (!note)
         return tl::unexpected(note.error());
     const auto ticket = ++impl_->lastTicket_;
-    impl_->publishes_.emplace(ticket, std::move(done));
+    impl_->publishes_.emplace(ticket, Impl::PendingPublish{note->id_, std::move(done)});
     impl_->handle(PublishRequested{ticket, *note});
     return {};
 }
--- a/libs/notesync/tests/NoteServiceTest.cpp
+++ b/libs/notesync/tests/NoteServiceTest.cpp
@@ -102,10 +102,10 @@
     b.service_->setMembers(members);
     runUntil(reactor, [&] { return a.config_ && b.config_; });
 
-    EXPECT_FALSE(a.service_->publish("id: [", [](const auto &) { FAIL(); }));
+    EXPECT_FALSE(a.service_->publish("id: [", [](const auto &, const auto &) { FAIL(); }));
     std::optional<notesync::PublishResult> result;
     ASSERT_TRUE(a.service_->publish("id: n\nbase: 0\nadded: {services: [wallet]}\n",
-                                    [&](const auto &r) { result = r; }));
+                                    [&](const auto &, const auto &r) { result = r; }));
     runUntil(reactor, [&] { return result && b.service_->revision() > 0 && b.config_; });
     ASSERT_TRUE(result && std::holds_alternative<notesync::Decided>(*result));
     EXPECT_TRUE(std::get<notesync::Decided>(*result).outcome_.accepted_);
