--- /dev/null
+++ b/libs/metrics/tests/RegistryTest.cpp
@@ -0,0 +1,134 @@
+#include <metrics/Prometheus.h>
+#include <metrics/Registry.h>
+
+#include <base/Random.h>
+#include <gtest/gtest.h>
+#include <model/Config.h>
+
+using namespace metrics;
+using base::Millis;
+
+namespace {
+
+Sample sampleOf(const std::string &customer, Millis latency = Millis(10))
+{
+    return {.customer_ = customer, .requestClass_ = "redeem", .latency_ = latency};
+}
+
+const Series *seriesOf(const Snapshot &snapshot, const std::string &customer)
+{
+    for (const Series &series : snapshot.series_) {
+        if (series.customer_ == customer)
+            return &series;
+    }
+    return nullptr;
+}
+
+bool hasLine(const std::string &text, const std::string &line)
+{
+    return ("\n" + text).find("\n" + line + "\n") != std::string::npos;
+}
+
+} // namespace
+
+TEST(Registry, inventedNamesDoNotGrowIt)
+{
+    const Options options = {.maxOtherCustomers_ = 5, .maxOtherClasses_ = 3, .maxSeries_ = 12};
+    Registry registry(options);
+    model::Config config;
+    config.customers_["school"] = {.name_ = "school"};
+    constexpr int names = 2000;
+    for (int i = 0; i < names; ++i) {
+        registry.record({.customer_ = "c" + std::to_string(i),
+                         .requestClass_ = "r" + std::to_string(i % 50)},
+                        Millis(i));
+    }
+    registry.configure(config);
+    registry.record(sampleOf("school"), Millis(names));
+    const auto snapshot = registry.snapshot();
+    EXPECT_LE(snapshot.series_.size(), options.maxSeries_ + 1);
+    std::uint64_t counted = 0;
+    for (const Series &series : snapshot.series_)
+        counted += series.latency_.count_;
+    EXPECT_EQ(counted, names + 1u);
+}
+
+TEST(Registry, aConfiguredCustomerHasItsOwnSeriesAfterTheLimit)
+{
+    Registry registry({.maxOtherCustomers_ = 1});
+    model::Config config;
+    config.customers_["school"] = {.name_ = "school"};
+    registry.configure(config);
+    for (const char *name : {"a", "b", "school", ""})
+        registry.record(sampleOf(name), Millis(1));
+    const auto snapshot = registry.snapshot();
+    for (const char *label : {"a", "other", "school", "none"}) {
+        ASSERT_NE(seriesOf(snapshot, label), nullptr) << label;
+        EXPECT_EQ(seriesOf(snapshot, label)->latency_.count_, 1u);
+    }
+}
+
+TEST(Registry, estimatesQuantilesOfRecentRequests)
+{
+    Registry registry;
+    base::Random random(1);
+    for (int i = 0; i < 20000; ++i)
+        registry.record(sampleOf("a", Millis(5000)), Millis(i));
+    for (int i = 0; i < 20000; ++i) {
+        const auto latency = Millis::fromMicros(static_cast<std::int64_t>(random.below(100000)));
+        registry.record(sampleOf("a", latency), Millis(200000 + i));
+    }
+    const auto snapshot = registry.snapshot();
+    const auto &latency = seriesOf(snapshot, "a")->latency_;
+    for (std::size_t i = 0; i < quantiles.size(); ++i)
+        EXPECT_NEAR(latency.quantileMillis_[i], 100.0 * quantiles[i], 2.0);
+    EXPECT_LE(latency.maxMillis_, 100.0);
+    EXPECT_EQ(latency.count_, 40000u);
+}
+
+TEST(Prometheus, bucketsAreCumulativeAndEndWithTheCount)
+{
+    Registry registry;
+    for (const int millis : {1, 3, 3, 60000})
+        registry.record(sampleOf("a", Millis(millis)), Millis(1));
+    const auto text = renderPrometheus(registry.snapshot());
+    const std::string name = "fuchsiadock_request_duration_seconds";
+    const std::string labels = "{customer=\"a\",class=\"redeem\"";
+    EXPECT_TRUE(hasLine(text, "# TYPE " + name + " histogram"));
+    EXPECT_TRUE(hasLine(text, name + "_bucket" + labels + ",le=\"0.0005\"} 0"));
+    EXPECT_TRUE(hasLine(text, name + "_bucket" + labels + ",le=\"0.001\"} 1"));
+    EXPECT_TRUE(hasLine(text, name + "_bucket" + labels + ",le=\"0.005\"} 3"));
+    EXPECT_TRUE(hasLine(text, name + "_bucket" + labels + ",le=\"10\"} 3"));
+    EXPECT_TRUE(hasLine(text, name + "_bucket" + labels + ",le=\"+Inf\"} 4"));
+    EXPECT_TRUE(hasLine(text, name + "_sum" + labels + "} 60.007"));
+    EXPECT_TRUE(hasLine(text, "fuchsiadock_requests_total" + labels + ",outcome=\"complete\"} 4"));
+}
+
+TEST(Prometheus, aLabelValueCannotAddLines)
+{
+    EXPECT_EQ(escapedLabelValue("a\"b\\c\nd\re"), "a\\\"b\\\\c\\nd?e");
+    Registry registry;
+    model::Config config;
+    const std::string name = "x\"} 1\nfuchsiadock_up 0\n#";
+    config.customers_[name] = {.name_ = name};
+    registry.configure(config);
+    registry.record(sampleOf(name), Millis(1));
+    registry.record(sampleOf("\xff\xfe"), Millis(1));
+    const auto text = renderPrometheus(registry.snapshot());
+    EXPECT_EQ(text.find("\nfuchsiadock_up"), std::string::npos);
+    EXPECT_EQ(text.find('\xff'), std::string::npos);
+}
+
+TEST(Prometheus, linesOfOneNameFollowEachOther)
+{
+    Snapshot snapshot;
+    for (const char *service : {"wallet", "redeem"}) {
+        snapshot.values_.push_back(
+                {"limit", "Limit.", ValueKind::Gauge, {{"service", service}}, 7});
+        snapshot.values_.push_back({"up", "Up.", ValueKind::Gauge, {}, 1});
+    }
+    EXPECT_TRUE(hasLine(renderPrometheus(snapshot),
+                        "# HELP fuchsiadock_limit Limit.\n# TYPE fuchsiadock_limit gauge\n"
+                        "fuchsiadock_limit{service=\"wallet\"} 7\n"
+                        "fuchsiadock_limit{service=\"redeem\"} 7"));
+}
