Prove in a two-service model that answers need two levels

Cause: one level on answers, own and further down in one and kept for each instance, makes a class that does not call the overloaded service look shed as well. Change: a virtual-time model of an entry and two services in a row over the real decision cores, in three ways of using levels, and tests of waste, of classes that go on, and of recovery.

--- /dev/null
+++ b/libs/routing/tests/ChainTest.cpp
@@ -0,0 +1,79 @@
+#include <ChainModel.h>
+
+#include <gtest/gtest.h>
+
+using namespace routing::tests;
+using base::Millis;
+
+namespace {
+
+constexpr int surgeStart = 10;
+constexpr int surgeEnd = 20;
+constexpr int end = 40;
+constexpr int protectedRank = 0;
+constexpr int lowRank = 5;
+constexpr double flatPerSecond = 300.0;
+
+/** Overload of back by the deep class, while the flat class keeps its load. */
+void addSurge(ChainModel &model, double factor)
+{
+    const auto add = [&](const std::string &requestClass, double rate, int from, int until) {
+        for (const int rank : {protectedRank, lowRank})
+            model.add({requestClass, rank, rate, Millis(1000 * from), Millis(1000 * until)});
+    };
+    add("flat", flatPerSecond, 0, end);
+    add("deep", 0.35 * ChainModel::capacity, 0, surgeStart);
+    add("deep", 0.5 * factor * ChainModel::capacity, surgeStart, surgeEnd);
+    add("deep", 0.35 * ChainModel::capacity, surgeEnd, end);
+}
+
+class Chain : public testing::TestWithParam<double>
+{};
+
+} // namespace
+
+TEST_P(Chain, rootsAreRefusedBeforeAnyWorkAndOtherClassesGoOn)
+{
+    ChainModel model(LevelUse::TwoLevels);
+    addSurge(model, GetParam());
+    model.run(Millis(1000 * end));
+    const auto deep = model.sum("deep", protectedRank, surgeStart + 1, surgeEnd);
+    const auto low = model.sum("deep", lowRank, surgeStart + 1, surgeEnd);
+    const double seconds = surgeEnd - surgeStart - 1;
+    EXPECT_GE(deep.completed_ / seconds, 0.95 * ChainModel::capacity);
+    EXPECT_LE(deep.wasted_ + low.wasted_, 0.05 * (deep.arrived_ + low.arrived_));
+    for (const int rank : {protectedRank, lowRank}) {
+        const auto flat = model.sum("flat", rank, surgeStart, surgeEnd);
+        EXPECT_GE(flat.completed_, 0.95 * flat.arrived_) << "rank " << rank;
+    }
+}
+
+TEST_P(Chain, recoversWithinFiveSeconds)
+{
+    ChainModel model(LevelUse::TwoLevels);
+    addSurge(model, GetParam());
+    model.run(Millis(1000 * end));
+    for (const int rank : {protectedRank, lowRank})
+        EXPECT_EQ(model.sum("deep", rank, surgeEnd + 5, end).refused_, 0) << "rank " << rank;
+}
+
+// What the second level on answers is for: with one, a class that does not call back is refused.
+TEST_P(Chain, oneLevelForAllClassesRefusesTheWrongOnes)
+{
+    ChainModel model(LevelUse::OneLevel);
+    addSurge(model, GetParam());
+    model.run(Millis(1000 * end));
+    const auto flat = model.sum("flat", lowRank, surgeStart, surgeEnd);
+    EXPECT_LT(flat.completed_, 0.95 * flat.arrived_);
+}
+
+TEST_P(Chain, withoutLevelsMostWorkInFrontIsWasted)
+{
+    ChainModel model(LevelUse::None);
+    addSurge(model, GetParam());
+    model.run(Millis(1000 * end));
+    const auto deep = model.sum("deep", lowRank, surgeStart + 1, surgeEnd);
+    EXPECT_GT(deep.wasted_, 0.5 * deep.arrived_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Load, Chain, testing::Values(2.0, 4.0));
