Provoke the failures of membership in virtual time; learn before speaking after a pause

Datagrams that waited in the socket were handled before the pause was noticed, so a woken daemon passed on a dead member as alive, and one that slept longer than tombstones are kept resurrected it. An answer to a fetch begun before the pause could also end the catching up.

Changed: time is passed at each event, not at ticks alone; nothing but the own record is sent while catching up; fetches are numbered.

--- a/libs/gossip/src/GossipService.cpp
+++ b/libs/gossip/src/GossipService.cpp
@@ -60,7 +60,7 @@
     void carryOut(const membership::FindSeeds &);
     void carryOut(const membership::MembersChanged &);
     void receive(const model::Address &from, std::string_view bytes);
-    void finishFetch(const model::Address &from, const net::CallResult &result);
+    void finishFetch(const membership::FetchState &fetch, const net::CallResult &result);
     void tick();
     void notify();
 
@@ -105,8 +105,8 @@
     if (const auto signature = codec_.signature(request.target_); !signature.empty())
         request.headers_.push_back({std::string(signatureHeader), signature});
     fetchCall_ = client_.send(fetch.from_, std::move(request), fetchTimeout,
-                              [this, from = fetch.from_](const net::CallResult &result) {
-                                  finishFetch(from, result);
+                              [this, fetch](const net::CallResult &result) {
+                                  finishFetch(fetch, result);
                               });
 }
 
@@ -137,18 +137,18 @@
     handle(membership::DatagramReceived{from, std::move(*datagram)});
 }
 
-void GossipService::Impl::finishFetch(const model::Address &from, const net::CallResult &result)
+void GossipService::Impl::finishFetch(const membership::FetchState &fetch, const net::CallResult &result)
 {
     fetchCall_ = 0;
     if (result && result->status_ == 200) {
         if (auto records = codec_.decodeState(result->body_)) {
             ++counters_.statesFetched_;
             counters_.stateBytesFetched_ += result->body_.size();
-            handle(membership::StateFetched{from, std::move(*records)});
+            handle(membership::StateFetched{fetch.from_, fetch.request_, std::move(*records)});
             return;
         }
     }
-    handle(membership::StateFetchFailed{from});
+    handle(membership::StateFetchFailed{fetch.request_});
 }
 
 void GossipService::Impl::tick()
--- a/libs/membership/include/membership/Command.h
+++ b/libs/membership/include/membership/Command.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <variant>
 
@@ -19,6 +20,7 @@
 {
     model::Address from_;
     std::string dataCentre_;
+    std::uint64_t request_ = 0; ///< to be repeated in the answer event
 };
 
 /** Look for further seeds, since nobody answers; answered by SeedsFound, if at all. */
--- a/libs/membership/include/membership/Event.h
+++ b/libs/membership/include/membership/Event.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <string>
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -23,13 +23,14 @@
 struct StateFetched
 {
     model::Address from_;
+    std::uint64_t request_ = 0;
     std::vector<Record> records_;
 };
 
 /** A FetchState command failed. */
 struct StateFetchFailed
 {
-    model::Address from_;
+    std::uint64_t request_ = 0;
 };
 
 /** Further addresses at which daemons may be found. */
--- a/libs/membership/src/Core.cpp
+++ b/libs/membership/src/Core.cpp
@@ -32,6 +32,7 @@
 std::vector<Command> Core::handle(const Event &event, base::Millis now)
 {
     impl_->now_ = now;
+    impl_->passTime();
     std::visit([this](const auto &alternative) { impl_->on(alternative); }, event);
     if (std::exchange(impl_->isChanged_, false))
         impl_->commands_.emplace_back(MembersChanged{});
--- a/libs/membership/src/details/CoreImpl.h
+++ b/libs/membership/src/details/CoreImpl.h
@@ -56,6 +56,7 @@
     void announceSelf();
 
     // Timers.cpp
+    void passTime();
     void advance();
     void onPause(base::Millis gap);
     void judge();
@@ -122,6 +123,7 @@
     bool isCatchingUp_ = false;
     base::Millis catchUpEnd_; ///< running time
     bool isFetching_ = false;
+    std::uint64_t fetchRequest_ = 0; ///< of the fetch under way
     std::vector<model::Address> joinCandidates_;
     std::vector<model::Address> foundSeeds_;
     std::uint32_t hintRounds_ = 0;
--- a/libs/membership/src/details/Events.cpp
+++ b/libs/membership/src/details/Events.cpp
@@ -121,7 +121,8 @@
 
 void Core::Impl::on(const StateFetched &event)
 {
-    isFetching_ = false;
+    const bool isCurrent = event.request_ == fetchRequest_;
+    isFetching_ = isFetching_ && !isCurrent;
     lastContact_ = now_;
     hasContact_ = true;
     const auto *source = table_.ownerOf(event.from_);
@@ -139,17 +140,17 @@
         for (const auto &id : news)
             updates_.add(id);
     }
-    isCatchingUp_ = false;
-    if (!hasJoined_) {
+    isCatchingUp_ = isCatchingUp_ && !isCurrent;
+    if (!hasJoined_ && isCurrent) {
         hasJoined_ = true;
         announceSelf();
         sendRecords(event.from_, sourceDataCentre, {table_.find(self_.id_)->record_});
     }
 }
 
-void Core::Impl::on(const StateFetchFailed &)
+void Core::Impl::on(const StateFetchFailed &event)
 {
-    isFetching_ = false;
+    isFetching_ = isFetching_ && event.request_ != fetchRequest_;
 }
 
 void Core::Impl::on(const SeedsFound &event)
--- a/libs/membership/src/details/Sending.cpp
+++ b/libs/membership/src/details/Sending.cpp
@@ -49,7 +49,7 @@
     auto message = datagram(member.dataCentre_, std::move(body));
     message.records_ = std::move(records);
     // Whoever is doubted must learn it from every message, so that it can refute.
-    if (to.record_.status_ != Status::Alive && message.records_.empty())
+    if (to.record_.status_ != Status::Alive && message.records_.empty() && !isCatchingUp_)
         message.records_.push_back(exported(to));
     if (isOwn(member.dataCentre_))
         fill(message, updates_, sendLimit());
@@ -64,7 +64,7 @@
     const auto &request = to.datagram_;
     auto message = datagram(request.senderDataCentre_, std::move(body));
     const auto *sender = table_.find(request.senderId_);
-    const bool isDoubted = sender && !isSelf(request.senderId_)
+    const bool isDoubted = sender && !isSelf(request.senderId_) && !isCatchingUp_
                            && (sender->record_.status_ != Status::Alive
                                || sender->record_.member_.generation_ != request.senderGeneration_);
     if (isDoubted)
--- a/libs/membership/src/details/Timers.cpp
+++ b/libs/membership/src/details/Timers.cpp
@@ -29,7 +29,8 @@
     return true;
 }
 
-void Core::Impl::advance()
+/** Called before each event: after a pause, datagrams may come in ahead of the first tick. */
+void Core::Impl::passTime()
 {
     const auto gap = hasTicked_ ? now_ - lastTick_ : Millis();
     const auto longestStep = timing_.gossipInterval_ * 2;
@@ -39,6 +40,10 @@
     lastTick_ = now_;
     if (gap > timing_.pauseLimit_)
         onPause(gap);
+}
+
+void Core::Impl::advance()
+{
     if (isCatchingUp_ && running_ > catchUpEnd_)
         isCatchingUp_ = false;
     if (!isCatchingUp_)
@@ -79,6 +84,7 @@
     isCatchingUp_ = hasJoined_;
     catchUpEnd_ = running_ + catchUpLimit;
     isFetching_ = false;
+    ++fetchRequest_; // An answer from before the pause must not end the catching up.
     nextJoin_ = now_;
     announceSelf();
 }
@@ -190,7 +196,7 @@
     if (isFetching_)
         return;
     isFetching_ = true;
-    commands_.emplace_back(FetchState{from, dataCentre});
+    commands_.emplace_back(FetchState{from, dataCentre, ++fetchRequest_});
 }
 
 void Core::Impl::countRevisions()
--- a/libs/membership/tests/CoreTest.cpp
+++ b/libs/membership/tests/CoreTest.cpp
@@ -1,8 +1,10 @@
 #include "Pump.h"
+#include "Watch.h"
 
 #include <gtest/gtest.h>
 
 using base::Millis;
+using membership::Status;
 
 namespace {
 
@@ -31,6 +33,11 @@
     return true;
 }
 
+bool isInDataCentre(const std::string &id, unsigned n)
+{
+    return id.starts_with("d" + std::to_string(n) + "-");
+}
+
 } // namespace
 
 TEST(Core, allFindEachOtherFromSeeds)
@@ -75,3 +82,165 @@
     pump.crash("d1-5");
     EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, Millis(30000)));
 }
+
+TEST(Core, aCutOffDataCentreStaysListedAndHealsWithoutFalseDeaths)
+{
+    Pump pump(4);
+    pump.startAll(3, 6);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    Watch watch(pump);
+    pump.isCut_ = [](const auto &a, const auto &b) {
+        return isInDataCentre(a, 0) != isInDataCentre(b, 0);
+    };
+    pump.run(Millis(600000));
+    EXPECT_TRUE(pump.isConverged());
+    using Names = std::vector<std::string>;
+    EXPECT_EQ(pump.core("d1-5").unreachableDataCentres(pump.now_), Names{"dc0"});
+    EXPECT_EQ(pump.core("d0-5").unreachableDataCentres(pump.now_), (Names{"dc1", "dc2"}));
+    pump.crash("d0-4");
+    pump.restart("d1-2");
+    pump.run(Millis(60000));
+    pump.isCut_ = [](const auto &, const auto &) {
+        return false;
+    };
+    EXPECT_TRUE(pump.runUntil(
+            [&] {
+                return pump.isConverged()
+                       && pump.core("d1-5").unreachableDataCentres(pump.now_).empty();
+            },
+            Millis(30000)));
+    EXPECT_TRUE(watch.falselyDead_.empty());
+    EXPECT_FALSE(watch.wentBack_);
+}
+
+TEST(Core, aPausedDaemonLearnsBeforeItSpeaks)
+{
+    Pump pump(5);
+    pump.startAll(2, 6);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    Watch watch(pump);
+    pump.pause("d0-2");
+    pump.crash("d0-3");
+    pump.run(Millis(60000));
+    EXPECT_EQ(pump.core("d0-1").find("d0-2")->status_, Status::Dead);
+    int stale = 0;
+    pump.onSend_ = [&](const std::string &from, const membership::Datagram &datagram) {
+        for (const auto &record : datagram.records_)
+            stale += from == "d0-2" && record.member_.id_ == "d0-3" && record.isLive();
+    };
+    pump.wake("d0-2");
+    EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    EXPECT_EQ(stale, 0);
+    EXPECT_FALSE(watch.wentBack_);
+}
+
+TEST(Core, aPauseLongerThanTombstonesResurrectsNobody)
+{
+    Pump pump(6);
+    membership::Timing timing;
+    timing.tombstoneRetention_ = Millis(100000);
+    pump.startAll(2, 6, timing);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    pump.pause("d0-2");
+    pump.crash("d0-3");
+    pump.run(Millis(300000));
+    EXPECT_EQ(pump.core("d0-1").find("d0-3"), nullptr);
+    bool isResurrected = false;
+    pump.onStep_ = [&] {
+        for (const auto &[id, daemon] : pump.daemons_)
+            isResurrected = isResurrected
+                            || (daemon.core_ && id != "d0-2" && pump.listed(id).contains("d0-3"));
+    };
+    pump.wake("d0-2");
+    EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    EXPECT_FALSE(isResurrected);
+}
+
+TEST(Core, anAddressBelongsToTheDaemonStartedLast)
+{
+    Pump pump(7);
+    pump.startAll(2, 5);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    const auto options = pump.daemons_.at("d0-3").options_;
+    pump.crash("d0-3");
+    pump.start("successor", "dc0", options.self_.controlAddress_, options.seeds_);
+    EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, drainBound));
+}
+
+TEST(Core, aClockThatWentBackDoesNotHideARestart)
+{
+    Pump pump(8);
+    pump.startAll(2, 5);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    const auto before = pump.core("d0-3").self().generation_;
+    pump.generation_ = 5;
+    pump.restart("d0-3");
+    const auto isKnownAnew = [&] {
+        const auto raised = pump.core("d0-3").self().generation_;
+        return raised > before && pump.isConverged()
+               && pump.core("d1-1").find("d0-3")->member_.generation_ == raised;
+    };
+    EXPECT_TRUE(pump.runUntil(isKnownAnew, settleBound));
+}
+
+TEST(Core, newNamesAfterTheLossOfAWholeDataCentre)
+{
+    Pump pump(9);
+    pump.startAll(2, 5);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    const auto seeds = pump.daemons_.at("d1-0").options_.seeds_;
+    for (unsigned i = 0; i < 5; ++i)
+        pump.crash(Pump::name(1, i));
+    pump.run(Millis(60000));
+    for (unsigned i = 0; i < 5; ++i)
+        pump.start("replacement-" + std::to_string(i), "dc1", Pump::address(100 + i), seeds);
+    EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+}
+
+TEST(Core, aRevisionReachesAndIsCountedByAll)
+{
+    Pump pump(10);
+    pump.loss_ = 0.01;
+    pump.startAll(3, 20);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    const auto pull = [&] {
+        for (auto &[id, daemon] : pump.daemons_)
+            pump.tell(id, membership::RevisionInForce{daemon.core_->highestRevision()});
+    };
+    pump.onStep_ = pull;
+    pump.tell("d1-13", membership::RevisionInForce{9});
+    EXPECT_TRUE(pump.runUntil(
+            [&] {
+                return std::all_of(pump.daemons_.begin(), pump.daemons_.end(), [](auto &item) {
+                    return item.second.core_->self().revision_ == 9;
+                });
+            },
+            Millis(5000)));
+    const auto isCounted = [&] {
+        const auto revisions = pump.core("d2-7").revisions();
+        return revisions.size() == 3
+               && std::all_of(revisions.begin(), revisions.end(), [](const auto &summary) {
+                      return summary.counts_ == decltype(summary.counts_){{9, 20}};
+                  });
+    };
+    EXPECT_TRUE(pump.runUntil(isCounted, Millis(30000)));
+}
+
+TEST(Core, halvesOfADataCentreThatHeldEachOtherForDeadMeetAgain)
+{
+    Pump pump(11);
+    pump.startAll(1, 12);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    const auto isLowHalf = [](const std::string &id) {
+        return id < "d0-3";
+    };
+    pump.isCut_ = [=](const auto &a, const auto &b) {
+        return isLowHalf(a) != isLowHalf(b);
+    };
+    pump.run(Millis(60000));
+    EXPECT_FALSE(pump.listed("d0-0").contains("d0-9"));
+    pump.isCut_ = [](const auto &, const auto &) {
+        return false;
+    };
+    EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, Millis(30000)));
+}
--- a/libs/membership/tests/Pump.h
+++ b/libs/membership/tests/Pump.h
@@ -163,6 +163,7 @@
                   return false;
               };
     std::function<void()> onStep_;
+    std::function<void(const std::string &from, const membership::Datagram &)> onSend_;
     double loss_ = 0;
     double duplicated_ = 0;
     base::Millis delay_ = base::Millis(1);
@@ -171,6 +172,7 @@
     base::Millis now_ = base::Millis(1000);
     std::map<std::string, Daemon> daemons_;
     base::Random random_;
+    std::uint64_t generation_ = 1'000'000; ///< of the daemon started last
 
 private:
     void carryOut(const std::string &from, const std::vector<membership::Command> &commands)
@@ -216,6 +218,8 @@
 
     void sendDatagram(const std::string &from, const membership::Send &send)
     {
+        if (onSend_)
+            onSend_(from, send.datagram_);
         const auto bytes = codec_.encode(send.datagram_);
         largestDatagram_ = std::max(largestDatagram_, bytes.size());
         auto &sender = daemons_.at(from);
@@ -258,16 +262,15 @@
             if (!isRunning(from))
                 return;
             if (isServed)
-                tell(from, membership::StateFetched{fetch.from_,
+                tell(from, membership::StateFetched{fetch.from_, fetch.request_,
                                                     core(to).state(now_, fetch.dataCentre_)});
             else
-                tell(from, membership::StateFetchFailed{fetch.from_});
+                tell(from, membership::StateFetchFailed{fetch.request_});
         });
     }
 
     static constexpr base::Millis tickInterval = base::Millis(100);
     membership::Codec codec_ = membership::Codec("secret");
-    std::uint64_t generation_ = 1'000'000;
     std::multimap<base::Millis, std::function<void()>> pending_;
     mutable std::map<model::Address, std::vector<std::string>> index_;
     mutable std::size_t indexed_ = 0;
