--- a/libs/gossip/src/GossipService.cpp
+++ b/libs/gossip/src/GossipService.cpp
@@ -104,10 +104,9 @@
         request.target_ += std::string(dataCentreQuery) + fetch.dataCentre_;
     if (const auto signature = codec_.signature(request.target_); !signature.empty())
         request.headers_.push_back({std::string(signatureHeader), signature});
-    fetchCall_ = client_.send(fetch.from_, std::move(request), fetchTimeout,
-                              [this, fetch](const net::CallResult &result) {
-                                  finishFetch(fetch, result);
-                              });
+    fetchCall_ = client_.send(
+            fetch.from_, std::move(request), fetchTimeout,
+            [this, fetch](const net::CallResult &result) { finishFetch(fetch, result); });
 }
 
 void GossipService::Impl::carryOut(const membership::FindSeeds &)
@@ -137,7 +136,8 @@
     handle(membership::DatagramReceived{from, std::move(*datagram)});
 }
 
-void GossipService::Impl::finishFetch(const membership::FetchState &fetch, const net::CallResult &result)
+void GossipService::Impl::finishFetch(const membership::FetchState &fetch,
+                                      const net::CallResult &result)
 {
     fetchCall_ = 0;
     if (result && result->status_ == 200) {
