Let a data centre judge what others still hold for live

Changed: what another data centre holds for live with a higher incarnation than a tombstone here is probed as a suspect, and so declared dead with that incarnation.

Conclusion: the rule that only the own data centre judges holds in both directions.

--- a/libs/membership/src/details/Merging.cpp
+++ b/libs/membership/src/details/Merging.cpp
@@ -46,14 +46,18 @@
 }
 
 /**
- * Another data centre knows a member of this one that is unknown here, for instance since all of
- * this one was restarted: it is probed like a suspect, so that it is confirmed or declared dead.
+ * Another data centre holds a member of this one for live that is unknown or dead here: since all
+ * of this one was restarted, or since it refuted towards others alone and then stopped. It is
+ * probed like a suspect, so that it is confirmed or declared dead with that incarnation.
  */
 bool Core::Impl::absorbHearsay(Record record)
 {
-    if (!record.isLive() || table_.find(record.member_.id_))
+    if (!record.isLive())
         return false;
     record.status_ = Status::Suspect;
+    const auto *known = table_.find(record.member_.id_);
+    if (known && (known->record_.isLive() || record.version() <= known->record_.version()))
+        return false;
     return apply(std::move(record), true);
 }
 
--- a/libs/membership/tests/CoreTest.cpp
+++ b/libs/membership/tests/CoreTest.cpp
@@ -244,3 +244,22 @@
     };
     EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, Millis(30000)));
 }
+
+TEST(Core, aRefutationHeardOnlyByOthersDoesNotOutliveItsDaemon)
+{
+    Pump pump(12);
+    pump.startAll(2, 4);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    auto record = *pump.core("d0-1").find("d0-2");
+    pump.crash("d0-2");
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    // What the others would hold if the daemon had refuted through them.
+    record.incarnation_ = pump.core("d1-0").find("d0-2")->incarnation_ + 1;
+    for (unsigned i = 0; i < 4; ++i) {
+        membership::Datagram datagram{"d0-2", record.member_.generation_, "dc0"};
+        datagram.records_ = {record};
+        pump.tell(Pump::name(1, i), membership::DatagramReceived{Pump::address(2), datagram});
+    }
+    EXPECT_TRUE(pump.listed("d1-0").contains("d0-2"));
+    EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+}
