Spend less per turn of the reactor and per request of the server

Cause: a profile of the entry daemon at 4,000 calls/s showed 6.5% in memset (libmicrohttpd clears a connection's whole memory for each request) and 4% in an uncontended lock taken at every turn. Change: 16 KiB for each connection instead of 64 KiB, which also is the limit of a request's header fields; the lock is taken only when another thread has posted.

--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -23,8 +23,8 @@
 /** How often libmicrohttpd gets a turn when no socket is ready, to expire idle connections. */
 constexpr base::Millis idleRunInterval(1000);
 
-/** Memory of one connection for its headers. */
-constexpr std::size_t connectionMemoryBytes = 64 * 1024;
+/** Memory of one connection for its headers; libmicrohttpd clears all of it for each request. */
+constexpr std::size_t connectionMemoryBytes = 16 * 1024;
 
 /** A request between its first byte and the end of its answer. */
 struct Exchange
--- a/libs/net/src/Reactor.cpp
+++ b/libs/net/src/Reactor.cpp
@@ -45,6 +45,7 @@
 
     std::mutex mutex_; ///< guards foreign_ only
     std::vector<std::function<void()>> foreign_;
+    std::atomic<bool> hasForeign_ = false; ///< saves the lock in most turns
     std::vector<std::function<void()>> local_;
 
     std::map<TimerKey, std::function<void()>> timers_;
@@ -59,7 +60,7 @@
 
 void Reactor::Impl::runPosted()
 {
-    {
+    if (hasForeign_.exchange(false)) {
         const std::lock_guard lock(mutex_);
         for (auto &function : foreign_)
             local_.push_back(std::move(function));
@@ -143,6 +144,7 @@
     {
         const std::lock_guard lock(impl_->mutex_);
         impl_->foreign_.push_back(std::move(function));
+        impl_->hasForeign_ = true;
     }
     impl_->ace_.notify(&impl_->wakeUp_);
 }
