Serve the administration API; count outcomes for each customer and class

Cause: operators could not publish or see anything; 'in force where' counted members' own records, which name the revision at which they joined, and so said 1 of 6 daemons. Change: the control task runs the administration server; the data task records each finished call (histograms, attempts, queueing, failures by reason, an optional trace) and sends a copy once a second; 'in force' is read from the counts that each data centre makes. An administration token is needed always. The debug event for every refusal is gone: it was built for each call, and reasons are counted now.

--- a/libs/admin/include/admin/AdminSources.h
+++ b/libs/admin/include/admin/AdminSources.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include <admin/RevisionCount.h>
 #include <model/Member.h>
 
 namespace admin {
@@ -14,6 +15,8 @@
 {
     /** The live members with this daemon. */
     std::function<std::shared_ptr<const std::vector<model::Member>>()> members_;
+    /** What each data centre has counted; members state the revision at which they joined. */
+    std::function<std::vector<RevisionCount>()> revisions_;
     std::function<std::string()> status_;     ///< JSON object: what the daemon does and refuses
     std::function<std::string()> metrics_;    ///< Prometheus text
     std::function<std::string()> histograms_; ///< JSON
--- a/libs/admin/src/AdminServer.cpp
+++ b/libs/admin/src/AdminServer.cpp
@@ -140,7 +140,8 @@
                                  + ")");
         auto view = outcomeView(id, *outcome);
         if (outcome->accepted_)
-            view["inForce"] = inForceView(outcome->revision_, *sources_.members_());
+            view["inForce"]
+                    = inForceView(outcome->revision_, *sources_.members_(), sources_.revisions_());
         return jsonAnswer(statusOk, view);
     }
 
--- a/libs/admin/src/Views.cpp
+++ b/libs/admin/src/Views.cpp
@@ -68,19 +68,26 @@
     return view;
 }
 
-json inForceView(model::Revision revision, const std::vector<model::Member> &members)
+json inForceView(model::Revision revision, const std::vector<model::Member> &members,
+                 const std::vector<RevisionCount> &counts)
 {
-    std::map<std::string, std::pair<int, int>> counts;
-    for (const auto &member : members) {
-        auto &[inForce, all] = counts[member.dataCentre_];
-        inForce += member.revision_ >= revision ? 1 : 0;
-        ++all;
+    struct DataCentre
+    {
+        std::uint32_t daemons_ = 0;
+        std::uint32_t inForce_ = 0;
+    };
+    std::map<std::string, DataCentre> dataCentres;
+    for (const auto &member : members)
+        ++dataCentres[member.dataCentre_].daemons_;
+    for (const auto &count : counts) {
+        if (count.revision_ >= revision)
+            dataCentres[count.dataCentre_].inForce_ += count.daemons_;
     }
     auto view = json::array();
-    for (const auto &[dataCentre, count] : counts)
-        view.push_back(json{{"dataCentre", dataCentre},
-                            {"daemonsInForce", count.first},
-                            {"daemons", count.second}});
+    for (const auto &[name, dataCentre] : dataCentres)
+        view.push_back(json{{"dataCentre", name},
+                            {"daemonsInForce", dataCentre.inForce_},
+                            {"daemons", dataCentre.daemons_}});
     return view;
 }
 
--- a/libs/admin/src/Views.h
+++ b/libs/admin/src/Views.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include <admin/RevisionCount.h>
 #include <model/Member.h>
 #include <nlohmann/json.hpp>
 #include <note/Fault.h>
@@ -22,7 +23,8 @@
 nlohmann::json outcomeView(const std::string &id, const note::Outcome &outcome);
 
 /** For each data centre, how many of its daemons have the revision in force. */
-nlohmann::json inForceView(model::Revision revision, const std::vector<model::Member> &members);
+nlohmann::json inForceView(model::Revision revision, const std::vector<model::Member> &members,
+                           const std::vector<RevisionCount> &counts);
 
 /** The revision, what is configured and the outcomes of the newest notes, oldest first. */
 nlohmann::json notesView(const note::State &state);
--- a/libs/dock/include/dock/AttemptAnswer.h
+++ b/libs/dock/include/dock/AttemptAnswer.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include <admission/Level.h>
+#include <base/Millis.h>
 #include <once/Outcome.h>
 
 namespace dock {
@@ -13,6 +14,7 @@
     once::Outcome outcome_;
     admission::Level level_;       ///< worst priority admitted here and further down
     std::uint32_t budgetLeft_ = 0; ///< retries handed down and not used
+    base::Millis queueing_;        ///< time that it waited for a slot
     bool isLeaving_ = false;       ///< the instance is draining
     bool isReplaced_ = false;      ///< another process than the one meant; nothing was run
 
--- a/libs/dock/include/dock/CallInfo.h
+++ b/libs/dock/include/dock/CallInfo.h
@@ -44,6 +44,9 @@
 /** The attempt for a call, with the time that is left now. */
 Attempt attemptOf(const CallInfo &call, std::uint32_t handedDown, base::Millis now);
 
+/** The call without the header fields and body of its request. */
+CallInfo withoutContent(const CallInfo &call);
+
 /** Where the call's budget of retries comes from. */
 retry::Origin originOf(const CallInfo &call);
 
--- /dev/null
+++ b/libs/dock/include/dock/CallReport.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+#include <base/Millis.h>
+
+namespace dock {
+
+/** What one call took, for metrics. */
+struct CallReport
+{
+    std::uint32_t attempts_ = 0; ///< sent to instances
+    base::Millis queueing_;      ///< waiting for a slot at the instance that answered last
+
+    bool operator==(const CallReport &) const = default;
+};
+
+} // namespace dock
--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -25,6 +25,7 @@
 namespace dock {
 
 class Executor;
+class Recorder;
 
 /** Names one request that the entry works on; 0 when it was answered at once. */
 using EntryId = std::uint64_t;
@@ -80,6 +81,9 @@
     /** Requests that wait for an answer. */
     std::size_t activeCount() const;
 
+    /** What this daemon has counted of its callers' requests. */
+    const Recorder &recorder() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/libs/dock/include/dock/HeaderNames.h
+++ b/libs/dock/include/dock/HeaderNames.h
@@ -29,6 +29,7 @@
 inline const std::string level = "fd-level";
 inline const std::string peerReason = "fd-reason";
 inline const std::string retryAfterMs = "fd-retry-after-ms";
+inline const std::string queueingMicros = "fd-queueing-us";
 inline const std::string flags = "fd-flags";
 
 } // namespace dock::header
--- a/libs/dock/include/dock/IdempotentCalls.h
+++ b/libs/dock/include/dock/IdempotentCalls.h
@@ -8,6 +8,7 @@
 
 #include <dock/AttemptSender.h>
 #include <dock/CallInfo.h>
+#include <dock/CallReport.h>
 #include <once/Outcome.h>
 #include <retry/Command.h>
 #include <retry/Core.h>
@@ -31,7 +32,7 @@
 class IdempotentCalls
 {
 public:
-    using Done = std::function<void(once::Outcome)>;
+    using Done = std::function<void(const once::Outcome &, const CallReport &)>;
     using LevelLearnt = std::function<void(const CallInfo &, const admission::Level &)>;
 
     /** All that is passed in must outlive this object. */
@@ -54,6 +55,7 @@
         Done done_;
         SendId send_ = 0;
         std::uint32_t attempt_ = 0;
+        CallReport report_;
         bool mayHaveRun_ = false;
         once::NotRun lastRefusal_;
     };
--- a/libs/dock/include/dock/KeyedCalls.h
+++ b/libs/dock/include/dock/KeyedCalls.h
@@ -22,7 +22,7 @@
 class KeyedCalls
 {
 public:
-    using Done = std::function<void(once::Outcome)>;
+    using Done = IdempotentCalls::Done;
     using FindMember = std::function<const model::Member *(const std::string &id)>;
 
     /** All that is passed in must outlive this object. */
@@ -52,12 +52,14 @@
     {
         CallInfo info_;
         Done done_;
+        CallReport report_;
     };
 
     /** The request of a record, kept while another attempt may be made. */
     struct Record
     {
         CallInfo info_;
+        once::WaiterId waiter_ = 0; ///< whose request started the record
         retry::StartAttempt attempt_;
         std::optional<std::uint32_t> budgetLeft_; ///< as the last answer said
     };
@@ -71,6 +73,7 @@
     void delegate(const once::Delegate &order);
     void ask(const once::Ask &order);
     void release(const once::Release &order);
+    void delegated(const once::Delegate &order, SendResult result);
     void answered(const once::SubKey &subKey, SendResult result);
     void scheduleWakeUp();
 
--- a/libs/dock/include/dock/Messages.h
+++ b/libs/dock/include/dock/Messages.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <memory>
+#include <string>
 #include <variant>
 #include <vector>
 
 #include <admission/Level.h>
 #include <dock/BackendServer.h>
+#include <metrics/Snapshot.h>
 #include <model/Config.h>
 #include <model/Member.h>
 #include <once/Incarnation.h>
@@ -47,7 +50,7 @@
     BackendServer backend_;
 };
 
-/** What the data task is doing; sent twice a second. */
+/** What the data task is doing; sent once a second. */
 struct DataStatus
 {
     BackendServer backend_;
@@ -55,6 +58,8 @@
     std::size_t activeRuns_ = 0;   ///< at the backend server, running or queued
     std::uint32_t limit_ = 0;      ///< requests that may run at once
     admission::Level level_;
+    std::map<std::string, std::uint64_t> failures_; ///< calls not run or unknown, by reason
+    std::shared_ptr<const metrics::Snapshot> metrics_;
 };
 
 /** All work has ended after BeginDrain, or the time for it is over. */
--- a/libs/dock/src/AttemptCodec.cpp
+++ b/libs/dock/src/AttemptCodec.cpp
@@ -157,6 +157,7 @@
     // Shifted by one, as the level that admits nothing is -1.
     add(response.headers_, header::level, std::to_string(answer.level_.value_ + 1));
     add(response.headers_, header::budget, std::to_string(answer.budgetLeft_));
+    add(response.headers_, header::queueingMicros, std::to_string(answer.queueing_.micros()));
     if (answer.isReplaced_)
         add(response.headers_, header::flags, std::string(flagReplaced));
     else if (answer.isLeaving_)
@@ -176,6 +177,8 @@
             static_cast<long>(numberUpTo(headers, header::level, all, all)) - 1);
     answer.budgetLeft_
             = static_cast<std::uint32_t>(numberUpTo(headers, header::budget, mostBudget));
+    answer.queueing_ = base::Millis::fromMicros(static_cast<std::int64_t>(
+            numberUpTo(headers, header::queueingMicros, mostTimeLeftMicros)));
     const auto kind = headerValue(headers, header::kind);
     const auto reason = once::parseReason(headerValue(headers, header::peerReason));
     if (kind == outcomeComplete) {
--- a/libs/dock/src/CallInfo.cpp
+++ b/libs/dock/src/CallInfo.cpp
@@ -15,6 +15,22 @@
             .request_ = call.request_};
 }
 
+CallInfo withoutContent(const CallInfo &call)
+{
+    return {.request_ = {.method_ = call.request_.method_, .target_ = call.request_.target_},
+            .service_ = call.service_,
+            .class_ = call.class_,
+            .customer_ = call.customer_,
+            .keyCustomer_ = call.keyCustomer_,
+            .keyText_ = call.keyText_,
+            .priority_ = call.priority_,
+            .receivedAt_ = call.receivedAt_,
+            .deadline_ = call.deadline_,
+            .depth_ = call.depth_,
+            .contextToken_ = call.contextToken_,
+            .hasUnknownContext_ = call.hasUnknownContext_};
+}
+
 retry::Origin originOf(const CallInfo &call)
 {
     if (call.isChild())
--- a/libs/dock/src/ControlTask.cpp
+++ b/libs/dock/src/ControlTask.cpp
@@ -1,6 +1,8 @@
 #include <dock/ControlTask.h>
 
+#include <admin/AdminServer.h>
 #include <base/Overloaded.h>
+#include <dock/StatusReport.h>
 #include <events/Catalogue.h>
 #include <events/Log.h>
 #include <gossip/GossipService.h>
@@ -38,6 +40,9 @@
     base::Result<void> listen();
     base::Result<void> startGossip();
     void startNotes();
+    base::Result<void> startAdmin();
+    StatusReport report() const;
+    std::vector<admin::RevisionCount> revisionCounts() const;
     void onControlRequest(net::ExchangeId id, const net::HttpRequest &request);
     void onMembers(Members members);
     void onConfig(std::shared_ptr<const model::Config> config);
@@ -54,6 +59,7 @@
     std::unique_ptr<net::HttpServer> controlServer_;
     std::unique_ptr<gossip::GossipService> gossip_;
     std::unique_ptr<notesync::NoteService> notes_;
+    std::unique_ptr<admin::AdminServer> admin_;
     DataStatus dataStatus_;
     BackendServer backend_;
     bool isDraining_ = false;
@@ -106,6 +112,49 @@
             [this](std::shared_ptr<const model::Config> config) { onConfig(std::move(config)); });
 }
 
+base::Result<void> ControlTask::Impl::startAdmin()
+{
+    auto server = admin::AdminServer::start(
+            reactor_, {.listen_ = settings_.adminAddress_, .token_ = settings_.adminToken_},
+            *notes_,
+            {.members_ = [this] { return gossip_->members(); },
+             .revisions_ = [this] { return revisionCounts(); },
+             .status_ = [this] { return report().json(); },
+             .metrics_ = [this] { return report().prometheus(); },
+             .histograms_ =
+                     [this] {
+                         return report().histogramsJson();
+                     }});
+    if (!server)
+        return tl::unexpected(server.error());
+    admin_ = std::move(*server);
+    return {};
+}
+
+std::vector<admin::RevisionCount> ControlTask::Impl::revisionCounts() const
+{
+    std::vector<admin::RevisionCount> counts;
+    for (const auto &summary : gossip_->revisions()) {
+        for (const auto &[revision, daemons] : summary.counts_)
+            counts.push_back({summary.dataCentre_, revision, daemons});
+    }
+    return counts;
+}
+
+StatusReport ControlTask::Impl::report() const
+{
+    return {.id_ = settings_.id_,
+            .dataCentre_ = settings_.dataCentre_,
+            .isDraining_ = isDraining_,
+            .isIsolated_ = gossip_->isIsolated(),
+            .unreachableDataCentres_ = gossip_->unreachableDataCentres(),
+            .members_ = *gossip_->members(),
+            .revisions_ = gossip_->revisions(),
+            .notes_ = notes_->status(),
+            .gossip_ = gossip_->counters(),
+            .data_ = dataStatus_};
+}
+
 void ControlTask::Impl::onControlRequest(net::ExchangeId id, const net::HttpRequest &request)
 {
     auto answer = gossip_->handleControlRequest(request);
@@ -190,6 +239,8 @@
     impl_->startNotes();
     if (auto listening = impl_->listen(); !listening)
         return listening;
+    if (auto administering = impl_->startAdmin(); !administering)
+        return administering;
     activate();
     return {};
 }
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -10,6 +10,7 @@
 #include <dock/Entry.h>
 #include <dock/Executor.h>
 #include <dock/HeaderNames.h>
+#include <dock/Recorder.h>
 #include <events/Catalogue.h>
 #include <events/Log.h>
 #include <net/HttpServer.h>
@@ -24,7 +25,7 @@
 
 namespace {
 
-constexpr base::Millis statusInterval(500);
+constexpr base::Millis statusInterval(1000);
 constexpr base::Millis drainCheckInterval(100);
 
 /** Time in which the others learn that this daemon leaves, before it stops listening. */
@@ -235,7 +236,9 @@
                        .openRequests_ = entry_.activeCount(),
                        .activeRuns_ = executor_.activeCount(),
                        .limit_ = executor_.limit(),
-                       .level_ = executor_.level()});
+                       .level_ = executor_.level(),
+                       .failures_ = entry_.recorder().failures(),
+                       .metrics_ = entry_.recorder().snapshot()});
     reactor_.schedule(statusInterval, [this] { sendStatus(); });
 }
 
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -11,6 +11,7 @@
 #include <dock/HeaderNames.h>
 #include <dock/IdempotentCalls.h>
 #include <dock/KeyedCalls.h>
+#include <dock/Recorder.h>
 #include <events/Catalogue.h>
 #include <events/Log.h>
 #include <net/PeerClient.h>
@@ -101,6 +102,7 @@
         , home_(std::in_place, self_, homeSettings(settings), randomSecret())
         , retryIdempotent_(retrySettings(settings), contexts, randomSeed())
         , retryKeyed_({}, contexts, randomSeed())
+        , recorder_(settings.traceFile_)
         , sender_(reactor, client, executor, routing_, settings.id_)
         , idempotent_(reactor, retryIdempotent_, routing_, sender_,
                       [this](const CallInfo &call, const admission::Level &level) {
@@ -114,6 +116,13 @@
                   })
     {}
 
+    /** A request that waits for its answer. */
+    struct OpenRequest
+    {
+        Respond respond_;
+        CallInfo call_; ///< without header fields and body
+    };
+
     /** How to end one request before its answer. */
     using Cancel = std::function<void()>;
 
@@ -134,7 +143,8 @@
                      const std::variant<once::Key, once::ContextKey> &key);
     void forward(EntryId id, const CallInfo &call, const once::Key &key);
     void finish(EntryId id, net::HttpResponse response);
-    void finishWith(EntryId id, const once::Outcome &outcome, const std::string &nextKey = {});
+    void forwarded(EntryId id, net::CallResult result);
+    void finishWith(EntryId id, const once::Outcome &outcome, const CallReport &report = {});
 
     const settings::Settings &settings_;
     once::Incarnation self_;
@@ -145,13 +155,14 @@
     std::optional<once::Home> home_;
     retry::Core retryIdempotent_;
     retry::Core retryKeyed_;
+    Recorder recorder_;
     AttemptSender sender_;
     IdempotentCalls idempotent_;
     KeyedCalls keyed_;
     std::shared_ptr<const model::Config> config_;
     Members members_;
     std::unordered_map<std::string, const model::Member *> memberById_;
-    std::unordered_map<EntryId, Respond> open_;
+    std::unordered_map<EntryId, OpenRequest> open_;
     std::unordered_map<EntryId, Cancel> cancels_;
     EntryId nextId_ = 1;
     std::uint64_t nextOwnKey_ = 1;
@@ -258,7 +269,9 @@
 void Entry::Impl::startIdempotent(EntryId id, CallInfo call)
 {
     const auto started = idempotent_.start(
-            std::move(call), [this, id](const once::Outcome &outcome) { finishWith(id, outcome); });
+            std::move(call), [this, id](const once::Outcome &outcome, const CallReport &report) {
+                finishWith(id, outcome, report);
+            });
     cancels_[id] = [this, started] {
         idempotent_.cancel(started);
     };
@@ -284,13 +297,15 @@
                            startAtHome(id, std::move(call), here.key_);
                        },
                        [&](const once::ForwardToHome &there) {
+                           // A forwarded request whose key is not this process's own is not
+                           // forwarded again: the home it names is gone.
                            if (source == RequestSource::Daemon)
-                               finishWith(id, once::homeGaveNoAnswer(), freshKey(call));
+                               finishWith(id, once::homeGaveNoAnswer());
                            else
                                forward(id, call, there.key_);
                        },
-                       [&](const once::NotRun &why) { finishWith(id, why, freshKey(call)); },
-                       [&](const once::Unknown &why) { finishWith(id, why, freshKey(call)); },
+                       [&](const once::NotRun &why) { finishWith(id, why); },
+                       [&](const once::Unknown &why) { finishWith(id, why); },
                },
                decision);
 }
@@ -298,13 +313,11 @@
 void Entry::Impl::startAtHome(EntryId id, CallInfo call,
                               const std::variant<once::Key, once::ContextKey> &key)
 {
-    const CallInfo caller{.service_ = call.service_,
-                          .keyCustomer_ = call.keyCustomer_,
-                          .contextToken_ = call.contextToken_};
     const auto started
-            = keyed_.start(std::move(call), key, [this, id, caller](const once::Outcome &outcome) {
-                  finishWith(id, outcome, freshKey(caller));
-              });
+            = keyed_.start(std::move(call), key,
+                           [this, id](const once::Outcome &outcome, const CallReport &report) {
+                               finishWith(id, outcome, report);
+                           });
     cancels_[id] = [this, started] {
         keyed_.cancel(started);
     };
@@ -314,7 +327,7 @@
 {
     const auto *member = findMember(key.home_.id_);
     if (member == nullptr || member->generation_ != key.home_.generation_) {
-        finishWith(id, once::homeGaveNoAnswer(), freshKey(call));
+        finishWith(id, once::homeGaveNoAnswer());
         return;
     }
     const auto timeLeft = call.deadline_ - base::monotonicNow();
@@ -324,28 +337,33 @@
     request.headers_.push_back({header::deadlineMs, std::to_string(timeLeft.count())});
     const auto sent = client_.send(
             member->peerAddress_, std::move(request), timeLeft,
-            [this, id, caller = call](net::CallResult result) {
-                const bool isWhole
-                        = result && !net::headerValue(result->headers_, header::outcome).empty();
-                if (isWhole)
-                    finish(id, std::move(*result));
-                else
-                    finishWith(id, once::homeGaveNoAnswer(), freshKey(caller));
-            });
+            [this, id](net::CallResult result) { forwarded(id, std::move(result)); });
     cancels_[id] = [this, sent] {
         client_.cancel(sent);
     };
 }
 
-void Entry::Impl::finishWith(EntryId id, const once::Outcome &outcome, const std::string &nextKey)
+// The home has counted the request, so this daemon only passes its answer on.
+void Entry::Impl::forwarded(EntryId id, net::CallResult result)
+{
+    if (result && !net::headerValue(result->headers_, header::outcome).empty())
+        finish(id, std::move(*result));
+    else
+        finishWith(id, once::homeGaveNoAnswer());
+}
+
+void Entry::Impl::finishWith(EntryId id, const once::Outcome &outcome, const CallReport &report)
 {
+    const auto found = open_.find(id);
+    if (found == open_.end())
+        return;
+    const auto &call = found->second.call_;
+    recorder_.finished(call, outcome, report, base::monotonicNow());
     if (const auto *unknown = std::get_if<once::Unknown>(&outcome))
         events::log(events::outcomeUnknown,
-                    "reason=" + std::string(once::reasonText(unknown->reason_)));
-    else if (const auto *notRun = std::get_if<once::NotRun>(&outcome))
-        events::log(events::requestRefused,
-                    "reason=" + std::string(once::reasonText(notRun->reason_)));
-    finish(id, callerAnswer(outcome, nextKey));
+                    "class=" + call.class_.name_
+                            + " reason=" + std::string(once::reasonText(unknown->reason_)));
+    finish(id, callerAnswer(outcome, needsKey(call) ? freshKey(call) : std::string()));
 }
 
 void Entry::Impl::finish(EntryId id, net::HttpResponse response)
@@ -353,7 +371,7 @@
     cancels_.erase(id);
     auto node = open_.extract(id);
     if (!node.empty())
-        node.mapped()(std::move(response));
+        node.mapped().respond_(std::move(response));
 }
 
 Entry::Entry(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
@@ -366,7 +384,8 @@
 EntryId Entry::receive(net::HttpRequest request, RequestSource source, Respond respond)
 {
     const auto id = impl_->nextId_++;
-    impl_->open_.emplace(id, std::move(respond));
+    auto &open = impl_->open_[id];
+    open.respond_ = std::move(respond);
     if (!impl_->config_) {
         impl_->finish(id, refusal(statusUnavailable, "no-configuration", retryWhenUnconfigured));
         return 0;
@@ -377,6 +396,7 @@
         return 0;
     }
     auto call = impl_->describe(std::move(request), std::move(service), std::move(target));
+    open.call_ = withoutContent(call);
     if (impl_->needsKey(call))
         impl_->startKeyed(id, std::move(call), source);
     else
@@ -412,6 +432,7 @@
 
 void Entry::configure(std::shared_ptr<const model::Config> config)
 {
+    impl_->recorder_.configure(*config);
     impl_->config_ = std::move(config);
 }
 
@@ -441,4 +462,9 @@
     return impl_->open_.size();
 }
 
+const Recorder &Entry::recorder() const
+{
+    return impl_->recorder_;
+}
+
 } // namespace dock
--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -73,8 +73,9 @@
     {
         Attempt attempt_;
         base::Millis deadline_;
-        base::Millis startedAt_;
-        std::string context_; ///< token of its running call
+        base::Millis arrivedAt_;
+        base::Millis startedAt_; ///< 0 until it has a slot
+        std::string context_;    ///< token of its running call
         net::CallId call_ = 0;
         AttemptId waiter_ = 0; ///< of an idempotent request
     };
@@ -142,6 +143,7 @@
     std::unordered_map<std::string, RunId> runOfSubKey_;
     std::unordered_map<std::string, RunId> runOfContext_;
     std::unordered_map<AttemptId, Waiter> waiters_;
+    base::Millis queueing_;            ///< of the run that ended last; reported by one answer
     std::uint32_t budgetLeft_ = 0;     ///< of the run that ended last; reported by one answer
     std::optional<Attempt> delegated_; ///< while the once-only record decides on it
     RunId nextRun_ = 1;
@@ -215,6 +217,7 @@
     runOfContext_.emplace(*token, id);
     runs_.emplace(id, Run{.attempt_ = std::move(attempt),
                           .deadline_ = startBy,
+                          .arrivedAt_ = base::monotonicNow(),
                           .context_ = std::move(*token)});
     return id;
 }
@@ -226,6 +229,8 @@
         return;
     const auto &run = node.mapped();
     budgetLeft_ = contexts_.close(run.context_);
+    const bool hasStarted = run.startedAt_ > base::Millis(0);
+    queueing_ = (hasStarted ? run.startedAt_ : base::monotonicNow()) - run.arrivedAt_;
     runOfContext_.erase(run.context_);
     onContextEnded_(run.context_);
     if (const auto &subKey = run.attempt_.subKey_)
@@ -424,6 +429,7 @@
     answer.outcome_ = outcome;
     answer.isReplaced_ = isReplaced;
     answer.budgetLeft_ = std::exchange(budgetLeft_, 0);
+    answer.queueing_ = std::exchange(queueing_, base::Millis());
     answer.isLeaving_ = backend_.serving_ == model::ServingState::Draining;
     answer.level_ = Level::all();
     if (!isBaseline())
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -106,6 +106,7 @@
         return;
     }
     const auto id = order.call_;
+    ++call.report_.attempts_;
     call.send_ = sender_.send(*choice->member_, attemptOf(call.info_, order.handedDown_, now),
                               [this, id, instance = choice->member_->id_](SendResult result) {
                                   attemptDone(id, instance, std::move(result));
@@ -129,6 +130,7 @@
         return;
     }
     onLevel_(call.info_, result->level_);
+    call.report_.queueing_ = result->queueing_;
     event.budgetLeft_ = result->budgetLeft_;
     if (const auto *notRun = std::get_if<once::NotRun>(&result->outcome_)) {
         event.result_ = attemptResultOf(*notRun);
@@ -155,7 +157,7 @@
 {
     auto node = calls_.extract(id);
     if (!node.empty())
-        node.mapped().done_(outcome);
+        node.mapped().done_(outcome, node.mapped().report_);
 }
 
 } // namespace dock
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -75,7 +75,7 @@
     for (const auto &[id, record] : std::exchange(records_, {}))
         retry_.handle(retry::CallEnded{id}, now);
     for (const auto &[id, waiting] : std::exchange(waiting_, {}))
-        waiting.done_(once::Unknown{once::Reason::OtherGeneration});
+        waiting.done_(once::Unknown{once::Reason::OtherGeneration}, waiting.report_);
 }
 
 void KeyedCalls::contextEnded(const std::string &token)
@@ -107,7 +107,7 @@
 {
     auto node = waiting_.extract(order.waiter_);
     if (!node.empty())
-        node.mapped().done_(order.outcome_);
+        node.mapped().done_(order.outcome_, node.mapped().report_);
 }
 
 void KeyedCalls::chooseExecutor(const once::ChooseExecutor &order)
@@ -119,7 +119,10 @@
             tell(once::NotChosen{order.record_, {once::Reason::Cancelled, {}}});
             return;
         }
-        const auto &info = records_[order.record_].info_ = waiting->second.info_;
+        auto &record = records_[order.record_];
+        record.waiter_ = order.waiter_;
+        record.info_ = waiting->second.info_;
+        const auto &info = record.info_;
         perform(retry_.handle(retry::CallStarted{.call_ = order.record_,
                                                  .origin_ = originOf(info),
                                                  .customer_ = info.customer_,
@@ -203,14 +206,24 @@
     attempt.subKey_ = order.subKey_;
     attempt.settledBelow_ = order.settledBelow_;
     sender_.send(*member, std::move(attempt),
-                 [this, id = order.record_, subKey = order.subKey_](SendResult result) {
-                     const auto found = records_.find(id);
-                     if (result && found != records_.end()) {
-                         found->second.budgetLeft_ = result->budgetLeft_;
-                         onLevel_(found->second.info_, result->level_);
-                     }
-                     answered(subKey, std::move(result));
-                 });
+                 [this, order](SendResult result) { delegated(order, std::move(result)); });
+}
+
+void KeyedCalls::delegated(const once::Delegate &order, SendResult result)
+{
+    if (const auto found = records_.find(order.record_); found != records_.end()) {
+        auto &record = found->second;
+        const auto waiting = waiting_.find(record.waiter_);
+        if (waiting != waiting_.end())
+            ++waiting->second.report_.attempts_;
+        if (result) {
+            record.budgetLeft_ = result->budgetLeft_;
+            onLevel_(record.info_, result->level_);
+            if (waiting != waiting_.end())
+                waiting->second.report_.queueing_ = result->queueing_;
+        }
+    }
+    answered(order.subKey_, std::move(result));
 }
 
 void KeyedCalls::ask(const once::Ask &order)
--- /dev/null
+++ b/libs/dock/src/StatusReport.cpp
@@ -0,0 +1,152 @@
+#include <dock/StatusReport.h>
+
+#include <map>
+
+#include <metrics/Prometheus.h>
+#include <nlohmann/json.hpp>
+
+namespace dock {
+
+namespace {
+
+using nlohmann::json;
+
+const char *servingText(model::ServingState state)
+{
+    switch (state) {
+    case model::ServingState::Ready:
+        return "ready";
+    case model::ServingState::Draining:
+        return "draining";
+    case model::ServingState::Absent:
+        break;
+    }
+    return "absent";
+}
+
+json membersView(const std::vector<model::Member> &members)
+{
+    std::map<std::string, std::map<std::string, int>> instances;
+    std::map<std::string, int> daemons;
+    for (const auto &member : members) {
+        ++daemons[member.dataCentre_];
+        if (member.serving_ == model::ServingState::Ready)
+            ++instances[member.dataCentre_][member.service_];
+    }
+    json view = json::object();
+    for (const auto &[dataCentre, count] : daemons)
+        view[dataCentre] = {{"daemons", count}, {"readyInstances", instances[dataCentre]}};
+    return view;
+}
+
+json revisionsView(const std::vector<membership::RevisionSummary> &summaries)
+{
+    json view = json::object();
+    for (const auto &summary : summaries) {
+        json counts = json::array();
+        for (const auto &[revision, daemons] : summary.counts_)
+            counts.push_back({{"revision", revision}, {"daemons", daemons}});
+        view[summary.dataCentre_] = counts;
+    }
+    return view;
+}
+
+json distributionView(const metrics::Distribution &distribution)
+{
+    return {{"count", distribution.count_},
+            {"sumMs", distribution.sumMillis_},
+            {"maxMs", distribution.maxMillis_},
+            {"p50Ms", distribution.quantileMillis_[0]},
+            {"p90Ms", distribution.quantileMillis_[1]},
+            {"p99Ms", distribution.quantileMillis_[2]},
+            {"buckets", distribution.buckets_}};
+}
+
+/** Worst rank of which some requests are admitted; -1 when none are. */
+int worstRank(const admission::Level &level)
+{
+    return level.value_ < 0 ? -1 : level.value_ / admission::Priority::bucketCount;
+}
+
+metrics::Value gauge(const char *name, const char *help, double value)
+{
+    return {.name_ = name, .help_ = help, .kind_ = metrics::ValueKind::Gauge, .value_ = value};
+}
+
+metrics::Value counter(const char *name, const char *help, double value)
+{
+    return {.name_ = name, .help_ = help, .kind_ = metrics::ValueKind::Counter, .value_ = value};
+}
+
+} // namespace
+
+std::string StatusReport::json() const
+{
+    const nlohmann::json view = {
+            {"id", id_},
+            {"dataCentre", dataCentre_},
+            {"draining", isDraining_},
+            {"isolated", isIsolated_},
+            {"unreachableDataCentres", unreachableDataCentres_},
+            {"dataCentres", membersView(members_)},
+            {"revisionsInForce", revisionsView(revisions_)},
+            {"instance",
+             {{"service", data_.backend_.service_},
+              {"state", servingText(data_.backend_.serving_)},
+              {"slots", data_.backend_.slots_},
+              {"concurrencyLimit", data_.limit_},
+              {"running", data_.activeRuns_},
+              {"admitsUpToRank", worstRank(data_.level_)},
+              {"admitsAll", data_.level_ == admission::Level::all()}}},
+            {"openRequests", data_.openRequests_},
+            {"notComplete", data_.failures_},
+    };
+    return view.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
+std::string StatusReport::histogramsJson() const
+{
+    nlohmann::json view = nlohmann::json::array();
+    if (data_.metrics_ == nullptr)
+        return view.dump();
+    for (const auto &series : data_.metrics_->series_)
+        view.push_back({{"customer", series.customer_},
+                        {"class", series.requestClass_},
+                        {"complete", series.outcomes_[0]},
+                        {"notRun", series.outcomes_[1]},
+                        {"unknown", series.outcomes_[2]},
+                        {"attempts", series.attempts_},
+                        {"latency", distributionView(series.latency_)},
+                        {"queueing", distributionView(series.queueing_)}});
+    return view.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+std::string StatusReport::prometheus() const
+{
+    metrics::Snapshot snapshot;
+    if (data_.metrics_ != nullptr)
+        snapshot = *data_.metrics_;
+    auto &values = snapshot.values_;
+    values.push_back(gauge("members", "daemons known", static_cast<double>(members_.size())));
+    values.push_back(gauge("revision", "release-note revision in force",
+                           static_cast<double>(notes_.revision_)));
+    values.push_back(gauge("concurrency_limit", "requests that may run at once", data_.limit_));
+    values.push_back(gauge("level", "worst priority that is admitted", data_.level_.value_));
+    values.push_back(gauge("running", "requests running or queued at the backend server",
+                           static_cast<double>(data_.activeRuns_)));
+    values.push_back(gauge("open_requests", "requests of callers without an answer yet",
+                           static_cast<double>(data_.openRequests_)));
+    values.push_back(counter("gossip_sent_bytes_total", "membership bytes sent",
+                             static_cast<double>(gossip_.bytesSent_)));
+    values.push_back(counter("gossip_received_bytes_total", "membership bytes received",
+                             static_cast<double>(gossip_.bytesReceived_)));
+    for (const auto &[reason, count] : data_.failures_) {
+        auto value = counter("not_complete_total", "calls not run or unknown, by reason",
+                             static_cast<double>(count));
+        value.labels_ = {{"reason", reason}};
+        values.push_back(std::move(value));
+    }
+    return renderPrometheus(snapshot);
+}
+
+} // namespace dock
--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -18,7 +18,6 @@
 
 // 3xx: requests
 inline constexpr Event outcomeUnknown = {300, Severity::Warning, "outcome-unknown"};
-inline constexpr Event requestRefused = {301, Severity::Debug, "request-refused"};
 
 // 4xx: configuration and membership
 inline constexpr Event configInForce = {400, Severity::Info, "config-in-force"};
--- a/libs/settings/src/Loader.cpp
+++ b/libs/settings/src/Loader.cpp
@@ -306,9 +306,8 @@
     {
         if (seen_.contains("adminToken") && seen_.contains("adminTokenFile"))
             addFault(0, "adminTokenFile", "cannot be given together with 'adminToken'");
-        const bool isRemoteAdmin = !settings_.adminAddress_.host_.starts_with("127.");
-        if (isRemoteAdmin && settings_.adminToken_.empty() && seen_.contains("adminAddress"))
-            addFault(0, "adminToken", "is needed when 'adminAddress' is not on loopback");
+        if (!seen_.contains("adminToken") && !seen_.contains("adminTokenFile"))
+            addFault(0, "adminToken", "or 'adminTokenFile' is missing");
     }
 
     void addFault(int line, std::string field, std::string problem)
