Measure membership; take hearsay for live and do not gossip what a joiner fetched

A daemon that joins through a seed of another data centre learns its own data centre as hearsay; that was taken for suspect, and gossiped.

--- a/libs/membership/src/details/Merging.cpp
+++ b/libs/membership/src/details/Merging.cpp
@@ -19,7 +19,7 @@
     if (!record.isLive() && record.age_ > timing_.tombstoneRetention_)
         return false;
     if (isOwn(record.member_.dataCentre_) && !isOwn(senderDataCentre))
-        return absorbHearsay(std::move(record));
+        return absorbHearsay(std::move(record), spread);
     if (!isOwn(record.member_.dataCentre_) && record.status_ == Status::Suspect)
         record.status_ = Status::Alive;
     return apply(std::move(record), spread);
@@ -46,19 +46,21 @@
 }
 
 /**
- * Another data centre holds a member of this one for live that is unknown or dead here: since all
- * of this one was restarted, or since it refuted towards others alone and then stopped. It is
- * probed like a suspect, so that it is confirmed or declared dead with that incarnation.
+ * Another data centre holds a member of this one for live that is unknown or dead here: since this
+ * daemon or all of this data centre was just started, or since the member refuted towards others
+ * alone and then stopped. It is taken for live, so that it is probed: either it answers, or it is
+ * declared dead with that incarnation. (Taking it for suspect instead makes a daemon that joins
+ * through another data centre suspect its whole own one.)
  */
-bool Core::Impl::absorbHearsay(Record record)
+bool Core::Impl::absorbHearsay(Record record, bool spread)
 {
     if (!record.isLive())
         return false;
-    record.status_ = Status::Suspect;
+    record.status_ = Status::Alive;
     const auto *known = table_.find(record.member_.id_);
     if (known && (known->record_.isLive() || record.version() <= known->record_.version()))
         return false;
-    return apply(std::move(record), true);
+    return apply(std::move(record), spread);
 }
 
 bool Core::Impl::apply(Record record, bool spread)
--- a/libs/membership/tests/CoreTest.cpp
+++ b/libs/membership/tests/CoreTest.cpp
@@ -263,3 +263,25 @@
     EXPECT_TRUE(pump.listed("d1-0").contains("d0-2"));
     EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
 }
+
+TEST(Core, joiningThroughAnotherDataCentreSuspectsNobody)
+{
+    Pump pump(13);
+    pump.startAll(2, 8);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    pump.start("late", "dc0", Pump::address(99), {Pump::address(8)});
+    bool isSuspected = false;
+    pump.onStep_ = [&] {
+        for (const auto &record : pump.core("late").state(pump.now_))
+            isSuspected = isSuspected || record.status_ != Status::Alive;
+    };
+    std::size_t passedOn = 0;
+    pump.onSend_ = [&](const std::string &from, const membership::Datagram &datagram) {
+        for (const auto &record : datagram.records_)
+            passedOn += from == "late" && record.member_.id_ != "late";
+    };
+    EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    pump.run(Millis(10000));
+    EXPECT_FALSE(isSuspected);
+    EXPECT_EQ(passedOn, 0U);
+}
--- /dev/null
+++ b/tools/member-bench/VirtualRun.cpp
@@ -0,0 +1,244 @@
+#include <algorithm>
+
+#include <Pump.h>
+
+#include "Runs.h"
+#include "Usage.h"
+
+using base::Millis;
+
+namespace {
+
+constexpr Millis second(1000);
+
+/** One way on a network inside a region. */
+constexpr Millis delay(1);
+constexpr double loss = 0.001;
+
+class VirtualRun
+{
+public:
+    explicit VirtualRun(const RunOptions &options)
+        : options_(options)
+        , pump_(options.seed_)
+        , size_(options.members_ / options.dataCentres_)
+    {
+        pump_.delay_ = delay;
+        pump_.loss_ = loss;
+        pump_.onStep_ = [this] {
+            pullRevisions();
+        };
+    }
+
+    void run()
+    {
+        const auto before = residentBytes();
+        pump_.startAll(options_.dataCentres_, size_);
+        report("start of all: time to converge", settle(), "s");
+        const auto entries = static_cast<double>(pump_.daemons_.size() * pump_.daemons_.size());
+        report("memory for one member at one daemon",
+               static_cast<double>(residentBytes() - before) / entries, "bytes");
+        pump_.run(second * 30);
+        steady("steady", false);
+        steady("steady, one note in 17 s", true);
+        drains();
+        crashes();
+        massRestart();
+        heal();
+    }
+
+private:
+    /** Bytes sent between two points, by daemon. */
+    struct Traffic
+    {
+        double mean_ = 0;
+        double most_ = 0;
+    };
+
+    void pullRevisions()
+    {
+        for (auto &[id, daemon] : pump_.daemons_) {
+            if (daemon.core_ && daemon.core_->highestRevision() > daemon.core_->self().revision_)
+                pump_.tell(id, membership::RevisionInForce{daemon.core_->highestRevision()});
+        }
+    }
+
+    std::map<std::string, std::size_t> bytesSent() const
+    {
+        std::map<std::string, std::size_t> bytes;
+        for (const auto &[id, daemon] : pump_.daemons_)
+            bytes[id] = daemon.bytes_;
+        return bytes;
+    }
+
+    Traffic since(const std::map<std::string, std::size_t> &before) const
+    {
+        Traffic traffic;
+        for (const auto &[id, daemon] : pump_.daemons_) {
+            const auto bytes = static_cast<double>(daemon.bytes_ - before.at(id));
+            traffic.mean_ += bytes / static_cast<double>(pump_.daemons_.size());
+            traffic.most_ = std::max(traffic.most_, bytes);
+        }
+        return traffic;
+    }
+
+    /** Seconds until all know all; also keeps the busiest second of any daemon. */
+    double settle()
+    {
+        constexpr int limit = 600;
+        peak_ = {};
+        for (int i = 0; i < limit; ++i) {
+            const auto before = bytesSent();
+            pump_.run(second);
+            const auto traffic = since(before);
+            peak_.mean_ = std::max(peak_.mean_, traffic.mean_);
+            peak_.most_ = std::max(peak_.most_, traffic.most_);
+            if (pump_.isConverged())
+                return i + 1;
+        }
+        return -1;
+    }
+
+    void steady(const char *name, bool withNotes)
+    {
+        constexpr unsigned noteInterval = 17;
+        const auto before = bytesSent();
+        const auto processor = processorTime();
+        for (unsigned i = 0; i < options_.seconds_; ++i) {
+            if (withNotes && i % noteInterval == 0)
+                pump_.tell("d0-1", membership::RevisionInForce{++revision_});
+            pump_.run(second);
+        }
+        const auto traffic = since(before);
+        const auto seconds = static_cast<double>(options_.seconds_);
+        std::printf(" %s\n", name);
+        report("sent by a daemon, mean", traffic.mean_ / seconds, "bytes/s");
+        report("sent by a daemon, most (relay)", traffic.most_ / seconds, "bytes/s");
+        report("processor time for a daemon, no system calls",
+               (processorTime() - processor).fractional() / seconds / pump_.daemons_.size(),
+               "ms/s");
+    }
+
+    template<typename Condition>
+    double timeUntilAll(Condition holds)
+    {
+        const auto start = pump_.now_;
+        pump_.runUntil(
+                [&] {
+                    return std::all_of(pump_.daemons_.begin(), pump_.daemons_.end(),
+                                       [&](const auto &item) {
+                                           return !item.second.core_ || holds(*item.second.core_);
+                                       });
+                },
+                second * 120);
+        return (pump_.now_ - start).fractional() / 1000;
+    }
+
+    std::string anyone()
+    {
+        return Pump::name(static_cast<unsigned>(pump_.random_.below(options_.dataCentres_)),
+                          static_cast<unsigned>(2 + pump_.random_.below(size_ - 2)));
+    }
+
+    void reportTimes(const char *name, std::vector<double> times)
+    {
+        std::sort(times.begin(), times.end());
+        std::printf(" %s, %zu times\n", name, times.size());
+        report("median", times[times.size() / 2], "s");
+        report("most", times.back(), "s");
+    }
+
+    void drains()
+    {
+        constexpr int count = 40;
+        std::vector<double> times;
+        const auto before = bytesSent();
+        for (int i = 0; i < count; ++i) {
+            const auto id = anyone();
+            const auto slots = static_cast<std::uint32_t>(i + 1);
+            pump_.tell(id, membership::ServiceChanged{model::ServingState::Draining, "s", slots});
+            times.push_back(timeUntilAll([&](const membership::Core &core) {
+                return core.find(id)->member_.slots_ == slots;
+            }));
+            pump_.run(second * 2);
+        }
+        reportTimes("drain until known everywhere", times);
+        report("sent by a daemon with one change in 2 to 5 s, for a change",
+               since(before).mean_ / count, "bytes");
+    }
+
+    void crashes()
+    {
+        constexpr int count = 12;
+        std::vector<double> times;
+        for (int i = 0; i < count; ++i) {
+            const auto id = anyone();
+            pump_.crash(id);
+            times.push_back(timeUntilAll([&](const membership::Core &core) {
+                const auto *record = core.find(id);
+                return !record || !record->isLive();
+            }));
+            pump_.restart(id);
+            settle();
+        }
+        reportTimes("crash until known everywhere", times);
+    }
+
+    void massRestart()
+    {
+        for (unsigned i = 0; i < size_; ++i)
+            pump_.crash(Pump::name(0, i));
+        pump_.run(second * 5);
+        const auto processor = processorTime();
+        for (unsigned i = 0; i < size_; ++i)
+            pump_.restart(Pump::name(0, i));
+        std::printf(" restart of a data centre at once\n");
+        reportRecovery(processor);
+    }
+
+    void heal()
+    {
+        const auto half = options_.dataCentres_ / 2;
+        const auto isLow = [half](const std::string &id) {
+            return std::stoul(id.substr(1)) < half;
+        };
+        pump_.isCut_ = [=](const std::string &a, const std::string &b) {
+            return isLow(a) != isLow(b);
+        };
+        for (unsigned i = 0; i < std::max(1U, options_.members_ / 50); ++i) {
+            pump_.restart(anyone());
+            pump_.run(second * 2);
+        }
+        pump_.run(second * 60);
+        pump_.isCut_ = [](const std::string &, const std::string &) {
+            return false;
+        };
+        const auto processor = processorTime();
+        std::printf(" heal of two regions after restarts of one in 50\n");
+        reportRecovery(processor);
+    }
+
+    void reportRecovery(Millis processorBefore)
+    {
+        const auto time = settle();
+        const auto processor = (processorTime() - processorBefore).fractional();
+        report("time to converge", time, "s");
+        report("busiest second of a daemon, mean", peak_.mean_, "bytes/s");
+        report("busiest second of the busiest daemon", peak_.most_, "bytes/s");
+        report("processor time for a daemon (with the checks)",
+               processor / time / pump_.daemons_.size(), "ms/s");
+    }
+
+    RunOptions options_;
+    Pump pump_;
+    unsigned size_;
+    model::Revision revision_ = 0;
+    Traffic peak_;
+};
+
+} // namespace
+
+void runVirtual(const RunOptions &options)
+{
+    VirtualRun(options).run();
+}
