Ignore what waited during a pause, except what is said of the woken daemon

Changed: while catching up, records of others are not taken from datagrams at all; the state that is fetched, and digests, bring them.

Conclusion: a pause of any length is followed by learning first.

--- a/libs/membership/src/details/Events.cpp
+++ b/libs/membership/src/details/Events.cpp
@@ -25,8 +25,11 @@
     lastContact_ = now_;
     hasContact_ = true;
     learnFromHeader(event);
-    for (const auto &record : event.datagram_.records_)
-        absorb(record, event.datagram_.senderDataCentre_, !isCatchingUp_);
+    for (const auto &record : event.datagram_.records_) {
+        // A datagram that waited during a pause may tell what has long been forgotten.
+        if (!isCatchingUp_ || isSelf(record.member_.id_))
+            absorb(record, event.datagram_.senderDataCentre_, true);
+    }
     std::visit([&](const auto &body) { onBody(event, body); }, event.datagram_.body_);
     compareViews(event);
 }
--- a/libs/membership/src/details/Timers.cpp
+++ b/libs/membership/src/details/Timers.cpp
@@ -81,7 +81,7 @@
         heard_.clear();
         hasJoined_ = false;
     }
-    isCatchingUp_ = hasJoined_;
+    isCatchingUp_ = true;
     catchUpEnd_ = running_ + catchUpLimit;
     isFetching_ = false;
     ++fetchRequest_; // An answer from before the pause must not end the catching up.
