Let answers carry three levels; spill requests in progress before their margin

Cause: with one level on answers a customer at 0.3 of the capacity completed 75 of 300 requests a second beside one that asks for four times the capacity, since entries refused it by the level of the other; and calls in progress stayed in the own data centre although their bucket was shed there. Change: admission::AnswerLevels (of the instance, of the instance for the customer, and further down), admission::EntryLevels (what an entry does with them); routing first looks for an instance whose level covers the bucket, also for requests in progress; after a refusal that its level does not explain it leaves an instance out for one probe interval only.

--- a/libs/admission/include/admission/Level.h
+++ b/libs/admission/include/admission/Level.h
@@ -36,6 +36,9 @@
     /** Whether a request is still admitted: requests in progress of the boundary rank are. */
     bool admits(const Priority &priority) const;
 
+    /** Whether the priority is within the level, in progress or not. */
+    bool covers(const Priority &priority) const { return of(priority).value_ <= value_; }
+
     auto operator<=>(const Level &) const = default;
 };
 
--- /dev/null
+++ b/libs/admission/src/EntryLevels.cpp
@@ -0,0 +1,46 @@
+#include <admission/EntryLevels.h>
+
+#include <algorithm>
+
+namespace admission {
+
+std::string scopeKey(const std::string &requestClass, const std::string &customer)
+{
+    // A line feed occurs in neither name.
+    return requestClass + "\n" + customer;
+}
+
+Level levelOfCallee(const AnswerLevels &levels, Level serviceLevel)
+{
+    return std::min(levels.further_, std::max(serviceLevel, levels.customer_));
+}
+
+void EntryLevels::observe(const CallScope &scope, const AnswerLevels &levels, base::Millis now)
+{
+    further_.observe(scopeKey(scope.requestClass_, scope.customer_), scope.service_,
+                     levels.further_, now);
+    customers_.observe(scopeKey(scope.service_, scope.customer_), scope.service_, levels.customer_,
+                       now);
+}
+
+bool EntryLevels::admits(const CallScope &scope, const Priority &priority, base::Millis now) const
+{
+    return further_.admits(scopeKey(scope.requestClass_, scope.customer_), priority, now);
+}
+
+Priority EntryLevels::routed(const CallScope &scope, const Priority &priority,
+                             base::Millis now) const
+{
+    Priority result = priority;
+    if (customers_.admits(scopeKey(scope.service_, scope.customer_), priority, now))
+        result.bucket_ = 0;
+    return result;
+}
+
+void EntryLevels::prune(base::Millis now)
+{
+    further_.prune(now);
+    customers_.prune(now);
+}
+
+} // namespace admission
--- a/libs/admission/src/Level.cpp
+++ b/libs/admission/src/Level.cpp
@@ -28,7 +28,7 @@
         return false;
     if (priority.inProgress_)
         return priority.rank_ <= value_ / Priority::bucketCount;
-    return of(priority) <= *this;
+    return covers(priority);
 }
 
 } // namespace admission
--- a/libs/routing/src/details/Instance.cpp
+++ b/libs/routing/src/details/Instance.cpp
@@ -74,11 +74,13 @@
     if (answer.isLeaving_)
         leavingUntil_ = now + options.drainMemory_;
     level_ = answer.level_;
-    if (answer.kind_ == AnswerKind::Shed) {
+    levelUntil_ = now + options.levelExpiry_;
+    if (answer.kind_ == AnswerKind::Shed && level_.covers(answer.priority_)) {
+        // The level is that of the moment before, or of another customer.
         const int shed = admission::Level::of(answer.priority_).value_;
-        level_ = std::min(level_, admission::Level::fromNumber(shed - 1));
+        level_ = admission::Level::fromNumber(shed - 1);
+        levelUntil_ = now + options.probeInterval_;
     }
-    levelUntil_ = now + options.levelExpiry_;
 }
 
 void Instance::noteFailed(FailureKind kind)
@@ -116,11 +118,6 @@
     return member_->serving_ != model::ServingState::Ready || now < leavingUntil_;
 }
 
-bool Instance::admits(const admission::Priority &priority, base::Millis now) const
-{
-    return level(now).admits(priority);
-}
-
 admission::Level Instance::level(base::Millis now) const
 {
     return now < levelUntil_ ? level_ : admission::Level::all();
--- a/libs/routing/src/details/Instance.h
+++ b/libs/routing/src/details/Instance.h
@@ -47,9 +47,7 @@
     bool isDraining(base::Millis now) const;
     bool isFull() const { return isFull_; }
 
-    /** Whether the level from answers admits the priority, or it is time to try again. */
-    bool admits(const admission::Priority &priority, base::Millis now) const;
-
+    /** Level from answers, or Level::all() when it is time to try again. */
     admission::Level level(base::Millis now) const;
     base::Millis levelUntil() const { return levelUntil_; }
 
--- a/libs/routing/src/details/Pool.cpp
+++ b/libs/routing/src/details/Pool.cpp
@@ -18,8 +18,13 @@
     return member.region_ == options.region_ ? Tier::OwnRegion : Tier::Elsewhere;
 }
 
-/** Which instances a pass over the tiers may pick. */
-enum class Pass : std::uint8_t { Free, AlsoFull, AlsoEjected };
+/** Which instances a pass over the tiers may pick; later passes include those of earlier ones. */
+enum class Pass : std::uint8_t {
+    Free,
+    AlsoFull,
+    AlsoInProgress, ///< those that shed the bucket, but not the rank of a request in progress
+    AlsoEjected,
+};
 
 /** One decision: what is asked for, and what was found on the way. */
 class Search
@@ -71,7 +76,10 @@
         foundExcluded_ = true;
         return false;
     }
-    if (!instance.admits(priority_, now_)) {
+    const admission::Level level = instance.level(now_);
+    const bool isAdmitted
+            = pass < Pass::AlsoInProgress ? level.covers(priority_) : level.admits(priority_);
+    if (!isAdmitted) {
         foundShed_ = true;
         shedUntil_ = std::min(shedUntil_, instance.levelUntil());
         return false;
@@ -144,7 +152,7 @@
                                             base::Random &random, base::Millis now) const
 {
     Search search(options, priority, excluded, random, now);
-    for (const Pass pass : {Pass::Free, Pass::AlsoFull, Pass::AlsoEjected}) {
+    for (const Pass pass : {Pass::Free, Pass::AlsoFull, Pass::AlsoInProgress, Pass::AlsoEjected}) {
         for (const Instances &tier : tiers_) {
             if (const Instance *instance = search.pick(tier, pass))
                 return Choice{instance->sharedMember(), &tier != &tiers_.front()};
--- a/libs/routing/tests/ChainModel.h
+++ b/libs/routing/tests/ChainModel.h
@@ -13,6 +13,7 @@
 #include <Fixture.h>
 #include <admission/Core.h>
 #include <admission/DownstreamLevels.h>
+#include <admission/EntryLevels.h>
 #include <base/Random.h>
 #include <routing/Core.h>
 
@@ -22,7 +23,7 @@
 enum class LevelUse : std::uint8_t {
     None,     ///< nothing; instances refuse by themselves
     OneLevel, ///< one level on answers, own and further down in one, kept for each instance
-    TwoLevels ///< the level of the instance, and beside it that of the class further down
+    AllLevels ///< admission::AnswerLevels
 };
 
 /**
@@ -39,9 +40,10 @@
         double perSecond_ = 0.0;
         base::Millis from_;
         base::Millis until_;
+        std::string customer_;
     };
 
-    /** Counts of one class and rank in one second. */
+    /** Counts of one class, customer and rank in one second. */
     struct Counts
     {
         int arrived_ = 0;
@@ -50,23 +52,25 @@
         int wasted_ = 0; ///< ran in front and was then refused in back
     };
 
-    explicit ChainModel(LevelUse use, std::uint64_t seed = 1)
+    /** The entry and front are in data centre "a"; backs names the data centres of back. */
+    explicit ChainModel(LevelUse use, const std::vector<std::string> &backs = {"a", "a"})
         : use_(use)
-        , random_(seed)
         , entry_(ownOptions())
     {
-        std::vector<model::Member> fronts;
-        for (int i = 0; i < frontCount; ++i)
-            fronts.push_back(member("front", i, frontSlots));
-        std::vector<model::Member> backs;
-        for (int i = 0; i < backCount; ++i)
-            backs.push_back(member("back", i, backSlots));
-        entry_.handle(MembersChanged{fronts}, now_);
-        for (const auto &front : fronts)
-            nodes_.emplace(front.id_, std::make_unique<Node>(frontSlots))
-                    .first->second->routing_.handle(MembersChanged{backs}, now_);
-        for (const auto &back : backs)
+        std::vector<model::Member> backMembers;
+        for (const std::string &dataCentre : backs)
+            backMembers.push_back(member("back", backMembers.size(), backSlots, dataCentre));
+        std::vector<model::Member> frontMembers;
+        for (std::size_t i = 0; i < frontCount; ++i)
+            frontMembers.push_back(member("front", i, frontSlots, "a"));
+        entry_.handle(MembersChanged{frontMembers}, now_);
+        for (const auto &back : backMembers)
             nodes_.emplace(back.id_, std::make_unique<Node>(backSlots));
+        for (const auto &front : frontMembers) {
+            auto node = std::make_unique<Node>(frontSlots);
+            node->routing_.handle(MembersChanged{backMembers}, now_);
+            nodes_.emplace(front.id_, std::move(node));
+        }
     }
 
     void add(const Stream &stream)
@@ -85,11 +89,12 @@
         }
     }
 
-    Counts sum(const std::string &requestClass, int rank, int fromSecond, int untilSecond)
+    /** Sum over some seconds; the name is that of the class followed by that of the customer. */
+    Counts sum(const std::string &name, int rank, int fromSecond, int untilSecond)
     {
         Counts result;
         for (int second = fromSecond; second < untilSecond; ++second) {
-            const Counts &counts = counts_[{requestClass, rank, second}];
+            const Counts &counts = counts_[{name, rank, second}];
             result.arrived_ += counts.arrived_;
             result.completed_ += counts.completed_;
             result.refused_ += counts.refused_;
@@ -102,8 +107,7 @@
     static constexpr double capacity = 1000.0;
 
 private:
-    static constexpr int frontCount = 3;
-    static constexpr int backCount = 2;
+    static constexpr std::size_t frontCount = 3;
     static constexpr std::uint32_t frontSlots = 60;
     static constexpr std::uint32_t backSlots = 10;
     static constexpr double frontMillis = 5.0;
@@ -115,7 +119,9 @@
         explicit Node(std::uint32_t slots)
             : routing_(ownOptions())
         {
-            admission_.handle(admission::Configured{.slots_ = slots}, base::Millis(1));
+            const std::map<std::string, model::Customer> customers
+                    = {{"quiet", {.name_ = "quiet"}}, {"flood", {.name_ = "flood"}}};
+            admission_.handle(admission::Configured{slots, customers}, base::Millis(1));
         }
 
         admission::Core admission_;
@@ -123,12 +129,10 @@
         Core routing_;
     };
 
-    /** Levels that ride on an answer. */
     struct Answer
     {
         bool isRefused_ = false;
-        admission::Level own_;
-        admission::Level further_;
+        admission::AnswerLevels levels_;
     };
 
     using Done = std::function<void(const Answer &)>;
@@ -138,6 +142,7 @@
     {
         std::string node_;
         std::string requestClass_;
+        std::string customer_;
         admission::Priority priority_;
         base::Millis deadline_;
         base::Millis startedAt_;
@@ -156,9 +161,10 @@
         }
     };
 
-    static model::Member member(const std::string &service, int index, std::uint32_t slots)
+    static model::Member member(const std::string &service, std::size_t index, std::uint32_t slots,
+                                const std::string &dataCentre)
     {
-        auto result = walletInstance(index, "a", slots);
+        auto result = walletInstance(0, dataCentre, slots);
         result.id_ = service + std::to_string(index);
         result.service_ = service;
         return result;
@@ -182,9 +188,15 @@
         at(now_ + base::Millis(50), [this] { tick(); });
     }
 
-    Counts &countsOf(const std::string &requestClass, int rank)
+    Counts &countsOf(const std::string &name, int rank)
     {
-        return counts_[{requestClass, rank, static_cast<int>(now_.count() / 1000)}];
+        return counts_[{name, rank, static_cast<int>(now_.count() / 1000)}];
+    }
+
+    template<typename Request>
+    static std::string nameOf(const Request &request)
+    {
+        return request.requestClass_ + request.customer_;
     }
 
     void arrivals(const Stream &stream)
@@ -200,41 +212,45 @@
         const admission::Priority priority
                 = {.rank_ = stream.rank_,
                    .bucket_ = static_cast<int>(random_.below(admission::Priority::bucketCount))};
-        ++countsOf(stream.requestClass_, stream.rank_).arrived_;
+        ++countsOf(nameOf(stream), stream.rank_).arrived_;
         const auto deadline = now_ + base::Millis(1000);
-        const bool isRefused = use_ == LevelUse::TwoLevels
-                               && !entryLevels_.admits(stream.requestClass_, priority, now_);
-        if (isRefused) {
-            ++countsOf(stream.requestClass_, stream.rank_).refused_;
+        const admission::CallScope scope = {"front", stream.requestClass_, stream.customer_};
+        const bool isUsed = use_ == LevelUse::AllLevels;
+        if (isUsed && !entryLevels_.admits(scope, priority, now_)) {
+            ++countsOf(nameOf(stream), stream.rank_).refused_;
             return;
         }
-        call(entry_, "front",
-             {.requestClass_ = stream.requestClass_, .priority_ = priority, .deadline_ = deadline},
-             [this, stream, deadline](const Answer &answer) {
-                 auto &counts = countsOf(stream.requestClass_, stream.rank_);
-                 entryLevels_.observe(stream.requestClass_, "front", answer.further_, now_);
-                 if (answer.isRefused_)
-                     ++counts.refused_;
-                 else if (now_ < deadline)
-                     ++counts.completed_;
-             });
+        const auto done = [this, stream, deadline, scope](const Answer &answer) {
+            auto &counts = countsOf(nameOf(stream), stream.rank_);
+            entryLevels_.observe(scope, answer.levels_, now_);
+            if (answer.isRefused_)
+                ++counts.refused_;
+            else if (now_ < deadline)
+                ++counts.completed_;
+        };
+        const Visit visit = {.requestClass_ = stream.requestClass_,
+                             .customer_ = stream.customer_,
+                             .priority_ = priority,
+                             .deadline_ = deadline};
+        call(entry_, "front", visit, isUsed ? entryLevels_.routed(scope, priority, now_) : priority,
+             done);
     }
 
-    void call(Core &routing, const std::string &service, Visit visit, Done done)
+    void call(Core &routing, const std::string &service, Visit visit,
+              const admission::Priority &routed, const Done &done)
     {
-        const auto choice = routing.choose(service, visit.priority_, {}, now_);
+        const auto choice = routing.choose(service, routed, {}, now_);
         if (!choice)
             return done({.isRefused_ = true});
         const std::string id = choice->member_->id_;
-        const auto priority = visit.priority_;
-        routing.handle(Sent{id, priority}, now_);
+        routing.handle(Sent{id, routed}, now_);
         visit.node_ = id;
-        visit.done_ = [this, &routing, id, priority, done](const Answer &answer) {
+        visit.done_ = [this, &routing, id, routed, done](const Answer &answer) {
             routing.handle(
                     Answered{.instance_ = id,
                              .kind_ = answer.isRefused_ ? AnswerKind::Shed : AnswerKind::Complete,
-                             .priority_ = priority,
-                             .level_ = answer.own_},
+                             .priority_ = routed,
+                             .level_ = answer.levels_.own_},
                     now_);
             done(answer);
         };
@@ -242,6 +258,7 @@
         Node &node = *nodes_.at(id);
         const admission::Arrived event = {.id_ = visitId,
                                           .priority_ = visit.priority_,
+                                          .customer_ = visit.customer_,
                                           .requestClass_ = visit.requestClass_,
                                           .deadline_ = visit.deadline_};
         visits_.emplace(visitId, std::move(visit));
@@ -272,16 +289,19 @@
     void callBack(Node &node, std::uint64_t id)
     {
         const Visit &parent = visits_.at(id);
-        call(node.routing_, "back",
-             {.requestClass_ = parent.requestClass_,
-              .priority_ = parent.priority_.forChild(),
-              .deadline_ = parent.deadline_},
+        Visit child = parent;
+        child.priority_ = parent.priority_.forChild();
+        call(node.routing_, "back", child, child.priority_,
              [this, &node, id](const Answer &answer) {
                  const Visit &visit = visits_.at(id);
-                 node.levels_.observe(visit.requestClass_, "back",
-                                      node.routing_.level("back", now_), now_);
+                 const auto serviceLevel = node.routing_.level("back", now_);
+                 const auto level = use_ == LevelUse::AllLevels
+                                            ? admission::levelOfCallee(answer.levels_, serviceLevel)
+                                            : serviceLevel;
+                 node.levels_.observe(admission::scopeKey(visit.requestClass_, visit.customer_),
+                                      "back", level, now_);
                  if (answer.isRefused_)
-                     ++countsOf(visit.requestClass_, visit.priority_.rank_).wasted_;
+                     ++countsOf(nameOf(visit), visit.priority_.rank_).wasted_;
                  end(node, id, answer.isRefused_);
              });
     }
@@ -300,22 +320,22 @@
         const Visit visit = visits_.at(id);
         visits_.erase(id);
         Answer result = {.isRefused_ = isRefused};
+        const auto key = admission::scopeKey(visit.requestClass_, visit.customer_);
         const auto own = node.admission_.level();
         if (use_ == LevelUse::OneLevel)
-            result.own_ = node.levels_.effective(visit.requestClass_, own, now_);
-        if (use_ == LevelUse::TwoLevels) {
-            result.own_ = own;
-            result.further_
-                    = node.levels_.effective(visit.requestClass_, admission::Level::all(), now_);
+            result.levels_.own_ = node.levels_.effective(key, own, now_);
+        if (use_ == LevelUse::AllLevels) {
+            result.levels_ = {own, node.admission_.level(visit.customer_),
+                              node.levels_.effective(key, admission::Level::all(), now_)};
         }
         visit.done_(result);
     }
 
     LevelUse use_;
-    base::Random random_;
+    base::Random random_ = base::Random(1);
     base::Millis now_ = base::Millis(1);
     Core entry_;
-    admission::DownstreamLevels entryLevels_;
+    admission::EntryLevels entryLevels_;
     std::map<std::string, std::unique_ptr<Node>> nodes_;
     std::map<std::uint64_t, Visit> visits_;
     std::uint64_t nextVisit_ = 1;
--- a/libs/routing/tests/ChainTest.cpp
+++ b/libs/routing/tests/ChainTest.cpp
@@ -34,7 +34,7 @@
 
 TEST_P(Chain, rootsAreRefusedBeforeAnyWorkAndOtherClassesGoOn)
 {
-    ChainModel model(LevelUse::TwoLevels);
+    ChainModel model(LevelUse::AllLevels);
     addSurge(model, GetParam());
     model.run(Millis(1000 * end));
     const auto deep = model.sum("deep", protectedRank, surgeStart + 1, surgeEnd);
@@ -50,14 +50,14 @@
 
 TEST_P(Chain, recoversWithinFiveSeconds)
 {
-    ChainModel model(LevelUse::TwoLevels);
+    ChainModel model(LevelUse::AllLevels);
     addSurge(model, GetParam());
     model.run(Millis(1000 * end));
     for (const int rank : {protectedRank, lowRank})
         EXPECT_EQ(model.sum("deep", rank, surgeEnd + 5, end).refused_, 0) << "rank " << rank;
 }
 
-// What the second level on answers is for: with one, a class that does not call back is refused.
+// What several levels on answers are for: with one, a class that does not call back is refused.
 TEST_P(Chain, oneLevelForAllClassesRefusesTheWrongOnes)
 {
     ChainModel model(LevelUse::OneLevel);
@@ -76,4 +76,32 @@
     EXPECT_GT(deep.wasted_, 0.5 * deep.arrived_);
 }
 
+TEST(ChainOfServices, aFloodingCustomerDoesNotTakeTheShareOfOthers)
+{
+    ChainModel model(LevelUse::AllLevels);
+    const double quietRate = 0.3 * ChainModel::capacity;
+    model.add({"deep", protectedRank, quietRate, Millis(1), Millis(20000), "quiet"});
+    model.add({"deep", protectedRank, 4 * ChainModel::capacity, Millis(5000), Millis(20000),
+               "flood"});
+    model.run(Millis(20000));
+    const auto quiet = model.sum("deepquiet", protectedRank, 6, 19);
+    const auto flood = model.sum("deepflood", protectedRank, 6, 19);
+    EXPECT_GE(quiet.completed_, 0.95 * quiet.arrived_);
+    EXPECT_GE(quiet.completed_ + flood.completed_, 0.95 * 13 * ChainModel::capacity);
+}
+
+TEST(ChainOfServices, whatTheOwnDataCentreCannotServeIsServedElsewhere)
+{
+    ChainModel model(LevelUse::AllLevels, {"a", "b"});
+    for (const int rank : {protectedRank, lowRank}) {
+        model.add({"deep", rank, 0.15 * ChainModel::capacity, Millis(1), Millis(5000)});
+        model.add({"deep", rank, 0.4 * ChainModel::capacity, Millis(5000), Millis(20000)});
+    }
+    model.run(Millis(20000));
+    for (const int rank : {protectedRank, lowRank}) {
+        const auto counts = model.sum("deep", rank, 6, 20);
+        EXPECT_GE(counts.completed_, 0.95 * counts.arrived_) << "rank " << rank;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Load, Chain, testing::Values(2.0, 4.0));
--- a/libs/routing/tests/CoreTest.cpp
+++ b/libs/routing/tests/CoreTest.cpp
@@ -59,8 +59,9 @@
 {
     Core core = coreWith({walletInstance(0)});
     core.handle(Sent{"w0", middle}, Millis(2));
-    core.handle(Answered{"w0", AnswerKind::Shed, middle, Level::all()}, Millis(3));
+    core.handle(Answered{"w0", AnswerKind::Shed, middle, Level::of({.rank_ = 4})}, Millis(3));
     const Millis later = Millis(3) + ownOptions().levelExpiry_;
+    EXPECT_EQ(chosen(core, middle, later - Millis(1)), "");
     ASSERT_EQ(chosen(core, middle, later), "w0");
     core.handle(Sent{"w0", middle}, later);
     EXPECT_EQ(chosen(core, middle, later), "");
@@ -122,6 +123,19 @@
     EXPECT_EQ(chosen(core, best, Millis(4)), "w0");
 }
 
+TEST(RoutingCore, aRequestInProgressSpillsBeforeItUsesUpTheMarginOfItsRank)
+{
+    constexpr Priority child = {.rank_ = 5, .inProgress_ = true, .bucket_ = 100};
+    Core core = coreWith({walletInstance(0, "a"), walletInstance(1, "b")});
+    for (const char *id : {"w0", "w1"}) {
+        EXPECT_EQ(chosen(core, child, Millis(2)), id);
+        core.handle(Sent{id, child}, Millis(2));
+        core.handle(Answered{.instance_ = id, .level_ = Level::of({.rank_ = 5, .bucket_ = 50})},
+                    Millis(2));
+    }
+    EXPECT_EQ(chosen(core, child, Millis(3)), "w0");
+}
+
 TEST(RoutingCore, spillsFromAFullInstanceUntilAFifthOfItsSlotsIsFree)
 {
     Core core = coreWith({walletInstance(0, "a", 10), walletInstance(1, "b", 10)});
