--- a/libs/dock/include/dock/CallInfo.h
+++ b/libs/dock/include/dock/CallInfo.h
@@ -32,7 +32,8 @@
     base::Millis receivedAt_;
     base::Millis deadline_; ///< on this daemon's clock
     std::uint32_t depth_ = 0;
-    std::uint32_t budget_ = 0; ///< extra attempts that its class allows a root request
+    std::uint32_t budget_ = 0;        ///< extra attempts that its class allows a root request
+    bool isRetriedAtEachHop_ = false; ///< baseline mode: no budget of the whole chain
     double retryRatio_ = 0;
     std::string contextToken_; ///< of the running call that made this call, or empty
     bool hasUnknownContext_ = false;
--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -66,6 +66,9 @@
     /** A running call of the backend server ended. */
     void contextEnded(const std::string &token);
 
+    /** A running call of the backend server was cancelled: its own idempotent calls are, too. */
+    void contextCancelled(const std::string &token);
+
     /** Uses a configuration from now on. */
     void configure(std::shared_ptr<const model::Config> config);
 
--- a/libs/dock/include/dock/Executor.h
+++ b/libs/dock/include/dock/Executor.h
@@ -38,12 +38,15 @@
 public:
     using AnswerFunction = std::function<void(AttemptAnswer)>;
     using BackendChanged = std::function<void(const BackendServer &)>;
-    using ContextEnded = std::function<void(const std::string &token)>;
+    using ContextFunction = std::function<void(const std::string &token)>;
 
-    /** The context table holds the calls that run here; it must outlive the executor. */
+    /**
+     * The context table holds the calls that run here; it must outlive the executor. A running call
+     * that is cancelled is told of as cancelled first, then as ended.
+     */
     Executor(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
              retry::ContextTable &contexts, BackendChanged onBackendChanged,
-             ContextEnded onContextEnded);
+             ContextFunction onContextEnded, ContextFunction onContextCancelled);
     ~Executor();
     Executor(const Executor &) = delete;
     Executor &operator=(const Executor &) = delete;
--- a/libs/dock/src/CallInfo.cpp
+++ b/libs/dock/src/CallInfo.cpp
@@ -33,6 +33,8 @@
 
 retry::Origin originOf(const CallInfo &call)
 {
+    if (call.isRetriedAtEachHop_)
+        return retry::RootCall{call.budget_};
     if (call.isChild())
         return retry::ChildCall{call.contextToken_};
     // A key of the caller's own may have been sent before, here or through another daemon, and a
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -54,7 +54,8 @@
         , executor_(
                   reactor_, settings, self, contexts_,
                   [this](const BackendServer &backend) { outbox_(BackendStateChanged{backend}); },
-                  [this](const std::string &token) { contextEnded(token); })
+                  [this](const std::string &token) { contextEnded(token); },
+                  [this](const std::string &token) { contextCancelled(token); })
         , entry_(reactor_, settings, self, client_, executor_, contexts_)
         , backendApi_(executor_, entry_, settings.dataAddress_.host_)
     {}
@@ -65,6 +66,7 @@
     void onAttempt(net::ExchangeId id, net::HttpRequest request);
     void onForwarded(net::ExchangeId id, net::HttpRequest request);
     void contextEnded(const std::string &token);
+    void contextCancelled(const std::string &token);
     void handle(const ToData &message);
     void beginDrain();
     void checkDrain();
@@ -184,6 +186,11 @@
     reactor_.post([this, token] { entry_.contextEnded(token); });
 }
 
+void DataTask::Impl::contextCancelled(const std::string &token)
+{
+    reactor_.post([this, token] { entry_.contextCancelled(token); });
+}
+
 void DataTask::Impl::handle(const ToData &message)
 {
     std::visit(base::Overloaded{
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t longestCustomer = 64;
 constexpr std::uint64_t longestDeadlineMs = 600'000;
 constexpr base::Millis retryWhenUnconfigured(1000);
+constexpr std::uint32_t baselineRetries = 3;
 
 /** Customer of requests that state none, or one that the configuration does not name. */
 const std::string defaultCustomer = "default";
@@ -248,7 +249,8 @@
 void Entry::Impl::addTolerance(CallInfo &call) const
 {
     if (isBaseline()) {
-        call.budget_ = 3;
+        call.isRetriedAtEachHop_ = true;
+        call.budget_ = baselineRetries;
         call.retryRatio_ = 1;
         return;
     }
@@ -430,6 +432,20 @@
     impl_->keyed_.contextEnded(token);
 }
 
+void Entry::contextCancelled(const std::string &token)
+{
+    std::vector<EntryId> children;
+    for (const auto &[id, open] : impl_->open_) {
+        if (open.call_.contextToken_ == token && !impl_->needsKey(open.call_))
+            children.push_back(id);
+    }
+    for (const auto id : children) {
+        if (auto node = impl_->cancels_.extract(id); !node.empty())
+            node.mapped()();
+        impl_->finishWith(id, once::Unknown{once::Reason::Cancelled});
+    }
+}
+
 void Entry::configure(std::shared_ptr<const model::Config> config)
 {
     impl_->recorder_.configure(*config);
--- /dev/null
+++ b/libs/dock/src/details/BackendExchange.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+
+#include <admission/Event.h>
+#include <base/Millis.h>
+#include <net/CallResult.h>
+#include <net/HttpRequest.h>
+#include <once/Outcome.h>
+
+namespace dock::details {
+
+/** The end of a call to the backend server, as the once-only record and as admission see it. */
+struct BackendEnd
+{
+    once::Outcome outcome_;
+    admission::Outcome admission_ = admission::Outcome::Ok;
+};
+
+/** The request as the backend server gets it. */
+net::HttpRequest backendRequest(net::HttpRequest request, base::Millis timeLeft,
+                                const std::string &contextToken);
+
+/** What the result of the call to the backend server means. */
+BackendEnd endOf(net::CallResult result);
+
+} // namespace dock::details
--- /dev/null
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -0,0 +1,317 @@
+#include "details/ExecutorImpl.h"
+
+#include <base/Clock.h>
+#include <base/Overloaded.h>
+#include <events/Catalogue.h>
+#include <events/Log.h>
+#include <retry/ContextTable.h>
+
+#include "details/BackendExchange.h"
+
+namespace dock {
+
+namespace {
+
+using admission::Level;
+using once::NotRun;
+using once::Reason;
+
+constexpr base::Millis tickInterval(20);
+
+/** Silence of the backend server after which it counts as absent. */
+constexpr base::Millis announcementLease(5000);
+
+NotRun notRunOf(const admission::Refuse &refusal)
+{
+    switch (refusal.reason_) {
+    case admission::RefusalReason::CannotFinish:
+        return {Reason::DeadlinePassed, refusal.retryAfter_};
+    case admission::RefusalReason::NotServing:
+        return {Reason::NoInstance, refusal.retryAfter_};
+    case admission::RefusalReason::Overloaded:
+    case admission::RefusalReason::CustomerLimit:
+        break;
+    }
+    return {Reason::Overloaded, refusal.retryAfter_};
+}
+
+} // namespace
+
+void Executor::Impl::createRecord(once::Incarnation self)
+{
+    once_.emplace(std::move(self), once::ExecutorSettings{.maxRecords_ = settings_.onceRecords_,
+                                                          .maxAnswerBytes_ = settings_.onceBytes_,
+                                                          .keepFinished_ = settings_.keyLifetime_});
+}
+
+void Executor::Impl::tick()
+{
+    const auto now = base::monotonicNow();
+    perform(admission_.handle(admission::Tick{}, now));
+    levels_.prune(now);
+    if (isServing() && now - lastAnnounced_ > announcementLease) {
+        events::log(events::backendSilent, "service=" + backend_.service_);
+        auto backend = backend_;
+        backend.serving_ = model::ServingState::Absent;
+        applyBackend(backend);
+    }
+    scheduleTick();
+}
+
+void Executor::Impl::scheduleTick()
+{
+    timer_ = reactor_.schedule(tickInterval, [this] { tick(); });
+}
+
+std::optional<NotRun> Executor::Impl::refusalOf(const Attempt &attempt) const
+{
+    if (isServing() && attempt.service_ == backend_.service_)
+        return std::nullopt;
+    const bool isLeaving = isDraining_ || backend_.serving_ == model::ServingState::Draining;
+    return NotRun{isLeaving ? Reason::Draining : Reason::NoInstance, {}};
+}
+
+std::uint32_t Executor::Impl::admissionSlots() const
+{
+    return backend_.serving_ == model::ServingState::Absent ? 0 : backend_.slots_;
+}
+
+void Executor::Impl::configureAdmission()
+{
+    perform(admission_.handle(admission::Configured{admissionSlots(), customers_},
+                              base::monotonicNow()));
+}
+
+void Executor::Impl::applyBackend(BackendServer backend)
+{
+    if (isDraining_ && backend.serving_ == model::ServingState::Ready)
+        backend.serving_ = model::ServingState::Draining;
+    if (backend == backend_)
+        return;
+    backend_ = std::move(backend);
+    configureAdmission();
+    onBackendChanged_(backend_);
+}
+
+std::optional<Executor::Impl::RunId> Executor::Impl::createRun(Attempt attempt,
+                                                               base::Millis startBy)
+{
+    auto token
+            = contexts_.open({.priority_ = static_cast<std::uint32_t>(attempt.priority_.packed()),
+                              .customer_ = attempt.customer_,
+                              .deadline_ = startBy,
+                              .budget_ = retry::ChainBudget(attempt.budget_),
+                              .depth_ = attempt.depth_});
+    if (!token)
+        return std::nullopt;
+    const auto id = nextRun_++;
+    runOfContext_.emplace(*token, id);
+    runs_.emplace(id, Run{.attempt_ = std::move(attempt),
+                          .deadline_ = startBy,
+                          .arrivedAt_ = base::monotonicNow(),
+                          .context_ = std::move(*token)});
+    return id;
+}
+
+void Executor::Impl::removeRun(RunId id)
+{
+    auto node = runs_.extract(id);
+    if (node.empty())
+        return;
+    const auto &run = node.mapped();
+    budgetLeft_ = contexts_.close(run.context_);
+    const bool hasStarted = run.startedAt_ > base::Millis(0);
+    queueing_ = (hasStarted ? run.startedAt_ : base::monotonicNow()) - run.arrivedAt_;
+    runOfContext_.erase(run.context_);
+    onContextEnded_(run.context_);
+    if (const auto &subKey = run.attempt_.subKey_)
+        runOfSubKey_.erase(subKey->text());
+}
+
+void Executor::Impl::arrive(RunId id)
+{
+    if (isBaseline()) {
+        start(id);
+        return;
+    }
+    const auto &run = runs_.at(id);
+    const admission::Arrived event{.id_ = id,
+                                   .priority_ = run.attempt_.priority_,
+                                   .customer_ = run.attempt_.customer_,
+                                   .requestClass_ = run.attempt_.requestClass_,
+                                   .deadline_ = run.deadline_};
+    perform(admission_.handle(event, base::monotonicNow()));
+}
+
+void Executor::Impl::perform(const std::vector<admission::Command> &commands)
+{
+    for (const auto &command : commands) {
+        std::visit(base::Overloaded{
+                           [this](const admission::Start &order) { start(order.id_); },
+                           [this](const admission::Refuse &order) {
+                               refuse(order.id_, notRunOf(order));
+                           },
+                   },
+                   command);
+    }
+}
+
+void Executor::Impl::start(RunId id)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
+        return;
+    const auto now = base::monotonicNow();
+    auto &run = found->second;
+    run.startedAt_ = now;
+    if (run.attempt_.subKey_)
+        perform(once_->handle(once::Admitted{*run.attempt_.subKey_}, now));
+    else
+        send(id, run.deadline_ - now);
+}
+
+void Executor::Impl::refuse(RunId id, const NotRun &why)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
+        return;
+    const auto subKey = found->second.attempt_.subKey_;
+    const auto waiter = found->second.waiter_;
+    removeRun(id);
+    if (subKey)
+        tellRecord(*subKey, why);
+    else
+        reply(waiter, why);
+}
+
+void Executor::Impl::send(RunId id, base::Millis timeLeft)
+{
+    if (timeLeft <= base::Millis(0)) {
+        finish(id, admission::Outcome::Cancelled, NotRun{Reason::DeadlinePassed, {}});
+        return;
+    }
+    auto &run = runs_.at(id);
+    // The body of a request without a record is not needed any more.
+    auto content = run.attempt_.subKey_ ? run.attempt_.request_ : std::move(run.attempt_.request_);
+    auto request = details::backendRequest(std::move(content), timeLeft, run.context_);
+    run.call_ = client_.send(
+            backend_.address_, std::move(request), timeLeft,
+            [this, id](net::CallResult result) { backendDone(id, std::move(result)); });
+}
+
+void Executor::Impl::backendDone(RunId id, net::CallResult result)
+{
+    if (!runs_.contains(id))
+        return;
+    const auto end = details::endOf(std::move(result));
+    finish(id, end.admission_, end.outcome_);
+}
+
+void Executor::Impl::finish(RunId id, admission::Outcome admissionOutcome,
+                            const once::Outcome &outcome)
+{
+    const auto now = base::monotonicNow();
+    const auto &run = runs_.at(id);
+    const auto subKey = run.attempt_.subKey_;
+    const auto waiter = run.waiter_;
+    const auto serviceTime = now - run.startedAt_;
+    removeRun(id);
+    if (!isBaseline())
+        perform(admission_.handle(admission::Finished{id, admissionOutcome, serviceTime}, now));
+    if (subKey)
+        tellRecord(*subKey, outcome);
+    else
+        reply(waiter, outcome);
+}
+
+void Executor::Impl::tellRecord(const once::SubKey &subKey, const once::Outcome &outcome)
+{
+    const auto event
+            = std::visit(base::Overloaded{
+                                 [&](const once::Complete &complete) -> once::ExecutorEvent {
+                                     return once::BackendAnswered{subKey, complete.answer_};
+                                 },
+                                 [&](const NotRun &why) -> once::ExecutorEvent {
+                                     return once::Refused{subKey, why};
+                                 },
+                                 [&](const once::Unknown &) -> once::ExecutorEvent {
+                                     return once::BackendLost{subKey};
+                                 },
+                         },
+                         outcome);
+    perform(once_->handle(event, base::monotonicNow()));
+}
+
+Executor::Impl::RunId Executor::Impl::runOf(const once::SubKey &subKey) const
+{
+    const auto found = runOfSubKey_.find(subKey.text());
+    return found != runOfSubKey_.end() ? found->second : 0;
+}
+
+void Executor::Impl::admit(const once::Admit &order)
+{
+    if (!delegated_)
+        return;
+    if (const auto refusal = refusalOf(*delegated_)) {
+        budgetLeft_ = delegated_->budget_;
+        tellRecord(order.subKey_, *refusal);
+        return;
+    }
+    const auto id = createRun(std::move(*delegated_), order.startBy_);
+    delegated_.reset();
+    if (!id) {
+        tellRecord(order.subKey_, NotRun{Reason::NoRoom, {}});
+        return;
+    }
+    runOfSubKey_.emplace(order.subKey_.text(), *id);
+    arrive(*id);
+}
+
+void Executor::Impl::abandon(RunId id)
+{
+    if (id == 0)
+        return;
+    removeRun(id);
+    if (!isBaseline())
+        perform(admission_.handle(admission::Cancelled{id}, base::monotonicNow()));
+}
+
+void Executor::Impl::perform(const std::vector<once::ExecutorCommand> &commands)
+{
+    for (const auto &command : commands) {
+        std::visit(base::Overloaded{
+                           [this](const once::Reply &told) { reply(told.waiter_, told.outcome_); },
+                           [this](const once::ReplyReplaced &told) {
+                               reply(told.waiter_, NotRun{Reason::OtherGeneration, {}}, true);
+                           },
+                           [this](const once::Admit &order) { admit(order); },
+                           [this](const once::SendToBackend &order) {
+                               if (const auto id = runOf(order.subKey_); id != 0)
+                                   send(id, order.timeLeft_);
+                           },
+                           [this](const once::Abandon &order) { abandon(runOf(order.subKey_)); },
+                   },
+                   command);
+    }
+}
+
+void Executor::Impl::reply(AttemptId id, const once::Outcome &outcome, bool isReplaced)
+{
+    auto node = waiters_.extract(id);
+    if (node.empty())
+        return;
+    const auto &waiter = node.mapped();
+    AttemptAnswer answer;
+    answer.outcome_ = outcome;
+    answer.isReplaced_ = isReplaced;
+    answer.budgetLeft_ = std::exchange(budgetLeft_, 0);
+    answer.queueing_ = std::exchange(queueing_, base::Millis());
+    answer.isLeaving_ = backend_.serving_ == model::ServingState::Draining;
+    answer.level_ = Level::all();
+    if (!isBaseline())
+        answer.level_ = levels_.effective(waiter.requestClass_, admission_.level(waiter.customer_),
+                                          base::monotonicNow());
+    waiter.answer_(std::move(answer));
+}
+
+} // namespace dock
--- /dev/null
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <admission/Core.h>
+#include <admission/DownstreamLevels.h>
+#include <dock/Executor.h>
+#include <net/HttpClient.h>
+#include <net/Reactor.h>
+#include <once/Executor.h>
+#include <settings/Settings.h>
+
+namespace retry {
+class ContextTable;
+}
+
+namespace dock {
+
+/** State of an executor and the steps between its decisions. */
+struct Executor::Impl
+{
+    using RunId = admission::RequestId;
+
+    /** A request between its arrival and its end. */
+    struct Run
+    {
+        Attempt attempt_;
+        base::Millis deadline_;
+        base::Millis arrivedAt_;
+        base::Millis startedAt_; ///< 0 until it has a slot
+        std::string context_;    ///< token of its running call
+        net::CallId call_ = 0;
+        AttemptId waiter_ = 0; ///< of an idempotent request
+    };
+
+    /** An attempt that waits for its answer. */
+    struct Waiter
+    {
+        AnswerFunction answer_;
+        std::string requestClass_;
+        std::string customer_;
+        RunId run_ = 0; ///< of an idempotent request
+        std::optional<once::SubKey> subKey_;
+    };
+
+    Impl(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
+         retry::ContextTable &contexts)
+        : reactor_(reactor)
+        , settings_(settings)
+        , contexts_(contexts)
+        , client_(reactor, settings.maxBodyBytes_)
+    {
+        createRecord(std::move(self));
+    }
+
+    bool isServing() const { return backend_.serving_ == model::ServingState::Ready; }
+    bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
+    std::optional<once::NotRun> refusalOf(const Attempt &attempt) const;
+    std::uint32_t admissionSlots() const;
+    RunId runOf(const once::SubKey &subKey) const;
+
+    void createRecord(once::Incarnation self);
+    void scheduleTick();
+    void tick();
+    void applyBackend(BackendServer backend);
+    void configureAdmission();
+    std::optional<RunId> createRun(Attempt attempt, base::Millis startBy);
+    void removeRun(RunId id);
+    void arrive(RunId id);
+    void start(RunId id);
+    void refuse(RunId id, const once::NotRun &why);
+    void send(RunId id, base::Millis timeLeft);
+    void backendDone(RunId id, net::CallResult result);
+    void finish(RunId id, admission::Outcome admissionOutcome, const once::Outcome &outcome);
+    void tellRecord(const once::SubKey &subKey, const once::Outcome &outcome);
+    void reply(AttemptId waiter, const once::Outcome &outcome, bool isReplaced = false);
+    void admit(const once::Admit &order);
+    void abandon(RunId id);
+    void perform(const std::vector<admission::Command> &commands);
+    void perform(const std::vector<once::ExecutorCommand> &commands);
+
+    net::Reactor &reactor_;
+    const settings::Settings &settings_;
+    retry::ContextTable &contexts_;
+    net::HttpClient client_;
+    admission::Core admission_;
+    admission::DownstreamLevels levels_;
+    std::optional<once::Executor> once_;
+    BackendChanged onBackendChanged_;
+    ContextFunction onContextEnded_;
+    ContextFunction onContextCancelled_;
+    BackendServer backend_;
+    base::Millis lastAnnounced_;
+    std::map<std::string, model::Customer> customers_;
+    bool isDraining_ = false;
+
+    std::unordered_map<RunId, Run> runs_;
+    std::unordered_map<std::string, RunId> runOfSubKey_;
+    std::unordered_map<std::string, RunId> runOfContext_;
+    std::unordered_map<AttemptId, Waiter> waiters_;
+    base::Millis queueing_;            ///< of the run that ended last; reported by one answer
+    std::uint32_t budgetLeft_ = 0;     ///< of the run that ended last; reported by one answer
+    std::optional<Attempt> delegated_; ///< while the once-only record decides on it
+    RunId nextRun_ = 1;
+    AttemptId nextWaiter_ = 1;
+    net::TimerId timer_ = 0;
+};
+
+} // namespace dock
