Send a retry to an instance that was not tried; bind the gossip test's ports safely

The gossip test took a UDP port first and then failed to bind the same number for TCP when another process had it. Change: both kinds of calls remember the instances tried and choose among the others while there are any. The test binds TCP first. Ruled out: counting on ejection, which needs several failures in a row.

--- a/libs/dock/include/dock/IdempotentCalls.h
+++ b/libs/dock/include/dock/IdempotentCalls.h
@@ -55,6 +55,7 @@
         Done done_;
         SendId send_ = 0;
         std::uint32_t attempt_ = 0;
+        std::vector<std::string> tried_; ///< instances that failed
         CallReport report_;
         bool mayHaveRun_ = false;
         once::NotRun lastRefusal_;
--- a/libs/dock/include/dock/KeyedCalls.h
+++ b/libs/dock/include/dock/KeyedCalls.h
@@ -59,7 +59,8 @@
     struct Record
     {
         CallInfo info_;
-        once::WaiterId waiter_ = 0; ///< whose request started the record
+        once::WaiterId waiter_ = 0;      ///< whose request started the record
+        std::vector<std::string> tried_; ///< instances that did not run it
         retry::StartAttempt attempt_;
         std::optional<std::uint32_t> budgetLeft_; ///< as the last answer said
     };
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -5,6 +5,8 @@
 #include <net/Reactor.h>
 #include <routing/Core.h>
 
+#include "details/Selection.h"
+
 namespace dock {
 
 retry::AttemptResult attemptResultOf(const once::NotRun &why)
@@ -98,7 +100,7 @@
     call.attempt_ = order.attempt_;
     const auto now = base::monotonicNow();
     const auto choice
-            = routing_.choose(call.info_.service_, call.info_.priority_, order.avoid_, now);
+            = details::selectInstance(routing_, call.info_, order.avoid_, call.tried_, now);
     if (!choice) {
         call.lastRefusal_ = notRunOf(choice.error());
         retry_.handle(retry::CallEnded{order.call_}, now);
@@ -107,6 +109,7 @@
     }
     const auto id = order.call_;
     ++call.report_.attempts_;
+    call.tried_.push_back(choice->member_->id_);
     call.send_ = sender_.send(*choice->member_, attemptOf(call.info_, order.handedDown_, now),
                               [this, id, instance = choice->member_->id_](SendResult result) {
                                   attemptDone(id, instance, std::move(result));
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -5,6 +5,8 @@
 #include <base/Overloaded.h>
 #include <routing/Core.h>
 
+#include "details/Selection.h"
+
 namespace dock {
 
 namespace {
@@ -179,13 +181,14 @@
         return;
     auto &record = found->second;
     record.attempt_ = order;
-    const auto choice = routing_.choose(record.info_.service_, record.info_.priority_, order.avoid_,
-                                        base::monotonicNow());
+    const auto choice = details::selectInstance(routing_, record.info_, order.avoid_, record.tried_,
+                                                base::monotonicNow());
     if (!choice) {
         tell(once::NotChosen{order.call_, notRunOf(choice.error())});
         return;
     }
     const auto &member = *choice->member_;
+    record.tried_.push_back(member.id_);
     tell(once::Chosen{order.call_, {member.id_, member.generation_}});
 }
 
--- a/libs/dock/tests/FailureTest.cpp
+++ b/libs/dock/tests/FailureTest.cpp
@@ -241,7 +241,7 @@
     waitForRuns(1);
     const auto &parent = first_.backend_->runs() > 0 ? first_ : second_;
     std::string token;
-    {
+    while (token.empty()) {
         const std::lock_guard lock(mutex);
         token = context;
     }
--- a/libs/gossip/tests/GossipServiceTest.cpp
+++ b/libs/gossip/tests/GossipServiceTest.cpp
@@ -25,24 +25,24 @@
                                     std::vector<model::Address> seeds, const std::string &secret)
 {
     auto daemon = std::make_unique<Daemon>();
-    gossip::Options options;
-    options.self_ = {id, 0, "region", "dc", loopback(1), loopback(0)};
-    options.seeds_ = std::move(seeds);
-    options.clusterSecret_ = secret;
     auto *raw = daemon.get();
-    auto service = gossip::GossipService::start(
-            reactor, options, {[raw](const auto &members) { raw->listed_ = members->size(); }, {}});
-    EXPECT_TRUE(service.has_value());
-    daemon->service_ = std::move(*service);
-    const auto port = daemon->service_->self().controlAddress_.port_;
+    // TCP first: its ports are in use far more often than those of UDP.
     auto server = net::HttpServer::start(
-            reactor, {loopback(port)}, [raw](net::ExchangeId exchange, net::HttpRequest request) {
+            reactor, {loopback(0)}, [raw](net::ExchangeId exchange, net::HttpRequest request) {
                 raw->server_->respond(exchange,
                                       raw->service_->handleControlRequest(request).value_or(
                                               net::HttpResponse{404, {}, {}}));
             });
     EXPECT_TRUE(server.has_value());
     daemon->server_ = std::move(*server);
+    gossip::Options options;
+    options.self_ = {id, 0, "region", "dc", loopback(1), loopback(daemon->server_->port())};
+    options.seeds_ = std::move(seeds);
+    options.clusterSecret_ = secret;
+    auto service = gossip::GossipService::start(
+            reactor, options, {[raw](const auto &members) { raw->listed_ = members->size(); }, {}});
+    EXPECT_TRUE(service.has_value());
+    daemon->service_ = std::move(*service);
     return daemon;
 }
 
