--- a/libs/routing/tests/ChainTest.cpp
+++ b/libs/routing/tests/ChainTest.cpp
@@ -27,6 +27,13 @@
     add("deep", 0.35 * ChainModel::capacity, surgeEnd, end);
 }
 
+void record(const std::string &name, const ChainModel::Counts &counts)
+{
+    testing::Test::RecordProperty(name + "Arrived", counts.arrived_);
+    testing::Test::RecordProperty(name + "Completed", counts.completed_);
+    testing::Test::RecordProperty(name + "Wasted", counts.wasted_);
+}
+
 class Chain : public testing::TestWithParam<double>
 {};
 
@@ -39,11 +46,14 @@
     model.run(Millis(1000 * end));
     const auto deep = model.sum("deep", protectedRank, surgeStart + 1, surgeEnd);
     const auto low = model.sum("deep", lowRank, surgeStart + 1, surgeEnd);
+    record("protected", deep);
+    record("low", low);
     const double seconds = surgeEnd - surgeStart - 1;
     EXPECT_GE(deep.completed_ / seconds, 0.95 * ChainModel::capacity);
     EXPECT_LE(deep.wasted_ + low.wasted_, 0.05 * (deep.arrived_ + low.arrived_));
     for (const int rank : {protectedRank, lowRank}) {
         const auto flat = model.sum("flat", rank, surgeStart, surgeEnd);
+        record("flatOfRank" + std::to_string(rank), flat);
         EXPECT_GE(flat.completed_, 0.95 * flat.arrived_) << "rank " << rank;
     }
 }
@@ -64,6 +74,8 @@
     addSurge(model, GetParam());
     model.run(Millis(1000 * end));
     const auto flat = model.sum("flat", lowRank, surgeStart, surgeEnd);
+    record("flatLow", flat);
+    record("low", model.sum("deep", lowRank, surgeStart + 1, surgeEnd));
     EXPECT_LT(flat.completed_, 0.95 * flat.arrived_);
 }
 
@@ -73,6 +85,7 @@
     addSurge(model, GetParam());
     model.run(Millis(1000 * end));
     const auto deep = model.sum("deep", lowRank, surgeStart + 1, surgeEnd);
+    record("low", deep);
     EXPECT_GT(deep.wasted_, 0.5 * deep.arrived_);
 }
 
@@ -86,6 +99,8 @@
     model.run(Millis(20000));
     const auto quiet = model.sum("deepquiet", protectedRank, 6, 19);
     const auto flood = model.sum("deepflood", protectedRank, 6, 19);
+    record("quiet", quiet);
+    record("flood", flood);
     EXPECT_GE(quiet.completed_, 0.95 * quiet.arrived_);
     EXPECT_GE(quiet.completed_ + flood.completed_, 0.95 * 13 * ChainModel::capacity);
 }
