Use the three levels of answers in the daemon

Cause: the daemon still carried one level for each answer, which the two-service model shows to refuse classes that do not call the overloaded service and customers within their share. Change: InstanceSelector joins routing with what answers teach (levels of the instance, of the customer, further down); refusals for overload are told to routing apart from other refusals; asking for an outcome says nothing to routing; a customer at its limit is told so (429).

--- a/libs/dock/include/dock/AttemptAnswer.h
+++ b/libs/dock/include/dock/AttemptAnswer.h
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 
-#include <admission/Level.h>
+#include <admission/AnswerLevels.h>
 #include <base/Millis.h>
 #include <once/Outcome.h>
 
@@ -12,7 +12,7 @@
 struct AttemptAnswer
 {
     once::Outcome outcome_;
-    admission::Level level_;       ///< worst priority admitted here and further down
+    admission::AnswerLevels levels_;
     std::uint32_t budgetLeft_ = 0; ///< retries handed down and not used
     base::Millis queueing_;        ///< time that it waited for a slot
     bool isLeaving_ = false;       ///< the instance is draining
--- a/libs/dock/include/dock/AttemptSender.h
+++ b/libs/dock/include/dock/AttemptSender.h
@@ -10,6 +10,7 @@
 #include <dock/Attempt.h>
 #include <dock/AttemptAnswer.h>
 #include <dock/Executor.h>
+#include <dock/InstanceSelector.h>
 #include <model/Member.h>
 #include <net/Failure.h>
 #include <net/HttpClient.h>
@@ -48,7 +49,10 @@
     AttemptSender &operator=(const AttemptSender &) = delete;
 
     /** Sends an attempt; done is called once, unless it is cancelled before. */
-    SendId send(const model::Member &to, Attempt attempt, Done done);
+    SendId send(const Selected &to, Attempt attempt, Done done);
+
+    /** Asks for an outcome; says nothing to routing, as the backend server has no part in it. */
+    SendId ask(const model::Member &to, Attempt attempt, Done done);
 
     /** Nobody waits for the answer any more. */
     void cancel(SendId id);
@@ -57,13 +61,17 @@
     struct Pending
     {
         std::string instance_;
-        admission::Priority priority_;
+        admission::Priority routed_;
+        bool isAsk_ = false;
         bool isLocal_ = false;
         AttemptId attempt_ = 0;
         net::CallId call_ = 0;
         Done done_;
     };
 
+    SendId startPending(const model::Member &to, const admission::Priority &routed, bool isAsk,
+                        Done done);
+    void transmit(SendId id, const model::Member &to, Attempt attempt);
     void complete(SendId id, SendResult result);
     void tellRouting(const Pending &pending, const SendResult &result);
 
--- a/libs/dock/include/dock/CallerAnswer.h
+++ b/libs/dock/include/dock/CallerAnswer.h
@@ -20,6 +20,7 @@
 inline constexpr int statusKeyNeeded = 428;
 inline constexpr int statusBadRequest = 400;
 inline constexpr int statusNotFound = 404;
+inline constexpr int statusTooManyRequests = 429;
 inline constexpr int statusUnavailable = 503;
 inline constexpr int statusUnknown = 504;
 
--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -81,6 +81,9 @@
     /** Issues no further keys: this daemon will not be there to honour them. */
     void drain();
 
+    /** Forgets what was learnt from answers and has expired; to be called about once a second. */
+    void prune();
+
     /** Requests that wait for an answer. */
     std::size_t activeCount() const;
 
--- a/libs/dock/include/dock/IdempotentCalls.h
+++ b/libs/dock/include/dock/IdempotentCalls.h
@@ -9,19 +9,15 @@
 #include <dock/AttemptSender.h>
 #include <dock/CallInfo.h>
 #include <dock/CallReport.h>
+#include <dock/InstanceSelector.h>
 #include <once/Outcome.h>
 #include <retry/Command.h>
 #include <retry/Core.h>
 #include <retry/Event.h>
-#include <routing/Choice.h>
 
 namespace net {
 class Reactor;
 }
-namespace routing {
-class Core;
-}
-
 namespace dock {
 
 /**
@@ -33,11 +29,10 @@
 {
 public:
     using Done = std::function<void(const once::Outcome &, const CallReport &)>;
-    using LevelLearnt = std::function<void(const CallInfo &, const admission::Level &)>;
 
     /** All that is passed in must outlive this object. */
-    IdempotentCalls(net::Reactor &reactor, retry::Core &retry, routing::Core &routing,
-                    AttemptSender &sender, LevelLearnt onLevel);
+    IdempotentCalls(net::Reactor &reactor, retry::Core &retry, InstanceSelector &selector,
+                    AttemptSender &sender);
     ~IdempotentCalls();
 
     /** Starts a call; done is called once, unless the call is cancelled before. */
@@ -70,9 +65,8 @@
 
     net::Reactor &reactor_;
     retry::Core &retry_;
-    routing::Core &routing_;
+    InstanceSelector &selector_;
     AttemptSender &sender_;
-    LevelLearnt onLevel_;
     std::map<retry::CallId, Call> calls_;
     retry::CallId nextId_ = 1;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
@@ -81,7 +75,4 @@
 /** How retrying sees an outcome that is not a whole answer. */
 retry::AttemptResult attemptResultOf(const once::NotRun &why);
 
-/** The outcome of a call for which routing has no instance. */
-once::NotRun notRunOf(const routing::NoChoice &none);
-
 } // namespace dock
--- a/libs/dock/include/dock/KeyedCalls.h
+++ b/libs/dock/include/dock/KeyedCalls.h
@@ -26,8 +26,8 @@
     using FindMember = std::function<const model::Member *(const std::string &id)>;
 
     /** All that is passed in must outlive this object. */
-    KeyedCalls(net::Reactor &reactor, once::Home &home, retry::Core &retry, routing::Core &routing,
-               AttemptSender &sender, FindMember findMember, IdempotentCalls::LevelLearnt onLevel);
+    KeyedCalls(net::Reactor &reactor, once::Home &home, retry::Core &retry,
+               InstanceSelector &selector, AttemptSender &sender, FindMember findMember);
     ~KeyedCalls();
 
     /** Starts or repeats the request of a key that this daemon is the home of. */
@@ -61,6 +61,7 @@
         CallInfo info_;
         once::WaiterId waiter_ = 0;      ///< whose request started the record
         std::vector<std::string> tried_; ///< instances that did not run it
+        admission::Priority routed_;     ///< by which the executor was chosen
         retry::StartAttempt attempt_;
         std::optional<std::uint32_t> budgetLeft_; ///< as the last answer said
     };
@@ -81,10 +82,9 @@
     net::Reactor &reactor_;
     once::Home &home_;
     retry::Core &retry_;
-    routing::Core &routing_;
+    InstanceSelector &selector_;
     AttemptSender &sender_;
     FindMember findMember_;
-    IdempotentCalls::LevelLearnt onLevel_;
     std::unordered_map<once::WaiterId, Waiting> waiting_;
     std::unordered_map<once::RecordId, Record> records_;
     once::WaiterId nextWaiter_ = 1;
--- a/libs/dock/src/AttemptCodec.cpp
+++ b/libs/dock/src/AttemptCodec.cpp
@@ -154,8 +154,7 @@
     net::HttpResponse response;
     std::visit([&response](const auto &outcome) { addOutcome(response, outcome); },
                answer.outcome_);
-    // Shifted by one, as the level that admits nothing is -1.
-    add(response.headers_, header::level, std::to_string(answer.level_.value_ + 1));
+    add(response.headers_, header::level, answer.levels_.text());
     add(response.headers_, header::budget, std::to_string(answer.budgetLeft_));
     add(response.headers_, header::queueingMicros, std::to_string(answer.queueing_.micros()));
     if (answer.isReplaced_)
@@ -172,9 +171,7 @@
     const auto flags = headerValue(headers, header::flags);
     answer.isLeaving_ = flags == flagLeaving;
     answer.isReplaced_ = flags == flagReplaced;
-    constexpr auto all = static_cast<std::uint64_t>(admission::Level::highest) + 1;
-    answer.level_ = admission::Level::fromNumber(
-            static_cast<long>(numberUpTo(headers, header::level, all, all)) - 1);
+    answer.levels_ = admission::AnswerLevels::parse(headerValue(headers, header::level));
     answer.budgetLeft_
             = static_cast<std::uint32_t>(numberUpTo(headers, header::budget, mostBudget));
     answer.queueing_ = base::Millis::fromMicros(static_cast<std::int64_t>(
--- a/libs/dock/src/AttemptSender.cpp
+++ b/libs/dock/src/AttemptSender.cpp
@@ -31,12 +31,26 @@
 {
     return std::visit(base::Overloaded{
                               [](const once::Complete &) { return routing::AnswerKind::Complete; },
-                              [](const once::NotRun &) { return routing::AnswerKind::Refused; },
+                              [](const once::NotRun &why) {
+                                  return why.reason_ == once::Reason::Overloaded
+                                                 ? routing::AnswerKind::Shed
+                                                 : routing::AnswerKind::Refused;
+                              },
                               [](const once::Unknown &) { return routing::AnswerKind::Unknown; },
                       },
                       outcome);
 }
 
+SendResult decodeResult(net::CallResult result)
+{
+    if (!result)
+        return tl::unexpected(result.error().kind_);
+    auto answer = decodeAnswer(std::move(*result));
+    if (!answer)
+        return tl::unexpected(net::FailureKind::Lost);
+    return std::move(*answer);
+}
+
 bool isBackendDown(const once::Outcome &outcome)
 {
     const auto *notRun = std::get_if<once::NotRun>(&outcome);
@@ -59,15 +73,36 @@
     *isAlive_ = false;
 }
 
-SendId AttemptSender::send(const model::Member &to, Attempt attempt, Done done)
+SendId AttemptSender::send(const Selected &to, Attempt attempt, Done done)
+{
+    const auto id = startPending(to.member_, to.routed_, false, std::move(done));
+    routing_.handle(routing::Sent{to.member_.id_, to.routed_}, base::monotonicNow());
+    transmit(id, to.member_, std::move(attempt));
+    return id;
+}
+
+SendId AttemptSender::ask(const model::Member &to, Attempt attempt, Done done)
+{
+    const auto id = startPending(to, {}, true, std::move(done));
+    transmit(id, to, std::move(attempt));
+    return id;
+}
+
+SendId AttemptSender::startPending(const model::Member &to, const admission::Priority &routed,
+                                   bool isAsk, Done done)
 {
     const auto id = nextId_++;
-    auto &pending = pending_[id];
-    pending.instance_ = to.id_;
-    pending.priority_ = attempt.priority_;
-    pending.isLocal_ = to.id_ == selfId_;
-    pending.done_ = std::move(done);
-    routing_.handle(routing::Sent{to.id_, attempt.priority_}, base::monotonicNow());
+    pending_[id] = {.instance_ = to.id_,
+                    .routed_ = routed,
+                    .isAsk_ = isAsk,
+                    .isLocal_ = to.id_ == selfId_,
+                    .done_ = std::move(done)};
+    return id;
+}
+
+void AttemptSender::transmit(SendId id, const model::Member &to, Attempt attempt)
+{
+    auto &pending = pending_.at(id);
     if (pending.isLocal_) {
         // The answer may come before accept() returns, so it is handled at the end of the turn.
         pending.attempt_ = local_.accept(
@@ -77,22 +112,12 @@
                             complete(id, std::move(answer));
                     });
                 });
-        return id;
+        return;
     }
     const auto timeout = attempt.timeLeft_ + answerGrace;
-    pending.call_ = client_.send(to.peerAddress_, encodeAttempt(std::move(attempt)), timeout,
-                                 [this, id](net::CallResult result) {
-                                     if (!result) {
-                                         complete(id, tl::unexpected(result.error().kind_));
-                                         return;
-                                     }
-                                     auto answer = decodeAnswer(std::move(*result));
-                                     if (answer)
-                                         complete(id, std::move(*answer));
-                                     else
-                                         complete(id, tl::unexpected(net::FailureKind::Lost));
-                                 });
-    return id;
+    pending.call_ = client_.send(
+            to.peerAddress_, encodeAttempt(std::move(attempt)), timeout,
+            [this, id](net::CallResult result) { complete(id, decodeResult(std::move(result))); });
 }
 
 void AttemptSender::cancel(SendId id)
@@ -105,8 +130,9 @@
         local_.cancel(pending.attempt_);
     else
         client_.cancel(pending.call_);
-    routing_.handle(routing::Failed{pending.instance_, routing::FailureKind::Cancelled},
-                    base::monotonicNow());
+    if (!pending.isAsk_)
+        routing_.handle(routing::Failed{pending.instance_, routing::FailureKind::Cancelled},
+                        base::monotonicNow());
 }
 
 void AttemptSender::complete(SendId id, SendResult result)
@@ -114,7 +140,8 @@
     auto node = pending_.extract(id);
     if (node.empty())
         return;
-    tellRouting(node.mapped(), result);
+    if (!node.mapped().isAsk_)
+        tellRouting(node.mapped(), result);
     node.mapped().done_(std::move(result));
 }
 
@@ -131,8 +158,8 @@
     }
     routing_.handle(routing::Answered{.instance_ = pending.instance_,
                                       .kind_ = answerKindOf(result->outcome_),
-                                      .priority_ = pending.priority_,
-                                      .level_ = result->level_,
+                                      .priority_ = pending.routed_,
+                                      .level_ = result->levels_.own_,
                                       .isLeaving_ = result->isLeaving_},
                     now);
 }
--- a/libs/dock/src/CallerAnswer.cpp
+++ b/libs/dock/src/CallerAnswer.cpp
@@ -40,6 +40,8 @@
     case once::Reason::KeyExpired:
     case once::Reason::KeyMismatch:
         return statusKeyNeeded;
+    case once::Reason::CustomerLimit:
+        return statusTooManyRequests;
     default:
         return statusUnavailable;
     }
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -239,6 +239,7 @@
 
 void DataTask::Impl::sendStatus()
 {
+    entry_.prune();
     outbox_(DataStatus{.backend_ = executor_.backend(),
                        .openRequests_ = entry_.activeCount(),
                        .activeRuns_ = executor_.activeCount(),
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -10,6 +10,7 @@
 #include <dock/Executor.h>
 #include <dock/HeaderNames.h>
 #include <dock/IdempotentCalls.h>
+#include <dock/InstanceSelector.h>
 #include <dock/KeyedCalls.h>
 #include <dock/Recorder.h>
 #include <events/Catalogue.h>
@@ -105,16 +106,13 @@
         , retryKeyed_({}, contexts, randomSeed())
         , recorder_(settings.traceFile_)
         , sender_(reactor, client, executor, routing_, settings.id_)
-        , idempotent_(reactor, retryIdempotent_, routing_, sender_,
-                      [this](const CallInfo &call, const admission::Level &level) {
-                          levelLearnt(call, level);
-                      })
-        , keyed_(
-                  reactor, *home_, retryKeyed_, routing_, sender_,
-                  [this](const std::string &id) { return findMember(id); },
-                  [this](const CallInfo &call, const admission::Level &level) {
-                      levelLearnt(call, level);
-                  })
+        , selector_(routing_,
+                    [this](const CallInfo &call, admission::Level level) {
+                        executor_.observeLevel(call.contextToken_, call.service_, level);
+                    })
+        , idempotent_(reactor, retryIdempotent_, selector_, sender_)
+        , keyed_(reactor, *home_, retryKeyed_, selector_, sender_,
+                 [this](const std::string &id) { return findMember(id); })
     {}
 
     /** A request that waits for its answer. */
@@ -133,7 +131,6 @@
     bool needsKey(const CallInfo &call) const { return !call.class_.idempotent_ && !isBaseline(); }
     const model::Member *findMember(const std::string &id) const;
     std::string customerOf(const std::string &stated) const;
-    void levelLearnt(const CallInfo &call, const admission::Level &level);
     CallInfo describe(net::HttpRequest request, std::string service, std::string target);
     void inheritFrom(CallInfo &call, const retry::RunningCall &parent) const;
     void addTolerance(CallInfo &call) const;
@@ -158,6 +155,7 @@
     retry::Core retryKeyed_;
     Recorder recorder_;
     AttemptSender sender_;
+    InstanceSelector selector_;
     IdempotentCalls idempotent_;
     KeyedCalls keyed_;
     std::shared_ptr<const model::Config> config_;
@@ -201,12 +199,6 @@
     return config_->customers_.contains(stated) ? stated : defaultCustomer;
 }
 
-void Entry::Impl::levelLearnt(const CallInfo &call, const admission::Level &level)
-{
-    if (call.isChild())
-        executor_.observeLevel(call.contextToken_, call.service_, level);
-}
-
 CallInfo Entry::Impl::describe(net::HttpRequest request, std::string service, std::string target)
 {
     CallInfo call;
@@ -473,6 +465,11 @@
     impl_->isDraining_ = true;
 }
 
+void Entry::prune()
+{
+    impl_->selector_.prune(base::monotonicNow());
+}
+
 std::size_t Entry::activeCount() const
 {
     return impl_->open_.size();
--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -1,5 +1,6 @@
 #include <dock/Executor.h>
 
+#include <admission/EntryLevels.h>
 #include <base/Clock.h>
 #include <events/Catalogue.h>
 #include <events/Log.h>
@@ -142,8 +143,9 @@
     const auto found = impl_->runOfContext_.find(std::string(contextToken));
     if (found == impl_->runOfContext_.end())
         return;
-    const auto &requestClass = impl_->runs_.at(found->second).attempt_.requestClass_;
-    impl_->levels_.observe(requestClass, callee, level, base::monotonicNow());
+    const auto &attempt = impl_->runs_.at(found->second).attempt_;
+    impl_->levels_.observe(admission::scopeKey(attempt.requestClass_, attempt.customer_), callee,
+                           level, base::monotonicNow());
 }
 
 std::size_t Executor::activeCount() const
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -3,32 +3,22 @@
 #include <base/Clock.h>
 #include <base/Overloaded.h>
 #include <net/Reactor.h>
-#include <routing/Core.h>
-
-#include "details/Selection.h"
 
 namespace dock {
 
 retry::AttemptResult attemptResultOf(const once::NotRun &why)
 {
-    if (why.reason_ == once::Reason::Overloaded)
+    if (why.reason_ == once::Reason::Overloaded || why.reason_ == once::Reason::CustomerLimit)
         return retry::AttemptResult::Overloaded;
     return retry::AttemptResult::NotRun;
 }
 
-once::NotRun notRunOf(const routing::NoChoice &none)
-{
-    const bool isShed = none.reason_ == routing::NoChoiceReason::AllShed;
-    return {isShed ? once::Reason::Overloaded : once::Reason::NoInstance, none.retryAfter_};
-}
-
-IdempotentCalls::IdempotentCalls(net::Reactor &reactor, retry::Core &retry, routing::Core &routing,
-                                 AttemptSender &sender, LevelLearnt onLevel)
+IdempotentCalls::IdempotentCalls(net::Reactor &reactor, retry::Core &retry,
+                                 InstanceSelector &selector, AttemptSender &sender)
     : reactor_(reactor)
     , retry_(retry)
-    , routing_(routing)
+    , selector_(selector)
     , sender_(sender)
-    , onLevel_(std::move(onLevel))
 {}
 
 IdempotentCalls::~IdempotentCalls()
@@ -99,19 +89,18 @@
     auto &call = found->second;
     call.attempt_ = order.attempt_;
     const auto now = base::monotonicNow();
-    const auto choice
-            = details::selectInstance(routing_, call.info_, order.avoid_, call.tried_, now);
-    if (!choice) {
-        call.lastRefusal_ = notRunOf(choice.error());
+    const auto selected = selector_.select(call.info_, order.avoid_, call.tried_, now);
+    if (!selected) {
+        call.lastRefusal_ = selected.error();
         retry_.handle(retry::CallEnded{order.call_}, now);
         finish(order.call_, failureOutcome(call));
         return;
     }
     const auto id = order.call_;
     ++call.report_.attempts_;
-    call.tried_.push_back(choice->member_->id_);
-    call.send_ = sender_.send(*choice->member_, attemptOf(call.info_, order.handedDown_, now),
-                              [this, id, instance = choice->member_->id_](SendResult result) {
+    call.tried_.push_back(selected->member_.id_);
+    call.send_ = sender_.send(*selected, attemptOf(call.info_, order.handedDown_, now),
+                              [this, id, instance = selected->member_.id_](SendResult result) {
                                   attemptDone(id, instance, std::move(result));
                               });
 }
@@ -132,7 +121,7 @@
         perform(retry_.handle(event, base::monotonicNow()));
         return;
     }
-    onLevel_(call.info_, result->level_);
+    selector_.observe(call.info_, result->levels_, base::monotonicNow());
     call.report_.queueing_ = result->queueing_;
     event.budgetLeft_ = result->budgetLeft_;
     if (const auto *notRun = std::get_if<once::NotRun>(&result->outcome_)) {
--- /dev/null
+++ b/libs/dock/src/InstanceSelector.cpp
@@ -0,0 +1,58 @@
+#include <dock/InstanceSelector.h>
+
+#include <routing/Core.h>
+
+namespace dock {
+
+namespace {
+
+constexpr base::Millis retryWhenShedFurtherDown(1000);
+
+admission::CallScope scopeOf(const CallInfo &call)
+{
+    return {call.service_, call.class_.name_, call.customer_};
+}
+
+once::NotRun notRunOf(const routing::NoChoice &none)
+{
+    const bool isShed = none.reason_ == routing::NoChoiceReason::AllShed;
+    return {isShed ? once::Reason::Overloaded : once::Reason::NoInstance, none.retryAfter_};
+}
+
+} // namespace
+
+InstanceSelector::InstanceSelector(routing::Core &routing, ParentLevel onParentLevel)
+    : routing_(routing)
+    , onParentLevel_(std::move(onParentLevel))
+{}
+
+tl::expected<Selected, once::NotRun> InstanceSelector::select(const CallInfo &call,
+                                                              const Names &avoid,
+                                                              const Names &tried, base::Millis now)
+{
+    const auto scope = scopeOf(call);
+    // Refused before any work, as a service further down would refuse it after some.
+    if (!levels_.admits(scope, call.priority_, now))
+        return tl::unexpected(once::NotRun{once::Reason::Overloaded, retryWhenShedFurtherDown});
+    const auto routed = levels_.routed(scope, call.priority_, now);
+    if (!tried.empty()) {
+        auto excluded = avoid;
+        excluded.insert(excluded.end(), tried.begin(), tried.end());
+        if (const auto fresh = routing_.choose(call.service_, routed, excluded, now))
+            return Selected{*fresh->member_, routed};
+    }
+    const auto choice = routing_.choose(call.service_, routed, avoid, now);
+    if (!choice)
+        return tl::unexpected(notRunOf(choice.error()));
+    return Selected{*choice->member_, routed};
+}
+
+void InstanceSelector::observe(const CallInfo &call, const admission::AnswerLevels &levels,
+                               base::Millis now)
+{
+    levels_.observe(scopeOf(call), levels, now);
+    if (call.isChild())
+        onParentLevel_(call, admission::levelOfCallee(levels, routing_.level(call.service_, now)));
+}
+
+} // namespace dock
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -3,9 +3,6 @@
 #include <base/Clock.h>
 #include <base/Hash.h>
 #include <base/Overloaded.h>
-#include <routing/Core.h>
-
-#include "details/Selection.h"
 
 namespace dock {
 
@@ -29,15 +26,13 @@
 } // namespace
 
 KeyedCalls::KeyedCalls(net::Reactor &reactor, once::Home &home, retry::Core &retry,
-                       routing::Core &routing, AttemptSender &sender, FindMember findMember,
-                       IdempotentCalls::LevelLearnt onLevel)
+                       InstanceSelector &selector, AttemptSender &sender, FindMember findMember)
     : reactor_(reactor)
     , home_(home)
     , retry_(retry)
-    , routing_(routing)
+    , selector_(selector)
     , sender_(sender)
     , findMember_(std::move(findMember))
-    , onLevel_(std::move(onLevel))
 {}
 
 KeyedCalls::~KeyedCalls()
@@ -181,13 +176,14 @@
         return;
     auto &record = found->second;
     record.attempt_ = order;
-    const auto choice = details::selectInstance(routing_, record.info_, order.avoid_, record.tried_,
-                                                base::monotonicNow());
-    if (!choice) {
-        tell(once::NotChosen{order.call_, notRunOf(choice.error())});
+    const auto selected
+            = selector_.select(record.info_, order.avoid_, record.tried_, base::monotonicNow());
+    if (!selected) {
+        tell(once::NotChosen{order.call_, selected.error()});
         return;
     }
-    const auto &member = *choice->member_;
+    const auto &member = selected->member_;
+    record.routed_ = selected->routed_;
     record.tried_.push_back(member.id_);
     tell(once::Chosen{order.call_, {member.id_, member.generation_}});
 }
@@ -208,7 +204,7 @@
     attempt.timeLeft_ = order.timeLeft_;
     attempt.subKey_ = order.subKey_;
     attempt.settledBelow_ = order.settledBelow_;
-    sender_.send(*member, std::move(attempt),
+    sender_.send({*member, record->second.routed_}, std::move(attempt),
                  [this, order](SendResult result) { delegated(order, std::move(result)); });
 }
 
@@ -221,7 +217,7 @@
             ++waiting->second.report_.attempts_;
         if (result) {
             record.budgetLeft_ = result->budgetLeft_;
-            onLevel_(record.info_, result->level_);
+            selector_.observe(record.info_, result->levels_, base::monotonicNow());
             if (waiting != waiting_.end())
                 waiting->second.report_.queueing_ = result->queueing_;
         }
@@ -240,7 +236,7 @@
         return;
     }
     Attempt attempt{.kind_ = AttemptKind::Ask, .timeLeft_ = askTimeout, .subKey_ = order.subKey_};
-    sender_.send(*member, std::move(attempt), [this, subKey = order.subKey_](SendResult result) {
+    sender_.ask(*member, std::move(attempt), [this, subKey = order.subKey_](SendResult result) {
         answered(subKey, std::move(result));
     });
 }
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -1,5 +1,6 @@
 #include "details/ExecutorImpl.h"
 
+#include <admission/EntryLevels.h>
 #include <base/Clock.h>
 #include <base/Overloaded.h>
 #include <events/Catalogue.h>
@@ -28,8 +29,9 @@
         return {Reason::DeadlinePassed, refusal.retryAfter_};
     case admission::RefusalReason::NotServing:
         return {Reason::NoInstance, refusal.retryAfter_};
-    case admission::RefusalReason::Overloaded:
     case admission::RefusalReason::CustomerLimit:
+        return {Reason::CustomerLimit, refusal.retryAfter_};
+    case admission::RefusalReason::Overloaded:
         break;
     }
     return {Reason::Overloaded, refusal.retryAfter_};
@@ -307,10 +309,12 @@
     answer.budgetLeft_ = std::exchange(budgetLeft_, 0);
     answer.queueing_ = std::exchange(queueing_, base::Millis());
     answer.isLeaving_ = backend_.serving_ == model::ServingState::Draining;
-    answer.level_ = Level::all();
-    if (!isBaseline())
-        answer.level_ = levels_.effective(waiter.requestClass_, admission_.level(waiter.customer_),
-                                          base::monotonicNow());
+    if (!isBaseline()) {
+        const auto scope = admission::scopeKey(waiter.requestClass_, waiter.customer_);
+        answer.levels_ = {.own_ = admission_.level(),
+                          .customer_ = admission_.level(waiter.customer_),
+                          .further_ = levels_.effective(scope, Level::all(), base::monotonicNow())};
+    }
     waiter.answer_(std::move(answer));
 }
 
--- a/libs/once/src/Reason.cpp
+++ b/libs/once/src/Reason.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 22> texts = {
+constexpr std::array<std::string_view, 23> texts = {
         "none",
         "bad-key",
         "no-instance",
@@ -30,8 +30,9 @@
         "forgotten",
         "still-running",
         "too-many-waiting",
+        "customer-limit",
 };
-static_assert(texts.size() == static_cast<std::size_t>(Reason::TooManyWaiting) + 1);
+static_assert(texts.size() == static_cast<std::size_t>(Reason::CustomerLimit) + 1);
 
 } // namespace
 
