Round the reactor's waits up to whole milliseconds

Cause: ACE's epoll reactor cuts off fractions of a millisecond, so before each timer the loop polled without waiting, for half a millisecond on average. With ten ticks a second this was most of what a daemon spent on control.

Conclusion: timers are up to 1 ms later, which no timeout here notices.

--- a/libs/net/src/Reactor.cpp
+++ b/libs/net/src/Reactor.cpp
@@ -94,7 +94,9 @@
 void Reactor::Impl::turn(base::Millis longest)
 {
     const auto wait = std::min(longest, untilNextTimer());
-    ACE_Time_Value timeout(wait.micros() / 1'000'000, wait.micros() % 1'000'000);
+    // The reactor cuts off fractions of a millisecond and would poll until the timer is due.
+    const auto micros = (wait + base::Millis::fromMicros(999)).count() * 1000;
+    ACE_Time_Value timeout(micros / 1'000'000, micros % 1'000'000);
     ace_.handle_events(timeout);
     runTimers();
     runPosted();
