Compare generations when tests and measurements ask for convergence

Cause: a restarted data centre seemed to converge at once, since its earlier processes were still listed. Changed: who lists an earlier process of a running daemon has not converged; full states are encoded and counted with the bytes sent.

--- a/libs/membership/tests/Pump.h
+++ b/libs/membership/tests/Pump.h
@@ -21,7 +21,7 @@
         std::unique_ptr<membership::Core> core_; ///< null while crashed
         bool isPaused_ = false;
         std::vector<std::function<void()>> held_; ///< arrived during a pause
-        std::size_t bytes_ = 0;
+        std::size_t bytes_ = 0;                   ///< sent, by UDP and TCP
         std::size_t datagrams_ = 0;
     };
 
@@ -144,6 +144,11 @@
                 const auto *record = daemon.core_->find(id);
                 const bool isListed = record && record->isLive();
                 const bool isRunning = other.core_ != nullptr;
+                const bool isOutdated
+                        = isListed && isRunning
+                          && record->member_.generation_ != other.core_->self().generation_;
+                if (isOutdated)
+                    text += observer + " lists an earlier process of " + id + "\n";
                 if (isListed == isRunning)
                     continue;
                 if (isRunning || judged.contains(other.options_.self_.dataCentre_))
@@ -267,6 +272,15 @@
         tell(to, membership::DatagramReceived{source, codec_.decode(bytes).value()});
     }
 
+    void answerFetch(const std::string &from, const std::string &to,
+                     const membership::FetchState &fetch)
+    {
+        const auto bytes = codec_.encodeState(core(to).state(now_, fetch.dataCentre_));
+        daemons_.at(to).bytes_ += bytes.size();
+        tell(from, membership::StateFetched{fetch.from_, fetch.request_,
+                                            codec_.decodeState(bytes).value()});
+    }
+
     void fetchState(const std::string &from, const membership::FetchState &fetch)
     {
         const auto to = at(fetch.from_);
@@ -277,8 +291,7 @@
             if (!isRunning(from))
                 return;
             if (isServed)
-                tell(from, membership::StateFetched{fetch.from_, fetch.request_,
-                                                    core(to).state(now_, fetch.dataCentre_)});
+                answerFetch(from, to, fetch);
             else
                 tell(from, membership::StateFetchFailed{fetch.request_});
         });
