Ship one binary: daemon and client commands

Cause: notes could only be published with curl. Change: the program hands note, status and settings to the client library.

--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -101,24 +101,4 @@
     }
 }
 
-int runSettings(int argc, char **argv)
-{
-    if (argc == 2 && std::string(argv[1]) == "--help") {
-        std::cout << "usage: fuchsiadock settings check FILE\n"
-                     "Reports every fault of a settings file with its line and field.\n";
-        return exitOk;
-    }
-    if (argc != 3 || std::string(argv[1]) != "check") {
-        std::cerr << "usage: fuchsiadock settings check FILE\n";
-        return exitUsage;
-    }
-    const auto loaded = settings::loadFile(argv[2]);
-    if (!loaded) {
-        printFaults(loaded.error());
-        return exitFailed;
-    }
-    std::cout << argv[2] << ": no faults\n";
-    return exitOk;
-}
-
 } // namespace fuchsiadock
--- a/tools/fuchsiadock/DaemonCommand.h
+++ b/tools/fuchsiadock/DaemonCommand.h
@@ -5,7 +5,4 @@
 /** `fuchsiadock daemon`: runs one daemon until it is told to end. Returns the exit code. */
 int runDaemon(int argc, char **argv);
 
-/** `fuchsiadock settings check FILE`. Returns the exit code. */
-int runSettings(int argc, char **argv);
-
 } // namespace fuchsiadock
--- a/tools/fuchsiadock/main.cpp
+++ b/tools/fuchsiadock/main.cpp
@@ -1,42 +1,52 @@
-#include <functional>
 #include <iostream>
-#include <map>
 #include <string>
+#include <vector>
+
+#include <cli/Client.h>
+#include <cli/ClientHooks.h>
+#include <cli/ExitCode.h>
+#include <settings/Loader.h>
 
 #include "DaemonCommand.h"
 
 namespace {
 
-constexpr int exitUsage = 2;
-
-constexpr const char *usage = R"(usage: fuchsiadock COMMAND [OPTIONS]
-
-  daemon             run the daemon beside one backend server
-  settings check F   check a settings file
-  --version          show the version
+std::string usage()
+{
+    return "usage: fuchsiadock COMMAND [OPTIONS]\n\n"
+           "  daemon                runs the daemon beside one backend server\n"
+           + std::string(cli::clientSummary())
+           + "  --version             shows the version\n\n"
+             "Every command has --help. Exit codes: docs/operations/command-line.md.\n";
+}
 
-Every command has --help. Exit codes: 0 done, 1 failed, 2 wrong usage or settings.
-)";
+std::vector<std::string> checkSettings(const std::string &file)
+{
+    std::vector<std::string> lines;
+    if (const auto loaded = settings::loadFile(file); !loaded) {
+        for (const auto &fault : loaded.error())
+            lines.push_back(fault.text());
+    }
+    return lines;
+}
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    const std::map<std::string, std::function<int(int, char **)>> commands = {
-            {"daemon", fuchsiadock::runDaemon},
-            {"settings", fuchsiadock::runSettings},
-    };
     const std::string name = argc > 1 ? argv[1] : "";
+    if (name == "daemon")
+        return fuchsiadock::runDaemon(argc - 1, argv + 1);
+    if (cli::isClientCommand(name))
+        return cli::runClient(argc, argv, {.checkSettings_ = checkSettings});
     if (name == "--help") {
-        std::cout << usage;
-        return 0;
+        std::cout << usage();
+        return cli::ExitCode::Ok;
     }
     if (name == "--version") {
         std::cout << "fuchsiadock " << FUCHSIADOCK_VERSION << "\n";
-        return 0;
+        return cli::ExitCode::Ok;
     }
-    if (const auto command = commands.find(name); command != commands.end())
-        return command->second(argc - 1, argv + 1);
-    std::cerr << usage;
-    return exitUsage;
+    std::cerr << usage();
+    return cli::ExitCode::WrongUsage;
 }
