Choose log readers anew only when the daemons change; prove the full size

A data centre's daemons change far less often than the revisions that they tell, yet each change of a revision sorted all members by hash again. The choice is now kept while the daemons are the same, and hashes each once.

--- a/libs/notesync/src/NoteSync.cpp
+++ b/libs/notesync/src/NoteSync.cpp
@@ -94,7 +94,7 @@
 {
     std::visit(base::Overloaded{
                        [](const Tick &) {},
-                       [this](const MembersChanged &e) { election_->update(*e.members_); },
+                       [this](const MembersChanged &e) { election_->update(e.members_); },
                        [this](const LogRead &e) { onLogRead(e.result_); },
                        [this](const LogAppended &e) { onLogAppended(e); },
                        [this](const PullEnded &e) { onPullEnded(e); },
@@ -316,7 +316,7 @@
 {
     if (publisher_->isWaiting())
         return publishPollInterval;
-    const bool isRegular = election_->isReader() && !election_->others().empty();
+    const bool isRegular = election_->isReader() && !election_->isAlone();
     const auto interval = isRegular ? options_.pollInterval_ : options_.alonePollInterval_;
     return interval / 2 + randomBelow(interval / 2, random_);
 }
--- a/libs/notesync/src/details/Election.cpp
+++ b/libs/notesync/src/details/Election.cpp
@@ -1,7 +1,8 @@
 #include "details/Election.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
+#include <utility>
 
 #include <base/Hash.h>
 
@@ -16,13 +17,26 @@
     return from.empty() ? nullptr : from[random.below(from.size())];
 }
 
-void sortByWeight(std::vector<std::string> &ids, const char *key)
+/** A daemon with its rendezvous weight for one duty; the first in order has the duty. */
+struct Candidate
 {
-    std::sort(ids.begin(), ids.end(), [key](const auto &a, const auto &b) {
-        const auto left = base::rendezvousWeight(key, a);
-        const auto right = base::rendezvousWeight(key, b);
-        return left != right ? left > right : a < b;
-    });
+    std::uint64_t weight_;
+    std::string id_;
+
+    Candidate(const char *duty, const std::string &id)
+        : weight_(base::rendezvousWeight(duty, id))
+        , id_(id)
+    {}
+
+    bool operator<(const Candidate &other) const
+    {
+        return weight_ != other.weight_ ? weight_ > other.weight_ : id_ < other.id_;
+    }
+};
+
+bool isSameDaemon(const model::Member *a, const model::Member *b)
+{
+    return a->id_ == b->id_ && a->dataCentre_ == b->dataCentre_;
 }
 
 } // namespace
@@ -33,66 +47,73 @@
     , readersPerDataCentre_(readersPerDataCentre)
 {}
 
-void Election::update(const std::vector<model::Member> &members)
+void Election::update(std::shared_ptr<const std::vector<model::Member>> members)
 {
-    others_.clear();
-    std::copy_if(members.begin(), members.end(), std::back_inserter(others_),
-                 [this](const auto &member) { return member.id_ != selfId_; });
-    std::set<std::string> dataCentres{dataCentre_};
-    for (const auto &member : others_)
-        dataCentres.insert(member.dataCentre_);
-    std::vector<std::string> writers;
-    for (const auto &dataCentre : dataCentres) {
-        const auto readers = readersOf(dataCentre);
-        writers.insert(writers.end(), readers.begin(), readers.end());
+    MemberPointers others;
+    highestRevision_ = 0;
+    for (const auto &member : *members) {
+        if (member.id_ == selfId_)
+            continue;
+        others.push_back(&member);
+        highestRevision_ = std::max(highestRevision_, member.revision_);
     }
-    sortByWeight(writers, "snapshot-writer");
-    const auto self = std::find(writers.begin(), writers.end(), selfId_);
-    isReader_ = self != writers.end();
-    writerRank_ = static_cast<std::size_t>(self - writers.begin());
+    // Members change far more often in their revision than in who they are.
+    const bool isSame = std::equal(others.begin(), others.end(), others_.begin(), others_.end(),
+                                   isSameDaemon);
+    others_ = std::move(others);
+    members_ = std::move(members);
+    if (!isSame)
+        choose();
 }
 
-std::vector<std::string> Election::readersOf(const std::string &dataCentre) const
+void Election::choose()
 {
-    std::vector<std::string> ids;
-    if (dataCentre == dataCentre_)
-        ids.push_back(selfId_);
-    for (const auto &member : others_) {
-        if (member.dataCentre_ == dataCentre)
-            ids.push_back(member.id_);
-    }
-    sortByWeight(ids, "log-reader");
-    ids.resize(std::min(ids.size(), readersPerDataCentre_));
-    return ids;
+    std::vector<Candidate> writers;
+    for (const auto &id : allReaders())
+        writers.emplace_back("snapshot-writer", id);
+    std::sort(writers.begin(), writers.end());
+    const auto self = std::find_if(writers.begin(), writers.end(),
+                                   [this](const auto &writer) { return writer.id_ == selfId_; });
+    isReader_ = self != writers.end();
+    writerRank_ = static_cast<std::size_t>(self - writers.begin());
 }
 
-model::Revision Election::highestRevision() const
+std::vector<std::string> Election::allReaders() const
 {
-    model::Revision highest = 0;
-    for (const auto &member : others_)
-        highest = std::max(highest, member.revision_);
-    return highest;
+    std::map<std::string, std::vector<Candidate>> candidates;
+    candidates[dataCentre_].emplace_back("log-reader", selfId_);
+    for (const auto *member : others_)
+        candidates[member->dataCentre_].emplace_back("log-reader", member->id_);
+    std::vector<std::string> readers;
+    for (auto &[dataCentre, daemons] : candidates) {
+        const auto count = std::min(daemons.size(), readersPerDataCentre_);
+        const auto end = daemons.begin() + static_cast<std::ptrdiff_t>(count);
+        std::partial_sort(daemons.begin(), end, daemons.end());
+        std::transform(daemons.begin(), end, std::back_inserter(readers),
+                       [](const auto &daemon) { return daemon.id_; });
+    }
+    return readers;
 }
 
 const model::Member *Election::find(const std::string &id) const
 {
     const auto it = std::find_if(others_.begin(), others_.end(),
-                                 [&id](const auto &member) { return member.id_ == id; });
-    return it == others_.end() ? nullptr : &*it;
+                                 [&id](const auto *member) { return member->id_ == id; });
+    return it == others_.end() ? nullptr : *it;
 }
 
 const model::Member *Election::anyPeer(base::Random &random) const
 {
-    return others_.empty() ? nullptr : &others_[random.below(others_.size())];
+    return pick(others_, random);
 }
 
 const model::Member *Election::peerAbove(model::Revision revision, base::Random &random) const
 {
     MemberPointers near;
     MemberPointers far;
-    for (const auto &member : others_) {
-        if (member.revision_ > revision)
-            (member.dataCentre_ == dataCentre_ ? near : far).push_back(&member);
+    for (const auto *member : others_) {
+        if (member->revision_ > revision)
+            (member->dataCentre_ == dataCentre_ ? near : far).push_back(member);
     }
     return pick(near.empty() ? far : near, random);
 }
@@ -101,8 +122,8 @@
 {
     MemberPointers near;
     MemberPointers far;
-    for (const auto &member : others_)
-        (member.dataCentre_ == dataCentre_ ? near : far).push_back(&member);
+    for (const auto *member : others_)
+        (member->dataCentre_ == dataCentre_ ? near : far).push_back(member);
     MemberPointers result;
     while (result.size() < count && !near.empty()) {
         std::swap(near[random.below(near.size())], near.back());
--- a/libs/notesync/src/details/Election.h
+++ b/libs/notesync/src/details/Election.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -18,11 +19,11 @@
 public:
     Election(std::string selfId, std::string dataCentre, std::size_t readersPerDataCentre);
 
-    /** Chooses anew. */
-    void update(const std::vector<model::Member> &members);
+    /** Takes the live members, and chooses anew if there are others than before. */
+    void update(std::shared_ptr<const std::vector<model::Member>> members);
 
-    /** The live members without this daemon. */
-    const std::vector<model::Member> &others() const { return others_; }
+    /** Whether no other daemon is known. */
+    bool isAlone() const { return others_.empty(); }
 
     /** Whether this daemon reads the log for its data centre. */
     bool isReader() const { return isReader_; }
@@ -31,7 +32,7 @@
     std::size_t writerRank() const { return writerRank_; }
 
     /** Highest revision that another member tells; 0 without any. */
-    model::Revision highestRevision() const;
+    model::Revision highestRevision() const { return highestRevision_; }
 
     /** The member with the id, or null. */
     const model::Member *find(const std::string &id) const;
@@ -46,12 +47,15 @@
     std::vector<const model::Member *> sample(std::size_t count, base::Random &random) const;
 
 private:
-    std::vector<std::string> readersOf(const std::string &dataCentre) const;
+    void choose();
+    std::vector<std::string> allReaders() const;
 
     const std::string selfId_;
     const std::string dataCentre_;
     const std::size_t readersPerDataCentre_;
-    std::vector<model::Member> others_;
+    std::shared_ptr<const std::vector<model::Member>> members_; ///< owns what others_ points to
+    std::vector<const model::Member *> others_;
+    model::Revision highestRevision_ = 0;
     bool isReader_ = true;
     std::size_t writerRank_ = 0;
 };
--- a/libs/notesync/tests/FakeWorld.h
+++ b/libs/notesync/tests/FakeWorld.h
@@ -139,6 +139,15 @@
         return left == right || (!isolated_.contains(left) && !isolated_.contains(right));
     }
 
+    /** Daemons that have the revision in force. */
+    std::size_t countAtLeast(model::Revision revision) const
+    {
+        std::size_t count = 0;
+        for (const auto &[id, node] : nodes_)
+            count += node.applied_ >= revision ? 1 : 0;
+        return count;
+    }
+
     void reached(Step step)
     {
         if (onStep_)
@@ -186,9 +195,16 @@
         at(tickInterval, [this, id, generation] { tick(id, generation); });
     }
 
-    std::shared_ptr<const std::vector<model::Member>> membersSeenBy(const std::string &id) const
+    using Members = std::shared_ptr<const std::vector<model::Member>>;
+
+    /** Daemons of one data centre see the same; one list a second is made for all of them. */
+    Members membersSeenBy(const std::string &id)
     {
-        auto members = std::make_shared<std::vector<model::Member>>();
+        const auto &viewer = nodes_.at(id).dataCentre_;
+        auto &[madeAt, members] = views_[viewer];
+        if (members && madeAt + gossipInterval > now_)
+            return members;
+        auto fresh = std::make_shared<std::vector<model::Member>>();
         for (const auto &[other, node] : nodes_) {
             if (!node.isUp_ || node.isPaused_ || !canReach(id, other))
                 continue;
@@ -197,8 +213,10 @@
             member.dataCentre_ = node.dataCentre_;
             member.controlAddress_.host_ = other;
             member.revision_ = node.applied_;
-            members->push_back(member);
+            fresh->push_back(member);
         }
+        madeAt = now_;
+        members = std::move(fresh);
         return members;
     }
 
@@ -307,9 +325,7 @@
         node.applied_ = command.config_->revision_;
         if (watched_ == 0)
             return;
-        std::size_t there = 0;
-        for (const auto &[other, n] : nodes_)
-            there += n.applied_ >= watched_ ? 1 : 0;
+        const auto there = countAtLeast(watched_);
         if (there >= 1)
             reached(Step::FirstInForce);
         if (there * 2 >= nodes_.size())
@@ -333,6 +349,7 @@
         }
     }
 
+    std::map<std::string, std::pair<base::Millis, Members>> views_;
     std::multimap<base::Millis, std::function<void()>> queue_;
     std::map<notesync::Ticket, note::ReleaseNote> notes_;
     notesync::Ticket lastTicket_ = 0;
--- a/libs/notesync/tests/NoteSyncTest.cpp
+++ b/libs/notesync/tests/NoteSyncTest.cpp
@@ -91,7 +91,7 @@
 {
     FakeWorld world(11);
     constexpr int dataCentres = 5;
-    addDaemons(world, dataCentres, 40);
+    addDaemons(world, dataCentres, 420);
     world.runFor(Millis(8000));
     world.publish(addService("n", "wallet", 0));
     world.runFor(Millis(17000));
@@ -105,6 +105,31 @@
     // Every daemon may read once or twice before it knows the others; then two in each data centre
     // read, at most every half second.
     EXPECT_LE(world.log_.reads_, 2U * world.nodes_.size() + dataCentres * 2U * 2U * 17U);
+    RecordProperty("reads", static_cast<int>(world.log_.reads_));
+}
+
+TEST(NoteSync, ANoteIsInForceAtAllDaemonsOfTheLargestSize)
+{
+    FakeWorld world(13);
+    addDaemons(world, 5, 420);
+    world.runFor(Millis(12000));
+    for (const auto &[id, node] : world.nodes_)
+        ASSERT_TRUE(node.sync_->hasConfig()) << id;
+    world.log_.reads_ = 0;
+    const auto start = world.now_;
+    base::Millis everywhere;
+    world.onStep_ = [&](Step step) {
+        if (step == Step::AllInForce && everywhere == Millis(0))
+            everywhere = world.now_ - start;
+    };
+    world.publish(addService("n", "wallet", 0));
+    world.runFor(Millis(17000));
+    EXPECT_EQ(countWith(world, "wallet"), world.nodes_.size());
+    EXPECT_EQ(world.log_.appends_, 1U);
+    // Ten readers at most each half second, and the publisher until its outcome is known.
+    EXPECT_LE(world.log_.reads_, 10U * 2U * 17U + 10U * 10U);
+    RecordProperty("inForceMs", static_cast<int>(everywhere.count()));
+    RecordProperty("reads", static_cast<int>(world.log_.reads_));
 }
 
 TEST(NoteSync, WithoutLogAndPeersThereIsNoConfigurationUntilTheLogIsBack)
