Keep the property tests from reading what is not there

Cause: the address sanitizer build stopped in the routing property test: RC_ASSERT overloads ||, which then evaluates both sides, so that an empty choice was read. Change: parentheses round such conditions, as strict as before. Measured: admission 18, routing 28 and metrics 6 tests pass under the address and undefined-behaviour sanitizers.

--- a/libs/admission/tests/CorePropertyTest.cpp
+++ b/libs/admission/tests/CorePropertyTest.cpp
@@ -137,7 +137,7 @@
         for (const Arrived &request : started) {
             RC_ASSERT(now_ < request.deadline_);
             for (const auto &[id, waiting] : undecided_)
-                RC_ASSERT(!mayRun(waiting) || waiting.priority_.rank_ >= request.priority_.rank_);
+                RC_ASSERT((!mayRun(waiting) || waiting.priority_.rank_ >= request.priority_.rank_));
         }
     }
 
--- a/libs/routing/tests/CorePropertyTest.cpp
+++ b/libs/routing/tests/CorePropertyTest.cpp
@@ -85,7 +85,7 @@
         const auto choice = core_.choose("wallet", wanted, excluded, now_);
         const auto twinChoice = twin_.choose("wallet", wanted, excluded, now_);
         RC_ASSERT(choice.has_value() == twinChoice.has_value());
-        RC_ASSERT(!choice || choice->member_->id_ == twinChoice->member_->id_);
+        RC_ASSERT((!choice || choice->member_->id_ == twinChoice->member_->id_));
         if (!choice)
             return checkRefusal(choice.error(), wanted, excluded);
         const std::string &id = choice->member_->id_;
@@ -104,7 +104,7 @@
         for (const InstanceStatus &status : core_.instances("wallet", now_)) {
             if (std::find(excluded.begin(), excluded.end(), status.id_) != excluded.end())
                 continue;
-            RC_ASSERT(status.isDraining_ || !status.level_.admits(wanted));
+            RC_ASSERT((status.isDraining_ || !status.level_.admits(wanted)));
             isShed = isShed || !status.isDraining_;
         }
         RC_ASSERT((refusal.reason_ == NoChoiceReason::AllShed) == isShed);
