Honour an issued key whatever a daemon knows of its class

Cause: four ways to break a promise were found by reading the data path against the contract of keys, and shown by tests that failed first: - a daemon without configuration answered `not-run` to a key that had run through another daemon; - so did a daemon whose configuration lacks the service; - a daemon whose configuration takes the class for idempotent ran a used key a second time (2 runs seen); - a key passed on by two runs of an idempotent parent was scoped to each parent and ran once for each (3 runs seen with a caller's direct use counted in).

Changed: an issued key for the service called goes to its home, in a context or not and whatever the class is here; a daemon that cannot serve a request says `unknown` where its key may have been used.

Ruled out: forwarding such requests to the home from a daemon without configuration; it may come later and would turn `unknown` into an answer.

--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -128,7 +128,7 @@
     static once::HomeSettings homeSettings(const settings::Settings &settings);
     static retry::RetrySettings retrySettings(const settings::Settings &settings);
     bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
-    bool needsKey(const CallInfo &call) const { return !call.class_.idempotent_ && !isBaseline(); }
+    bool needsKey(const CallInfo &call) const;
     const model::Member *findMember(const std::string &id) const;
     std::string customerOf(const std::string &stated) const;
     CallInfo describe(net::HttpRequest request, std::string service, std::string target);
@@ -137,6 +137,7 @@
     std::string freshKey(const CallInfo &call);
     void startIdempotent(EntryId id, CallInfo call);
     void startKeyed(EntryId id, CallInfo call, RequestSource source);
+    void finishUnserved(EntryId id, const net::HttpRequest &request, net::HttpResponse refused);
     void startAtHome(EntryId id, CallInfo call,
                      const std::variant<once::Key, once::ContextKey> &key);
     void forward(EntryId id, const CallInfo &call, const once::Key &key);
@@ -271,9 +272,19 @@
     };
 }
 
+// A daemon whose configuration differs may have taken the class for non-idempotent, so that an
+// issued key is honoured whatever the class is here.
+bool Entry::Impl::needsKey(const CallInfo &call) const
+{
+    if (isBaseline())
+        return false;
+    return !call.class_.idempotent_ || once::isIssuedFor(call.keyText_, call.service_);
+}
+
 void Entry::Impl::startKeyed(EntryId id, CallInfo call, RequestSource source)
 {
-    if (call.isChild()) {
+    // An issued key names the same request in every running call, so its home decides on it.
+    if (call.isChild() && !once::isIssuedFor(call.keyText_, call.service_)) {
         auto text = call.keyText_;
         if (text.empty())
             text = "unnamed-" + std::to_string(nextOwnKey_++);
@@ -375,18 +386,30 @@
 
 Entry::~Entry() = default;
 
+/** Ends a request that this daemon cannot serve; its key may have been used elsewhere. */
+void Entry::Impl::finishUnserved(EntryId id, const net::HttpRequest &request,
+                                 net::HttpResponse refused)
+{
+    const auto key = net::headerValue(request.headers_, header::idempotencyKey);
+    const auto context = net::headerValue(request.headers_, header::context);
+    if (once::mayHaveRun(key, !context.empty()))
+        refused = callerAnswer(once::homeGaveNoAnswer(), {});
+    finish(id, std::move(refused));
+}
+
 EntryId Entry::receive(net::HttpRequest request, RequestSource source, Respond respond)
 {
     const auto id = impl_->nextId_++;
     auto &open = impl_->open_[id];
     open.respond_ = std::move(respond);
     if (!impl_->config_) {
-        impl_->finish(id, refusal(statusUnavailable, "no-configuration", retryWhenUnconfigured));
+        impl_->finishUnserved(
+                id, request, refusal(statusUnavailable, "no-configuration", retryWhenUnconfigured));
         return 0;
     }
     auto [service, target] = splitTarget(request.target_);
     if (!impl_->config_->services_.contains(service)) {
-        impl_->finish(id, refusal(statusNotFound, "unknown-service"));
+        impl_->finishUnserved(id, request, refusal(statusNotFound, "unknown-service"));
         return 0;
     }
     auto call = impl_->describe(std::move(request), std::move(service), std::move(target));
--- a/libs/once/include/once/Entry.h
+++ b/libs/once/include/once/Entry.h
@@ -40,6 +40,15 @@
 EntryDecision decideAtEntry(const Incarnation &self, std::string_view keyText,
                             bool hasUnknownContext);
 
+/** Whether the text names a request to that service at every daemon, as issued keys do. */
+bool isIssuedFor(std::string_view keyText, std::string_view service);
+
+/**
+ * Whether a daemon that cannot serve a request must not call it not run: under this key it may have
+ * run through another daemon, or within a call that runs or ran here.
+ */
+bool mayHaveRun(std::string_view keyText, bool hasContext);
+
 /**
  * What the entry tells its caller when the home of the key gave no answer. Always Unknown: an
  * earlier request with the same key may have reached the home through another daemon.
--- a/libs/once/src/Entry.cpp
+++ b/libs/once/src/Entry.cpp
@@ -18,6 +18,17 @@
     return ForwardToHome{std::move(*key)};
 }
 
+bool isIssuedFor(std::string_view keyText, std::string_view service)
+{
+    const auto key = Key::parse(keyText);
+    return key && key->service_ == service;
+}
+
+bool mayHaveRun(std::string_view keyText, bool hasContext)
+{
+    return !keyText.empty() && (hasContext || Key::parse(keyText));
+}
+
 Unknown homeGaveNoAnswer()
 {
     return Unknown{Reason::HomeUnreachable};
