Make the drowning-instance test depend on calls in flight alone

Cause: two faults put into routing by hand (the first draw always wins; reports of load weigh a thousand times) passed, because the drowning instance was found full first. Change: the instances of this test have more slots than calls.

--- a/libs/routing/tests/LoadTest.cpp
+++ b/libs/routing/tests/LoadTest.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+// So many slots that only the number of calls in flight tells a slow instance.
+constexpr std::uint32_t neverFull = 5000;
+
 /** Calls from one entry to four instances in virtual time; each has its own service time. */
 class Calls
 {
@@ -25,7 +28,7 @@
     {
         std::vector<model::Member> members;
         for (std::size_t i = 0; i < meanMillis_.size(); ++i)
-            members.push_back(walletInstance(static_cast<int>(i), "a", 20));
+            members.push_back(walletInstance(static_cast<int>(i), "a", neverFull));
         core_.handle(MembersChanged{members}, now_);
     }
 
