Send the trace after its keys are there; read runs again while connections are taken

Cause: a reactor that was stopped does not run again, so a replay ended after fetching its keys, without sending a line; it failed as it should, since classes without requests are a difference. The runs of overloaded backend servers in the baseline stayed unread.

--- a/tools/bench/ExperimentRun.cpp
+++ b/tools/bench/ExperimentRun.cpp
@@ -44,7 +44,7 @@
     : plan_(plan)
     , cluster_(cluster)
     , client_(reactor_)
-    , runs_(client_)
+    , runs_(reactor_, client_)
     , load_(reactor_, loadOptions(plan, cluster),
             [this](const FinishedRequest &request) { data_.requests_.push_back(request); })
 {}
--- a/tools/bench/ReplayCommand.cpp
+++ b/tools/bench/ReplayCommand.cpp
@@ -22,7 +22,7 @@
 {
     net::Reactor reactor;
     net::HttpClient client(reactor);
-    RunReader reader(client);
+    RunReader reader(reactor, client);
     std::size_t open = cluster.instances().size();
     for (const ClusterInstance &instance : cluster.instances()) {
         reader.read(instance.backend_, [&reactor, &open] {
--- a/tools/bench/TraceReplay.h
+++ b/tools/bench/TraceReplay.h
@@ -27,8 +27,10 @@
     base::Result<std::vector<FinishedRequest>> run();
 
 private:
-    base::Result<void> fetchKeys();
+    void fetchKeys();
     void fetchKey(const TraceLine &line, const model::Address &daemon);
+    void onKey(const std::string &group, std::string key);
+    void sendAll();
     void sendAt(base::Millis start, std::size_t index);
     void send(std::size_t index);
     net::HttpRequest requestOf(const TraceLine &line, const std::string &id) const;
@@ -41,6 +43,7 @@
     std::vector<model::Address> daemons_;
     std::map<std::string, std::string> keys_; ///< by key group
     std::vector<FinishedRequest> finished_;
+    std::string missingKey_; ///< group without a key; empty: none
     std::size_t open_ = 0;
 };
 
