Gossip every 100 ms while there is news; believe tombstones about the own data centre

With other timing a woken daemon, whose catching up had been answered from another data centre, suspected a member that had long been dead: tombstones about the own data centre were not taken from another one.

Changed: rounds of 100 ms in place of 200 ms while there is news; such tombstones are believed, since none but the own data centre can have made them.

Before, aPausedDaemonLearnsBeforeItSpeaks failed with the new timing.

--- a/libs/membership/include/membership/Timing.h
+++ b/libs/membership/include/membership/Timing.h
@@ -13,7 +13,7 @@
     base::Millis probeTimeout_ = base::Millis(400); ///< until indirect probes are asked for
     std::size_t indirectProbes_ = 3;
     std::size_t suspicionFactor_ = 4; ///< time to refute: factor * log10(members) probe intervals
-    base::Millis gossipInterval_ = base::Millis(200);
+    base::Millis gossipInterval_ = base::Millis(100); ///< while there is news
     std::size_t gossipFanOut_ = 3;
     std::size_t gossipBytesPerSecond_ = 16 * 1024; ///< sustained; probes are not held back
     std::size_t gossipBurstBytes_ = 256 * 1024;
--- a/libs/membership/src/details/Merging.cpp
+++ b/libs/membership/src/details/Merging.cpp
@@ -54,8 +54,9 @@
  */
 bool Core::Impl::absorbHearsay(Record record, bool spread)
 {
+    // Nobody but this data centre can have made a tombstone of a member of its own.
     if (!record.isLive())
-        return false;
+        return apply(std::move(record), spread);
     record.status_ = Status::Alive;
     const auto *known = table_.find(record.member_.id_);
     if (known && (known->record_.isLive() || record.version() <= known->record_.version()))
--- a/libs/membership/src/details/Timers.cpp
+++ b/libs/membership/src/details/Timers.cpp
@@ -7,6 +7,8 @@
 
 using base::Millis;
 
+/** A longer step is not counted in full: the process or its machine was held up. */
+constexpr Millis longestStep(400);
 constexpr Millis seedSearchInterval(5000);
 constexpr Millis islandSearchInterval(60000);
 constexpr Millis countInterval(1000);
@@ -33,7 +35,6 @@
 void Core::Impl::passTime()
 {
     const auto gap = hasTicked_ ? now_ - lastTick_ : Millis();
-    const auto longestStep = timing_.gossipInterval_ * 2;
     running_ = running_ + std::min(gap, longestStep);
     budget_.refill(gap);
     hasTicked_ = true;
@@ -58,8 +59,11 @@
         relayProbe();
     if (isDue(nextCount_, countInterval) && isRelay())
         countRevisions();
-    if (isDue(nextGossip_, timing_.gossipInterval_))
+    if (now_ >= nextGossip_) {
+        // A little less than the interval, which may be that of the ticks.
+        nextGossip_ = now_ + timing_.gossipInterval_ - timing_.gossipInterval_ / 8;
         gossip();
+    }
     if (isDue(nextExpiry_, expiryInterval)) {
         table_.expireBefore(now_ - timing_.tombstoneRetention_);
         forgetUnreachable();
