Spare a home the wake-ups of requests that were answered in time

Cause: each request left its deadline in the queue of timers, so a daemon woke up once more for each request, and once for each expiring record.

Changed: entries at the front whose request is decided are dropped after each event; expiries are rounded up to whole seconds.

Ruled out: rounding deadlines too, since a caller would hear "still running" after it has gone.

Not measured: the effect on latency.

--- a/libs/once/src/Home.cpp
+++ b/libs/once/src/Home.cpp
@@ -26,6 +26,7 @@
     impl_->core_.advance(now);
     std::vector<HomeCommand> out;
     std::visit([&](const auto &one) { impl_->core_.on(one, out); }, event);
+    impl_->core_.dropStaleTimers();
     return out;
 }
 
--- a/libs/once/src/details/HomeCore.cpp
+++ b/libs/once/src/details/HomeCore.cpp
@@ -173,6 +173,14 @@
         lookAt(id, out);
 }
 
+void HomeCore::dropStaleTimers()
+{
+    timers_.dropStale([this](base::Millis due, RecordId id) {
+        const auto *record = table_.find(id);
+        return !record || (record->isDecided() && due < record->expiry_);
+    });
+}
+
 void HomeCore::lookAt(RecordId id, HomeCommands &out)
 {
     auto *record = table_.find(id);
--- a/libs/once/src/details/HomeCore.h
+++ b/libs/once/src/details/HomeCore.h
@@ -45,6 +45,9 @@
     void on(const ContextEnded &event, HomeCommands &out);
     void on(const WakeUp &event, HomeCommands &out);
 
+    /** Spares wake-ups for deadlines of requests that have been answered. */
+    void dropStaleTimers();
+
 private:
     bool isGenuine(const Key &key) const;
     void join(RecordId id, HomeRecord &record, const Request &request, HomeCommands &out);
--- a/libs/once/src/details/HomeSteps.cpp
+++ b/libs/once/src/details/HomeSteps.cpp
@@ -5,6 +5,17 @@
 
 namespace once::details {
 
+namespace {
+
+/** Whole seconds, so that many records expire with one wake-up. */
+base::Millis roundedUp(base::Millis time)
+{
+    constexpr std::int64_t step = 1000;
+    return base::Millis((time.count() / step + 1) * step);
+}
+
+} // namespace
+
 void HomeCore::join(RecordId id, HomeRecord &record, const Request &request, HomeCommands &out)
 {
     if (record.digest_ != request.digest_) {
@@ -64,7 +75,7 @@
 void HomeCore::decided(RecordId id, const HomeRecord &record, HomeCommands &out)
 {
     if (record.expiry_ < base::Millis::max())
-        timers_.add(std::max(record.expiry_, now_), id);
+        timers_.add(roundedUp(std::max(record.expiry_, now_)), id);
     out.push_back(Release{id});
 }
 
--- a/libs/once/src/details/TimerQueue.h
+++ b/libs/once/src/details/TimerQueue.h
@@ -26,6 +26,14 @@
         return record;
     }
 
+    /** Removes entries from the front for which the function of time and record is true. */
+    template<typename IsStale>
+    void dropStale(IsStale isStale)
+    {
+        while (!entries_.empty() && isStale(entries_.top().due_, entries_.top().record_))
+            entries_.pop();
+    }
+
     /** Time of the first entry; Millis::max() when there is none. */
     base::Millis next() const
     {
--- a/libs/once/tests/HomeTest.cpp
+++ b/libs/once/tests/HomeTest.cpp
@@ -140,11 +140,16 @@
     const auto unused = issue();
     tell(ExecutorSaid{delegate(used), Complete{answer}});
     now_ = unused.expiry_;
+    EXPECT_EQ(repeat(unused), Outcome(NotRun{Reason::KeyExpired}));
+    // The answered request's deadline needs no wake-up.
+    now_ = home_.nextWakeUp();
+    EXPECT_GE(now_, used.expiry_);
     tell(WakeUp{});
     EXPECT_EQ(home_.counts().records_, 0u);
     EXPECT_EQ(home_.counts().answerBytes_, 0u);
     EXPECT_EQ(repeat(used), Outcome(Unknown{Reason::KeyExpired}));
-    EXPECT_EQ(repeat(unused), Outcome(NotRun{Reason::KeyExpired}));
+    EXPECT_EQ(repeat(unused), Outcome(NotRun{Reason::KeyBurned}));
+    EXPECT_EQ(home_.nextWakeUp(), Millis::max());
 }
 
 TEST_F(HomeTest, serialsOutsideTheWindowAreUnknown)
