Take every record about the own data centre that is newer, whoever sends it

A refutation that only another data centre had heard was ignored here while the older record was live, so that digests differed for ever.

Changed: records from another data centre are merged like all others, except that its Suspect counts as Alive: it cannot judge. This also replaces the special case for hearsay.

--- a/libs/membership/src/details/CoreImpl.h
+++ b/libs/membership/src/details/CoreImpl.h
@@ -49,7 +49,6 @@
     /** Takes a record into account; true when it was news. */
     bool absorb(Record record, const std::string &senderDataCentre, bool spread);
     bool absorbSelf(const Record &record);
-    bool absorbHearsay(Record record, bool spread);
     bool apply(Record record, bool spread);
     bool settleAddress(Record &record);
     void declare(const std::string &id, Status status);
--- a/libs/membership/src/details/Merging.cpp
+++ b/libs/membership/src/details/Merging.cpp
@@ -18,9 +18,11 @@
         return absorbSelf(record);
     if (!record.isLive() && record.age_ > timing_.tombstoneRetention_)
         return false;
-    if (isOwn(record.member_.dataCentre_) && !isOwn(senderDataCentre))
-        return absorbHearsay(std::move(record), spread);
-    if (!isOwn(record.member_.dataCentre_) && record.status_ == Status::Suspect)
+    // Only the own data centre of a member judges it. What another one holds of a member of this
+    // one may be news: this daemon or the whole data centre was just started, or the member refuted
+    // towards others alone. It is taken for live, and then probed as usual.
+    const bool isJudge = isOwn(record.member_.dataCentre_) && isOwn(senderDataCentre);
+    if (!isJudge && record.status_ == Status::Suspect)
         record.status_ = Status::Alive;
     return apply(std::move(record), spread);
 }
@@ -45,25 +47,6 @@
     return true;
 }
 
-/**
- * Another data centre holds a member of this one for live that is unknown or dead here: since this
- * daemon or all of this data centre was just started, or since the member refuted towards others
- * alone and then stopped. It is taken for live, so that it is probed: either it answers, or it is
- * declared dead with that incarnation. (Taking it for suspect instead makes a daemon that joins
- * through another data centre suspect its whole own one.)
- */
-bool Core::Impl::absorbHearsay(Record record, bool spread)
-{
-    // Nobody but this data centre can have made a tombstone of a member of its own.
-    if (!record.isLive())
-        return apply(std::move(record), spread);
-    record.status_ = Status::Alive;
-    const auto *known = table_.find(record.member_.id_);
-    if (known && (known->record_.isLive() || record.version() <= known->record_.version()))
-        return false;
-    return apply(std::move(record), spread);
-}
-
 bool Core::Impl::apply(Record record, bool spread)
 {
     const bool isDisplaced = record.isLive() && settleAddress(record);
--- a/libs/membership/tests/CoreTest.cpp
+++ b/libs/membership/tests/CoreTest.cpp
@@ -264,6 +264,21 @@
     EXPECT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
 }
 
+TEST(Core, aRefutationHeardOnlyByOthersComesBack)
+{
+    Pump pump(14);
+    pump.startAll(2, 4);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    auto record = *pump.core("d0-1").find("d0-2");
+    ++record.incarnation_;
+    membership::Datagram datagram{"d0-2", record.member_.generation_, "dc0"};
+    datagram.records_ = {record};
+    pump.tell("d1-3", membership::DatagramReceived{Pump::address(2), datagram});
+    EXPECT_TRUE(pump.runUntil(
+            [&] { return pump.core("d0-1").find("d0-2")->incarnation_ >= record.incarnation_; },
+            settleBound));
+}
+
 TEST(Core, joiningThroughAnotherDataCentreSuspectsNobody)
 {
     Pump pump(13);
