Note the level of a service also when no call to it can be sent

Cause: a call that every instance sheds is refused by routing without an answer, so the level of the parent was not noted; in the chain model it was even reset to "all".

--- a/libs/dock/src/InstanceSelector.cpp
+++ b/libs/dock/src/InstanceSelector.cpp
@@ -42,8 +42,12 @@
             return Selected{*fresh->member_, routed};
     }
     const auto choice = routing_.choose(call.service_, routed, avoid, now);
-    if (!choice)
+    if (!choice) {
+        // Without this the parent's roots would go on although none of their calls is sent.
+        if (call.isChild() && choice.error().reason_ == routing::NoChoiceReason::AllShed)
+            onParentLevel_(call, routing_.level(call.service_, now));
         return tl::unexpected(notRunOf(choice.error()));
+    }
     return Selected{*choice->member_, routed};
 }
 
--- a/libs/routing/tests/ChainModel.h
+++ b/libs/routing/tests/ChainModel.h
@@ -241,7 +241,7 @@
     {
         const auto choice = routing.choose(service, routed, {}, now_);
         if (!choice)
-            return done({.isRefused_ = true});
+            return done({.isRefused_ = true, .levels_ = {.customer_ = admission::Level::none()}});
         const std::string id = choice->member_->id_;
         routing.handle(Sent{id, routed}, now_);
         visit.node_ = id;
