Find other daemons by a stream of the log when no seed answers

Cause: a daemon whose seeds are all gone, or that has none, stayed alone although the log was there. Ruled out: every daemon telling its address at its start: 2,100 appends at a restart of all.

--- a/libs/dock/src/ControlTask.cpp
+++ b/libs/dock/src/ControlTask.cpp
@@ -11,6 +11,7 @@
 #include <net/HttpServer.h>
 #include <net/Reactor.h>
 #include <notesync/NoteService.h>
+#include <rendezvous/RendezvousService.h>
 #include <settings/Settings.h>
 
 namespace dock {
@@ -40,6 +41,8 @@
     base::Result<void> listen();
     base::Result<void> startGossip();
     void startNotes();
+    void startRendezvous();
+    std::unique_ptr<logclient::LogClient> logClient();
     base::Result<void> startAdmin();
     StatusReport report() const;
     std::vector<admin::RevisionCount> revisionCounts() const;
@@ -59,6 +62,7 @@
     std::unique_ptr<net::HttpServer> controlServer_;
     std::unique_ptr<gossip::GossipService> gossip_;
     std::unique_ptr<notesync::NoteService> notes_;
+    std::unique_ptr<rendezvous::RendezvousService> rendezvous_;
     std::unique_ptr<admin::AdminServer> admin_;
     DataStatus dataStatus_;
     BackendServer backend_;
@@ -90,9 +94,11 @@
     auto service = gossip::GossipService::start(
             reactor_,
             {.self_ = self, .seeds_ = settings_.seeds_, .clusterSecret_ = settings_.clusterSecret_},
-            {.onMembers_ = [this](Members members) {
-                onMembers(std::move(members));
-            }});
+            {.onMembers_ = [this](Members members) { onMembers(std::move(members)); },
+             .onSeedsWanted_ =
+                     [this] {
+                         rendezvous_->wantSeeds();
+                     }});
     if (!service)
         return tl::unexpected(service.error());
     gossip_ = std::move(*service);
@@ -105,13 +111,27 @@
     options.selfId_ = settings_.id_;
     options.dataCentre_ = settings_.dataCentre_;
     options.seed_ = self_.generation_;
-    auto log = std::make_unique<logclient::HttpLogClient>(reactor_, settings_.logAddress_,
-                                                          logTimeout);
     notes_ = std::make_unique<notesync::NoteService>(
-            reactor_, std::move(log), options,
+            reactor_, logClient(), options,
             [this](std::shared_ptr<const model::Config> config) { onConfig(std::move(config)); });
 }
 
+std::unique_ptr<logclient::LogClient> ControlTask::Impl::logClient()
+{
+    return std::make_unique<logclient::HttpLogClient>(reactor_, settings_.logAddress_, logTimeout);
+}
+
+void ControlTask::Impl::startRendezvous()
+{
+    rendezvous_ = std::make_unique<rendezvous::RendezvousService>(
+            reactor_, logClient(),
+            rendezvous::Options{.selfId_ = settings_.id_,
+                                .dataCentre_ = settings_.dataCentre_,
+                                .controlAddress_ = settings_.controlAddress_,
+                                .seed_ = self_.generation_},
+            [this](std::vector<model::Address> seeds) { gossip_->addSeeds(std::move(seeds)); });
+}
+
 base::Result<void> ControlTask::Impl::startAdmin()
 {
     auto server = admin::AdminServer::start(
@@ -179,6 +199,7 @@
         outbox_(IncarnationChanged{self_});
     }
     notes_->setMembers(members);
+    rendezvous_->setMembers(members);
     outbox_(MembersKnown{std::move(members)});
 }
 
@@ -237,6 +258,7 @@
     if (auto gossiping = impl_->startGossip(); !gossiping)
         return gossiping;
     impl_->startNotes();
+    impl_->startRendezvous();
     if (auto listening = impl_->listen(); !listening)
         return listening;
     if (auto administering = impl_->startAdmin(); !administering)
--- /dev/null
+++ b/libs/rendezvous/src/Core.cpp
@@ -0,0 +1,137 @@
+#include <rendezvous/Core.h>
+
+#include <algorithm>
+
+#include <base/Hash.h>
+#include <base/Overloaded.h>
+#include <rendezvous/Meeting.h>
+
+namespace rendezvous {
+
+namespace {
+
+constexpr std::string_view electionKey = "rendezvous";
+
+/** The newest meeting of each daemon, newest first. */
+std::vector<Meeting> newestOfEach(const std::vector<std::string> &records)
+{
+    std::vector<Meeting> meetings;
+    std::set<std::string> seen;
+    for (auto record = records.rbegin(); record != records.rend(); ++record) {
+        auto meeting = Meeting::parse(*record);
+        if (meeting && seen.insert(meeting->id_).second)
+            meetings.push_back(std::move(*meeting));
+    }
+    return meetings;
+}
+
+/** Whether fewer than `count` members of the data centre weigh more than this daemon. */
+bool isElected(const std::vector<model::Member> &members, const Options &options)
+{
+    const auto own = base::rendezvousWeight(electionKey, options.selfId_);
+    const auto heavier
+            = std::count_if(members.begin(), members.end(), [&](const model::Member &member) {
+                  return member.dataCentre_ == options.dataCentre_
+                         && base::rendezvousWeight(electionKey, member.id_) > own;
+              });
+    return static_cast<std::size_t>(heavier) < options.publishersPerDataCentre_;
+}
+
+} // namespace
+
+Core::Core(const Options &options)
+    : options_(options)
+    , random_(options.seed_)
+    , backoff_(options.firstReadDelay_, options.maxReadDelay_, options.seed_)
+{}
+
+std::vector<Command> Core::handle(const Event &event, base::Millis now)
+{
+    std::visit(base::Overloaded{
+                       [&](const SeedsWanted &) { onSeedsWanted(now); },
+                       [&](const MembersChanged &change) { onMembers(*change.members_, now); },
+                       [&](const TailRead &tail) { onTail(tail.records_, now); },
+                       [&](const ReadFailed &) { isReading_ = false; },
+                       [&](const Tick &) { onTick(now); },
+               },
+               event);
+    return std::exchange(commands_, {});
+}
+
+base::Millis Core::randomDelay(base::Millis longest)
+{
+    const auto micros = static_cast<std::uint64_t>(longest.micros()) + 1;
+    return base::Millis::fromMicros(static_cast<std::int64_t>(random_.below(micros)));
+}
+
+void Core::read()
+{
+    if (isReading_)
+        return;
+    isReading_ = true;
+    commands_.emplace_back(ReadTail{});
+}
+
+void Core::onSeedsWanted(base::Millis now)
+{
+    if (isReading_ || now < nextRead_)
+        return;
+    nextRead_ = now + backoff_.failed();
+    read();
+}
+
+void Core::onMembers(const std::vector<model::Member> &members, base::Millis now)
+{
+    known_.clear();
+    for (const auto &member : members)
+        known_.insert(member.id_);
+    if (!isAlone())
+        backoff_.succeeded();
+    const bool isElectedNow = !isAlone() && isElected(members, options_);
+    if (isElectedNow && !isPublisher_)
+        nextRefresh_ = now + randomDelay(options_.appendSpread_);
+    isPublisher_ = isElectedNow;
+    if (!isAlone())
+        appendAt_.reset();
+}
+
+void Core::onTail(const std::vector<std::string> &records, base::Millis now)
+{
+    isReading_ = false;
+    AddSeeds seeds;
+    for (const auto &meeting : newestOfEach(records)) {
+        const bool isOther = meeting.id_ != options_.selfId_ && !known_.contains(meeting.id_);
+        if (isOther && seeds.addresses_.size() < options_.maxSeeds_)
+            seeds.addresses_.push_back(meeting.controlAddress_);
+    }
+    const bool hasSeeds = !seeds.addresses_.empty();
+    if (hasSeeds)
+        commands_.emplace_back(std::move(seeds));
+    // Daemons that restart together must not all append: most find an address within the spread.
+    if (isAlone() && !appendAt_)
+        appendAt_ = now + (hasSeeds ? options_.appendSpread_ : randomDelay(options_.appendSpread_));
+}
+
+void Core::onTick(base::Millis now)
+{
+    if (isPublisher_ && now >= nextRefresh_) {
+        nextRefresh_ = now + options_.refreshInterval_ / 2 + randomDelay(options_.refreshInterval_);
+        append(now);
+        read();
+    }
+    if (appendAt_ && now >= *appendAt_) {
+        appendAt_.reset();
+        append(now);
+    }
+}
+
+void Core::append(base::Millis now)
+{
+    if (lastAppend_ && now - *lastAppend_ < options_.appendInterval_)
+        return;
+    lastAppend_ = now;
+    const Meeting own{options_.selfId_, options_.dataCentre_, options_.controlAddress_};
+    commands_.emplace_back(Append{own.text()});
+}
+
+} // namespace rendezvous
--- /dev/null
+++ b/libs/rendezvous/src/RendezvousService.cpp
@@ -0,0 +1,116 @@
+#include <rendezvous/RendezvousService.h>
+
+#include <algorithm>
+
+#include <base/Clock.h>
+#include <base/Overloaded.h>
+#include <logclient/LogClient.h>
+#include <net/Reactor.h>
+#include <rendezvous/Core.h>
+
+namespace rendezvous {
+
+namespace {
+
+const std::string stream = "fuchsiadock-rendezvous";
+constexpr std::uint64_t tailRecords = 64;
+constexpr base::Millis tickInterval(1000);
+
+} // namespace
+
+struct RendezvousService::Impl
+{
+    Impl(net::Reactor &reactor, std::unique_ptr<logclient::LogClient> log, const Options &options,
+         FoundSeeds onSeeds)
+        : reactor_(reactor)
+        , log_(std::move(log))
+        , core_(options)
+        , onSeeds_(std::move(onSeeds))
+    {}
+
+    void tell(const Event &event);
+    void findEnd();
+    void readFrom(std::uint64_t first, std::uint64_t next);
+    void tick();
+
+    net::Reactor &reactor_;
+    std::unique_ptr<logclient::LogClient> log_;
+    Core core_;
+    FoundSeeds onSeeds_;
+    net::TimerId timer_ = 0;
+};
+
+void RendezvousService::Impl::tell(const Event &event)
+{
+    for (const auto &command : core_.handle(event, base::monotonicNow())) {
+        std::visit(base::Overloaded{
+                           [this](const ReadTail &) { findEnd(); },
+                           [this](const Append &order) {
+                               log_->append(stream, order.data_, [](const auto &) {});
+                           },
+                           [this](const AddSeeds &order) { onSeeds_(order.addresses_); },
+                   },
+                   command);
+    }
+}
+
+// The log tells where a stream ends with any answer, also with that to a read of trimmed records.
+void RendezvousService::Impl::findEnd()
+{
+    log_->read(stream, 0, 1, [this](const logclient::ReadResult &result) {
+        if (result) {
+            readFrom(result->first_, result->next_);
+            return;
+        }
+        if (const auto *trimmed = std::get_if<logclient::Trimmed>(&result.error()))
+            readFrom(trimmed->first_, trimmed->next_);
+        else
+            tell(ReadFailed{});
+    });
+}
+
+void RendezvousService::Impl::readFrom(std::uint64_t first, std::uint64_t next)
+{
+    const auto from = std::max(first, next > tailRecords ? next - tailRecords : 0);
+    log_->read(stream, from, tailRecords, [this](const logclient::ReadResult &result) {
+        if (!result) {
+            tell(ReadFailed{});
+            return;
+        }
+        TailRead tail;
+        for (const auto &record : result->records_)
+            tail.records_.push_back(record.data_);
+        tell(tail);
+    });
+}
+
+void RendezvousService::Impl::tick()
+{
+    tell(Tick{});
+    timer_ = reactor_.schedule(tickInterval, [this] { tick(); });
+}
+
+RendezvousService::RendezvousService(net::Reactor &reactor,
+                                     std::unique_ptr<logclient::LogClient> log,
+                                     const Options &options, FoundSeeds onSeeds)
+    : impl_(std::make_unique<Impl>(reactor, std::move(log), options, std::move(onSeeds)))
+{
+    impl_->tick();
+}
+
+RendezvousService::~RendezvousService()
+{
+    impl_->reactor_.cancel(impl_->timer_);
+}
+
+void RendezvousService::wantSeeds()
+{
+    impl_->tell(SeedsWanted{});
+}
+
+void RendezvousService::setMembers(std::shared_ptr<const std::vector<model::Member>> members)
+{
+    impl_->tell(MembersChanged{std::move(members)});
+}
+
+} // namespace rendezvous
