Work out capacity from measured slopes; record the figures of membership

What was not measured says so.

Broken: seeds send megabytes a second while a data centre joins; all daemons exceed 20 KB/s for one second then. Not explained: 5.3 KB/s of a relay among ten data centres.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -29,6 +29,7 @@
 RECORD_LIMIT = 65_536
 RELAYS = 3
 STATE_ANSWERS_PER_SECOND = 8
+PUBLISH_SECONDS = 5
 SEEDS_PER_DATA_CENTRE = 2
 
 CORE_TARGET = 41.0  # ms/s, 4.1% of a core
@@ -102,10 +103,6 @@
             + get("membership.bytes_per_change") * changes_per_second())
 
 
-def relay_bytes(get, others):
-    return (get("relay.bytes_above_member_per_data_centre") * others + membership_bytes(get))
-
-
 def data_path_rows(f):
     calls = CALLS_PER_SECOND / DAEMONS
     decisions = f.of(lambda get: calls * (get("routing.ns_per_call") + get("admission.ns_per_call")
@@ -135,14 +132,14 @@
     return rows
 
 
-def control_rows(f, data_centres):
+def control_rows(f, data_centres, suffix):
     others = data_centres - 1
     size = DAEMONS // data_centres
     memory = f.of(lambda get: DAEMONS * get("membership.bytes_memory_per_member")
                   + get("membership.bytes_memory_fixed"))
     cpu = f.of(lambda get: get("membership.cpu_with_sockets"))
     sent = f.of(membership_bytes)
-    relayed = f.of(lambda get: relay_bytes(get, others))
+    relayed = f.of(lambda get: get("relay.bytes" + suffix))
     return [
         ["membership", f"{DAEMONS:,} records", show(sent, "KB/s", 1e3, 2),
          show(cpu, "ms/s", digits=2), show(memory, "MB", 1e6)],
@@ -157,6 +154,10 @@
          show(f.of(lambda get: get("notes.bytes_per_note") * notes_per_second()), "KB/s", 1e3),
          show(f.of(lambda get: get("notes.cpu_ms_per_note") * notes_per_second()), "ms/s", digits=2),
          "as log reader"],
+        ["whole daemon when idle, all tasks", "with 100 members", "",
+         show(f.of(lambda get: get("daemon.cpu_idle")), "ms/s"),
+         show(f.of(lambda get: get("daemon.bytes_resident_at_100")
+                   + (DAEMONS - 100) * get("membership.bytes_memory_per_member")), "MB", 1e6)],
         ["target for all together", "", show(BYTES_TARGET, "KB/s", 1e3),
          show(CORE_TARGET, "ms/s"), show(MEMORY_TARGET, "MB", 1e6)],
     ]
@@ -166,13 +167,13 @@
     entries = [
         ("a leaving instance gets no new work", "membership.seconds_drain", "3 s"),
         ("a crash is known", "membership.seconds_crash", "none stated"),
-        ("a revision in force is hinted at", "membership.seconds_revision", "17 s, aim 5 s"),
+        ("a note is in force everywhere", "notes.seconds_in_force", "17 s, aim 5 s"),
     ]
     return [[what, show(f.of(lambda get: get(name + suffix)), "s"), target]
             for what, name, target in entries]
 
 
-def event_rows(f, data_centres):
+def event_rows(f, data_centres, suffix):
     size = DAEMONS // data_centres
     state = f.of(lambda get: DAEMONS * get("membership.bytes_wire_per_member"))
     seeds = SEEDS_PER_DATA_CENTRE * (data_centres - 1)
@@ -191,19 +192,26 @@
         ["", f"full states served by each of {seeds} seeds elsewhere, up to {STATE_ANSWERS_PER_SECOND}/s",
          show(seed_rate, "KB/s", 1e3)],
         ["", "least time until all have joined", f"{join:.1f} s"],
+        ["", "busiest second of a daemon, mean, 1,000 daemons",
+         show(f.of(lambda get: get("membership.bytes_restart_peak" + suffix)), "KB/s", 1e3)],
         ["regions meet again, all changed meanwhile", "fetched by each daemon at most",
          show(heal, "KB", 1e3)],
     ]
 
 
 def log_rows(f):
-    appends = notes_per_second()
-    restart = f.of(lambda get: get("log.appends_per_second_bound"))
-    return [
-        ["notes", f"{appends:.3f} appends/s", f"{NOTES_PER_DAY:,} a day"],
-        ["rendezvous, snapshots, all daemons", show(restart, "appends/s", digits=2), "worst case"],
-        ["reads by all readers", show(f.of(lambda get: get("log.reads_per_second")), "reads/s"), ""],
+    bound = DAEMONS / PUBLISH_SECONDS
+    rows = [
+        ["notes", f"{notes_per_second():.3f} appends/s", f"{NOTES_PER_DAY:,} a day"],
+        ["publishing at every daemon without end", f"{bound:,.0f} appends/s",
+         f"each daemon at most one in {PUBLISH_SECONDS} s"],
     ]
+    for count in (5, 10):
+        reads = f.of(lambda get: count * get("log.reads_per_data_centre"))
+        rows.append([f"idle, {count} data centres", show(reads, "reads/s"), "readers only"])
+    restart = f.of(lambda get: get("log.reads_mass_restart"))
+    rows.append(["restart of all at once", show(restart, "reads", digits=0), "in 17 s, no append"])
+    return rows
 
 
 def tables(f):
@@ -213,10 +221,10 @@
     for count, reading in ((5, "five in all"), (10, "five in each region")):
         suffix = "" if count == 5 else "_10"
         parts += [f"### Control, {count} data centres ({reading}), {DAEMONS // count} daemons in each",
-                  table(["role", "state", "sent", "processor", "memory"], control_rows(f, count)),
+                  table(["role", "state", "sent", "processor", "memory"], control_rows(f, count, suffix)),
                   table(["time until known everywhere, most of the runs", "measured", "target"],
                         time_rows(f, suffix)),
-                  table(["event", "cost", "figure"], event_rows(f, count))]
+                  table(["event", "cost", "figure"], event_rows(f, count, suffix))]
     parts += ["### Log service, from all daemons", table(["what", "rate", "remark"], log_rows(f))]
     return "\n\n".join(parts)
 
