Read the log in smaller parts when an answer cannot be taken

The number of records asked for is now quartered on a failure and doubled on a success. The limit of an answer is 20 MB, which holds the largest record in its escaped form, in place of 64 MB, which is more memory than a daemon should take.

The client tests name their files by process, so that two builds can run them at the same time.

--- a/libs/cli/tests/ClientTest.cpp
+++ b/libs/cli/tests/ClientTest.cpp
@@ -5,6 +5,8 @@
 #include <sstream>
 #include <thread>
 
+#include <unistd.h>
+
 #include <cli/Client.h>
 #include <cli/ExitCode.h>
 #include <net/HttpServer.h>
@@ -35,7 +37,8 @@
 
 std::string writeFile(const std::string &name, const std::string &text)
 {
-    const auto path = testing::TempDir() + "fuchsiadock-cli-" + name;
+    const auto path
+            = testing::TempDir() + "fuchsiadock-cli-" + std::to_string(getpid()) + "-" + name;
     std::ofstream(path) << text;
     return path;
 }
--- a/libs/logclient/src/HttpLogClient.cpp
+++ b/libs/logclient/src/HttpLogClient.cpp
@@ -16,7 +16,7 @@
 constexpr int statusOk = 200;
 constexpr int statusGone = 410;
 constexpr int firstServerError = 500;
-constexpr std::size_t maxAnswerBytes = 64 * 1024 * 1024;
+constexpr std::size_t maxAnswerBytes = 20 * 1024 * 1024;
 
 LogError failed(const net::Failure &failure)
 {
--- a/libs/notesync/include/notesync/NoteSync.h
+++ b/libs/notesync/include/notesync/NoteSync.h
@@ -94,6 +94,7 @@
     bool isConfigStale_ = false;                 ///< the state may hold more than the configuration
     std::optional<base::Millis> peerStateSince_; ///< when a peer's state was first taken
 
+    std::size_t recordsPerRead_;
     logclient::Backoff readBackoff_;
     bool reading_ = false;
     std::uint64_t readFrom_ = 0; ///< offset asked for by the outstanding read
--- a/libs/notesync/src/NoteSync.cpp
+++ b/libs/notesync/src/NoteSync.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr std::size_t recordsPerRead = 256;
+constexpr std::size_t maxRecordsPerRead = 256;
+constexpr std::size_t readShrink = 4;
 constexpr Ticket snapshotTicket = 0;
 constexpr base::Millis readBackoffBase(500);
 constexpr base::Millis readBackoffCap(8000);
@@ -42,6 +43,7 @@
     , snapshots_(std::make_unique<details::SnapshotPlan>(options_.retention_,
                                                          options_.snapshotRecords_, now))
     , tail_(std::make_unique<details::Tail>())
+    , recordsPerRead_(maxRecordsPerRead)
     , readBackoff_(readBackoffBase, readBackoffCap, base::hash64("read", options_.seed_))
     , nextRead_(now + randomBelow(options_.startSpread_, random_))
     , logFallbackAt_(now + options_.logFallback_ + randomBelow(options_.logFallback_, random_))
@@ -147,6 +149,7 @@
         stateChanged_ = true;
     }
     readBackoff_.succeeded();
+    recordsPerRead_ = std::min(recordsPerRead_ * 2, maxRecordsPerRead);
     logError_.clear();
     caughtUp_ = page.records_.empty() || fold_.position() >= page.next_;
     nextRead_ = caughtUp_ ? now_ + readInterval() : now_;
@@ -183,6 +186,8 @@
     logError_ = std::move(error);
     caughtUp_ = false;
     nextRead_ = now_ + readBackoff_.failed();
+    // Large records can make an answer too large to be taken.
+    recordsPerRead_ = std::max<std::size_t>(recordsPerRead_ / readShrink, 1);
 }
 
 void NoteSync::onPullEnded(const PullEnded &event)
@@ -309,7 +314,7 @@
         return;
     reading_ = true;
     readFrom_ = fold_.position();
-    commands_.emplace_back(ReadLog{readFrom_, recordsPerRead});
+    commands_.emplace_back(ReadLog{readFrom_, recordsPerRead_});
 }
 
 base::Millis NoteSync::readInterval()
--- a/libs/notesync/tests/FakeWorld.h
+++ b/libs/notesync/tests/FakeWorld.h
@@ -40,6 +40,7 @@
         bool isDown_ = false;
         bool losesAnswers_ = false;
         base::Millis delay_ = base::Millis(20);
+        std::size_t maxPage_ = 1000;   ///< larger answers are lost
         std::set<std::string> cutOff_; ///< data centres that cannot reach it
         std::uint64_t reads_ = 0;
         std::uint64_t appends_ = 0;
@@ -266,6 +267,8 @@
         logclient::LogPage page{{}, log_.first_, next};
         for (auto i = from; i < next && page.records_.size() < max; ++i)
             page.records_.push_back({i, log_.records_[i]});
+        if (page.records_.size() > log_.maxPage_)
+            return tl::unexpected(logclient::LogError(logclient::NoAnswer{"too large"}));
         return page;
     }
 
--- a/libs/notesync/tests/NoteSyncTest.cpp
+++ b/libs/notesync/tests/NoteSyncTest.cpp
@@ -160,6 +160,18 @@
     EXPECT_FALSE(world.nodes_.begin()->second.sync_->hasConfig());
 }
 
+TEST(NoteSync, AnswersThatAreTooLargeAreAskedForInSmallerParts)
+{
+    FakeWorld world(9);
+    for (int i = 0; i < 400; ++i)
+        world.append(note::encodeRecord(note::Snapshot{note::State{}}));
+    world.append(note::encodeRecord(addService("n", "wallet", 0)));
+    world.log_.maxPage_ = 3;
+    addDaemons(world, 1, 1);
+    world.runFor(Millis(600000));
+    EXPECT_EQ(countWith(world, "wallet"), 1U);
+}
+
 TEST(NoteSync, AnEmptyLogGivesTheEmptyConfiguration)
 {
     FakeWorld world(5);
