--- a/Makefile
+++ b/Makefile
@@ -14,17 +14,17 @@
 	cmake --build build
 
 test: build
-	ctest --test-dir build --output-on-failure -j 4
+	ctest --test-dir build --output-on-failure -j 8
 
 asan: deps
 	cmake -S . -B build-asan -G Ninja -DFUCHSIADOCK_ASAN=ON
 	cmake --build build-asan
-	ctest --test-dir build-asan --output-on-failure -j 4
+	ctest --test-dir build-asan --output-on-failure -j 8
 
 tsan: deps
 	cmake -S . -B build-tsan -G Ninja -DFUCHSIADOCK_TSAN=ON
 	cmake --build build-tsan
-	ctest --test-dir build-tsan --output-on-failure -j 4
+	ctest --test-dir build-tsan --output-on-failure -j 8
 
 demo: build
 	scripts/demo.sh
--- a/libs/admin/src/AdminServer.cpp
+++ b/libs/admin/src/AdminServer.cpp
@@ -50,8 +50,8 @@
 {
     return std::visit(base::Overloaded{
                               [&](const notesync::Decided &r) {
-                                  const int status
-                                          = r.outcome_.accepted_ ? statusOk : statusConflict;
+                                  const int status =
+                                          r.outcome_.accepted_ ? statusOk : statusConflict;
                                   return jsonAnswer(status, outcomeView(id, r.outcome_));
                               },
                               [](const notesync::NotPublished &r) {
@@ -93,11 +93,11 @@
 
     void publish(net::ExchangeId exchange, const std::string &text)
     {
-        const auto done
-                = [weak = weak_from_this(), exchange](const std::string &id, const auto &result) {
-                      if (const auto self = weak.lock())
-                          self->server_->respond(exchange, publishAnswer(id, result));
-                  };
+        const auto done = [weak = weak_from_this(), exchange](const std::string &id,
+                                                              const auto &result) {
+            if (const auto self = weak.lock())
+                self->server_->respond(exchange, publishAnswer(id, result));
+        };
         const auto started = notes_.publish(text, done);
         if (!started)
             server_->respond(exchange, jsonAnswer(statusBadRequest, faultsView(started.error())));
@@ -140,8 +140,8 @@
                                  + ")");
         auto view = outcomeView(id, *outcome);
         if (outcome->accepted_)
-            view["inForce"]
-                    = inForceView(outcome->revision_, *sources_.members_(), sources_.revisions_());
+            view["inForce"] =
+                    inForceView(outcome->revision_, *sources_.members_(), sources_.revisions_());
         return jsonAnswer(statusOk, view);
     }
 
--- a/libs/admin/tests/AdminServerTest.cpp
+++ b/libs/admin/tests/AdminServerTest.cpp
@@ -73,8 +73,8 @@
                                     [] {
                                         return "{}";
                                     }};
-        auto server
-                = admin::AdminServer::start(reactor_, {{"127.0.0.1", 0}, token_}, *notes_, sources);
+        auto server =
+                admin::AdminServer::start(reactor_, {{"127.0.0.1", 0}, token_}, *notes_, sources);
         ASSERT_TRUE(server);
         server_ = std::move(*server);
         const auto end = base::monotonicNow() + base::Millis(30000);
@@ -97,8 +97,8 @@
     const std::string token_ = "s3cret";
     net::Reactor reactor_;
     std::shared_ptr<bool> isLogUp_ = std::make_shared<bool>(true);
-    std::shared_ptr<std::vector<model::Member>> members_
-            = std::make_shared<std::vector<model::Member>>();
+    std::shared_ptr<std::vector<model::Member>> members_ =
+            std::make_shared<std::vector<model::Member>>();
     std::unique_ptr<notesync::NoteService> notes_;
     std::unique_ptr<admin::AdminServer> server_;
     net::HttpClient client_{reactor_};
--- a/libs/admission/src/details/State.cpp
+++ b/libs/admission/src/details/State.cpp
@@ -36,8 +36,8 @@
 
 Level State::level(std::string_view customer) const
 {
-    const bool isShed
-            = now_ - customers_.lastShed(customers_.indexOf(customer)) < customerShedMemory;
+    const bool isShed =
+            now_ - customers_.lastShed(customers_.indexOf(customer)) < customerShedMemory;
     return isShed ? levels_.level() : levels_.level().wholeRank();
 }
 
@@ -239,8 +239,8 @@
     if (limit < fewestWithHeadroom
         || std::none_of(lastSeen_.begin(), lastSeen_.begin() + rank, isRecent))
         return limit;
-    const auto kept
-            = static_cast<std::size_t>(std::ceil(options_.headroom_ * static_cast<double>(limit)));
+    const auto kept =
+            static_cast<std::size_t>(std::ceil(options_.headroom_ * static_cast<double>(limit)));
     return limit - kept;
 }
 
--- a/libs/admission/tests/CorePropertyTest.cpp
+++ b/libs/admission/tests/CorePropertyTest.cpp
@@ -51,14 +51,14 @@
 private:
     void arrive()
     {
-        const Arrived event
-                = {.id_ = nextId_++,
-                   .priority_ = {.rank_ = *rc::gen::inRange(0, 4),
-                                 .inProgress_ = *rc::gen::arbitrary<bool>(),
-                                 .bucket_ = *rc::gen::inRange(0, Priority::bucketCount)},
-                   .customer_ = *rc::gen::element<std::string>("school", "buyer", "stranger"),
-                   .requestClass_ = *rc::gen::element<std::string>("a", "b"),
-                   .deadline_ = now_ + Millis(*rc::gen::inRange(0, 900))};
+        const Arrived event = {
+                .id_ = nextId_++,
+                .priority_ = {.rank_ = *rc::gen::inRange(0, 4),
+                              .inProgress_ = *rc::gen::arbitrary<bool>(),
+                              .bucket_ = *rc::gen::inRange(0, Priority::bucketCount)},
+                .customer_ = *rc::gen::element<std::string>("school", "buyer", "stranger"),
+                .requestClass_ = *rc::gen::element<std::string>("a", "b"),
+                .deadline_ = now_ + Millis(*rc::gen::inRange(0, 900))};
         undecided_.emplace(event.id_, event);
         step(event);
     }
@@ -67,8 +67,8 @@
     {
         if (running_.empty())
             return;
-        const auto ended
-                = std::next(running_.begin(), *rc::gen::inRange<std::size_t>(0, running_.size()));
+        const auto ended =
+                std::next(running_.begin(), *rc::gen::inRange<std::size_t>(0, running_.size()));
         const RequestId id = ended->first;
         running_.erase(ended);
         const auto outcome = *rc::gen::weightedElement<Outcome>({{8, Outcome::Ok},
--- a/libs/base/src/Mac.cpp
+++ b/libs/base/src/Mac.cpp
@@ -37,11 +37,11 @@
     , context_(EVP_MAC_CTX_new(algorithm_))
 {
     std::string digest = "SHA256";
-    const std::array params
-            = {OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest.data(), 0),
-               OSSL_PARAM_construct_end()};
-    [[maybe_unused]] const int done
-            = EVP_MAC_init(context_, bytesOf(secret), secret.size(), params.data());
+    const std::array params = {
+            OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest.data(), 0),
+            OSSL_PARAM_construct_end()};
+    [[maybe_unused]] const int done =
+            EVP_MAC_init(context_, bytesOf(secret), secret.size(), params.data());
     assert(done == 1);
 }
 
@@ -64,10 +64,10 @@
     std::array<unsigned char, sha256Bytes> digest;
     std::size_t length = 0;
     // Without a key this starts the next text with the same key.
-    [[maybe_unused]] const bool isDone
-            = EVP_MAC_init(impl_->context_, nullptr, 0, nullptr) == 1
-              && EVP_MAC_update(impl_->context_, bytesOf(text), text.size()) == 1
-              && EVP_MAC_final(impl_->context_, digest.data(), &length, digest.size()) == 1;
+    [[maybe_unused]] const bool isDone =
+            EVP_MAC_init(impl_->context_, nullptr, 0, nullptr) == 1
+            && EVP_MAC_update(impl_->context_, bytesOf(text), text.size()) == 1
+            && EVP_MAC_final(impl_->context_, digest.data(), &length, digest.size()) == 1;
     assert(isDone && length == sha256Bytes);
     return std::string(reinterpret_cast<const char *>(digest.data()), macBytes);
 }
--- a/libs/bench/src/Target.cpp
+++ b/libs/bench/src/Target.cpp
@@ -12,8 +12,8 @@
         const auto end = rest.find('&');
         const std::string_view field = rest.substr(0, end);
         const auto equals = field.find('=');
-        const std::string_view value
-                = equals == std::string_view::npos ? "" : field.substr(equals + 1);
+        const std::string_view value =
+                equals == std::string_view::npos ? "" : field.substr(equals + 1);
         target.query_[std::string(field.substr(0, equals))] = value;
         rest = end == std::string_view::npos ? "" : rest.substr(end + 1);
     }
--- a/libs/bench/src/details/ClusterYaml.cpp
+++ b/libs/bench/src/details/ClusterYaml.cpp
@@ -17,8 +17,8 @@
     service.slots_ = node["slots"].as<std::uint32_t>();
     service.connections_ = node["connections"].as<std::uint32_t>();
     service.queueLimit_ = node["queue"].as<std::size_t>(service.queueLimit_);
-    service.time_.mean_
-            = base::Millis(node["timeMs"].as<std::int64_t>(service.time_.mean_.count()));
+    service.time_.mean_ =
+            base::Millis(node["timeMs"].as<std::int64_t>(service.time_.mean_.count()));
     service.time_.variation_ = node["timeVariation"].as<double>(service.time_.variation_);
     service.contention_ = node["contention"].as<double>(service.contention_);
     service.calls_ = node["calls"].as<std::vector<std::string>>(service.calls_);
--- a/libs/cli/tests/ClientTest.cpp
+++ b/libs/cli/tests/ClientTest.cpp
@@ -37,8 +37,8 @@
 
 std::string writeFile(const std::string &name, const std::string &text)
 {
-    const auto path
-            = testing::TempDir() + "fuchsiadock-cli-" + std::to_string(getpid()) + "-" + name;
+    const auto path =
+            testing::TempDir() + "fuchsiadock-cli-" + std::to_string(getpid()) + "-" + name;
     std::ofstream(path) << text;
     return path;
 }
--- a/libs/dock/src/AttemptCodec.cpp
+++ b/libs/dock/src/AttemptCodec.cpp
@@ -90,10 +90,10 @@
 
 bool isHopByHop(std::string_view name)
 {
-    static constexpr std::string_view names[]
-            = {"connection", "keep-alive",    "proxy-connection", "transfer-encoding",
-               "te",         "trailer",       "upgrade",          "content-length",
-               "host",       "http2-settings"};
+    static constexpr std::string_view names[] = {
+            "connection", "keep-alive",    "proxy-connection", "transfer-encoding",
+            "te",         "trailer",       "upgrade",          "content-length",
+            "host",       "http2-settings"};
     return std::any_of(std::begin(names), std::end(names), [name](std::string_view candidate) {
         return net::equalsIgnoringCase(name, candidate);
     });
@@ -172,8 +172,8 @@
     answer.isLeaving_ = flags == flagLeaving;
     answer.isReplaced_ = flags == flagReplaced;
     answer.levels_ = admission::AnswerLevels::parse(headerValue(headers, header::level));
-    answer.budgetLeft_
-            = static_cast<std::uint32_t>(numberUpTo(headers, header::budget, mostBudget));
+    answer.budgetLeft_ =
+            static_cast<std::uint32_t>(numberUpTo(headers, header::budget, mostBudget));
     answer.queueing_ = base::Millis::fromMicros(static_cast<std::int64_t>(
             numberUpTo(headers, header::queueingMicros, mostTimeLeftMicros)));
     const auto kind = headerValue(headers, header::kind);
--- a/libs/dock/src/CallerAnswer.cpp
+++ b/libs/dock/src/CallerAnswer.cpp
@@ -66,16 +66,16 @@
 
 net::HttpResponse callerAnswer(const once::Outcome &outcome, const std::string &nextKey)
 {
-    auto response = std::visit(
-            base::Overloaded{
-                    [](const once::Complete &whole) { return complete(*whole.answer_); },
-                    [](const once::NotRun &why) {
-                        return refusal(statusOf(why.reason_), once::reasonText(why.reason_),
-                                       why.retryAfter_);
-                    },
-                    [](const once::Unknown &why) { return unknown(why.reason_); },
-            },
-            outcome);
+    auto response =
+            std::visit(base::Overloaded{
+                               [](const once::Complete &whole) { return complete(*whole.answer_); },
+                               [](const once::NotRun &why) {
+                                   return refusal(statusOf(why.reason_),
+                                                  once::reasonText(why.reason_), why.retryAfter_);
+                               },
+                               [](const once::Unknown &why) { return unknown(why.reason_); },
+                       },
+                       outcome);
     if (!nextKey.empty())
         addField(response, "Fuchsiadock-Next-Key", nextKey);
     return response;
--- a/libs/dock/src/ControlTask.cpp
+++ b/libs/dock/src/ControlTask.cpp
@@ -72,11 +72,11 @@
 
 base::Result<void> ControlTask::Impl::listen()
 {
-    auto server
-            = net::HttpServer::start(reactor_, {.listen_ = settings_.controlAddress_},
-                                     [this](net::ExchangeId id, const net::HttpRequest &request) {
-                                         onControlRequest(id, request);
-                                     });
+    auto server =
+            net::HttpServer::start(reactor_, {.listen_ = settings_.controlAddress_},
+                                   [this](net::ExchangeId id, const net::HttpRequest &request) {
+                                       onControlRequest(id, request);
+                                   });
     if (!server)
         return tl::unexpected(server.error());
     controlServer_ = std::move(*server);
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -169,11 +169,11 @@
     }
     // The answer may come before accept() returns.
     peerCancels_[id] = {};
-    const auto attemptId
-            = executor_.accept(std::move(*attempt), [this, id](const AttemptAnswer &answer) {
-                  peerCancels_.erase(id);
-                  peerServer_->respond(id, encodeAnswer(answer));
-              });
+    const auto attemptId =
+            executor_.accept(std::move(*attempt), [this, id](const AttemptAnswer &answer) {
+                peerCancels_.erase(id);
+                peerServer_->respond(id, encodeAnswer(answer));
+            });
     if (const auto found = peerCancels_.find(id); found != peerCancels_.end())
         found->second = [this, attemptId] {
             executor_.cancel(attemptId);
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -220,8 +220,8 @@
         inheritFrom(call, *parent);
     } else {
         call.hasUnknownContext_ = !token.empty();
-        const auto name
-                = call.keyText_.empty() ? settings_.id_ + std::to_string(nextId_) : call.keyText_;
+        const auto name =
+                call.keyText_.empty() ? settings_.id_ + std::to_string(nextId_) : call.keyText_;
         call.priority_ = admission::Priority::ofRoot(call.class_.rank_, name);
     }
     addTolerance(call);
@@ -318,11 +318,11 @@
 void Entry::Impl::startAtHome(EntryId id, CallInfo call,
                               const std::variant<once::Key, once::ContextKey> &key)
 {
-    const auto started
-            = keyed_.start(std::move(call), key,
-                           [this, id](const once::Outcome &outcome, const CallReport &report) {
-                               finishWith(id, outcome, report);
-                           });
+    const auto started =
+            keyed_.start(std::move(call), key,
+                         [this, id](const once::Outcome &outcome, const CallReport &report) {
+                             finishWith(id, outcome, report);
+                         });
     cancels_[id] = [this, started] {
         keyed_.cancel(started);
     };
@@ -340,9 +340,9 @@
     request.target_ = "/" + call.service_ + request.target_;
     request.headers_.push_back({header::kind, "home"});
     request.headers_.push_back({header::deadlineMs, std::to_string(timeLeft.count())});
-    const auto sent = client_.send(
-            member->peerAddress_, std::move(request), timeLeft,
-            [this, id](net::CallResult result) { forwarded(id, std::move(result)); });
+    const auto sent =
+            client_.send(member->peerAddress_, std::move(request), timeLeft,
+                         [this, id](net::CallResult result) { forwarded(id, std::move(result)); });
     cancels_[id] = [this, sent] {
         client_.cancel(sent);
     };
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -176,8 +176,8 @@
         return;
     auto &record = found->second;
     record.attempt_ = order;
-    const auto selected
-            = selector_.select(record.info_, order.avoid_, record.tried_, base::monotonicNow());
+    const auto selected =
+            selector_.select(record.info_, order.avoid_, record.tried_, base::monotonicNow());
     if (!selected) {
         tell(once::NotChosen{order.call_, selected.error()});
         return;
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -98,12 +98,12 @@
 std::optional<Executor::Impl::RunId> Executor::Impl::createRun(Attempt attempt,
                                                                base::Millis startBy)
 {
-    auto token
-            = contexts_.open({.priority_ = static_cast<std::uint32_t>(attempt.priority_.packed()),
-                              .customer_ = attempt.customer_,
-                              .deadline_ = startBy,
-                              .budget_ = retry::ChainBudget(attempt.budget_),
-                              .depth_ = attempt.depth_});
+    auto token =
+            contexts_.open({.priority_ = static_cast<std::uint32_t>(attempt.priority_.packed()),
+                            .customer_ = attempt.customer_,
+                            .deadline_ = startBy,
+                            .budget_ = retry::ChainBudget(attempt.budget_),
+                            .depth_ = attempt.depth_});
     if (!token)
         return std::nullopt;
     const auto id = nextRun_++;
@@ -228,19 +228,19 @@
 
 void Executor::Impl::tellRecord(const once::SubKey &subKey, const once::Outcome &outcome)
 {
-    const auto event
-            = std::visit(base::Overloaded{
-                                 [&](const once::Complete &complete) -> once::ExecutorEvent {
-                                     return once::BackendAnswered{subKey, complete.answer_};
-                                 },
-                                 [&](const NotRun &why) -> once::ExecutorEvent {
-                                     return once::Refused{subKey, why};
-                                 },
-                                 [&](const once::Unknown &) -> once::ExecutorEvent {
-                                     return once::BackendLost{subKey};
-                                 },
-                         },
-                         outcome);
+    const auto event =
+            std::visit(base::Overloaded{
+                               [&](const once::Complete &complete) -> once::ExecutorEvent {
+                                   return once::BackendAnswered{subKey, complete.answer_};
+                               },
+                               [&](const NotRun &why) -> once::ExecutorEvent {
+                                   return once::Refused{subKey, why};
+                               },
+                               [&](const once::Unknown &) -> once::ExecutorEvent {
+                                   return once::BackendLost{subKey};
+                               },
+                       },
+                       outcome);
     perform(once_->handle(event, base::monotonicNow()));
 }
 
--- a/libs/dock/tests/DataPathTest.cpp
+++ b/libs/dock/tests/DataPathTest.cpp
@@ -56,8 +56,8 @@
 
     void announce()
     {
-        const nlohmann::json body
-                = {{"service", "wallet"}, {"port", backend_->port()}, {"slots", slots}};
+        const nlohmann::json body = {
+                {"service", "wallet"}, {"port", backend_->port()}, {"slots", slots}};
         const auto answer = caller_.call(
                 executor_.address(),
                 {.method_ = "PUT", .target_ = "/.fuchsiadock/backend", .body_ = body.dump()});
@@ -66,10 +66,10 @@
 
     std::string issueKey(const Dock &home)
     {
-        const auto answer
-                = caller_.call(home.address(), {.method_ = "POST",
-                                                .target_ = "/.fuchsiadock/keys",
-                                                .body_ = R"({"service":"wallet","count":1})"});
+        const auto answer =
+                caller_.call(home.address(), {.method_ = "POST",
+                                              .target_ = "/.fuchsiadock/keys",
+                                              .body_ = R"({"service":"wallet","count":1})"});
         return nlohmann::json::parse(answer.body_)["keys"][0];
     }
 
@@ -127,8 +127,8 @@
 TEST_F(DataPath, aNonIdempotentRequestWithoutAKeyGetsOne)
 {
     serve(echo);
-    const auto answer
-            = caller_.call(entry_.address(), {.method_ = "POST", .target_ = "/wallet/redeem"});
+    const auto answer =
+            caller_.call(entry_.address(), {.method_ = "POST", .target_ = "/wallet/redeem"});
     EXPECT_EQ(answer.status_, 428);
     EXPECT_EQ(outcomeOf(answer), "not-run");
     const std::string key(net::headerValue(answer.headers_, "Fuchsiadock-Next-Key"));
--- a/libs/dock/tests/FailureTest.cpp
+++ b/libs/dock/tests/FailureTest.cpp
@@ -149,9 +149,9 @@
         const std::lock_guard lock(mutex);
         token = context;
     }
-    auto child = caller_.start(
-            parent.dock_->address(),
-            {.target_ = "/wallet/child", .headers_ = {{"Fuchsiadock-Context", token}}});
+    auto child =
+            caller_.start(parent.dock_->address(), {.target_ = "/wallet/child",
+                                                    .headers_ = {{"Fuchsiadock-Context", token}}});
     waitForRuns(2);
     EXPECT_FALSE(root.get());
     const auto answer = child.get();
--- a/libs/dock/tests/ThreeDaemons.h
+++ b/libs/dock/tests/ThreeDaemons.h
@@ -69,8 +69,8 @@
 
     std::string issueKey()
     {
-        const auto answer
-                = caller_.call(entry_->address(), {.method_ = "POST", .target_ = "/wallet/r"});
+        const auto answer =
+                caller_.call(entry_->address(), {.method_ = "POST", .target_ = "/wallet/r"});
         return headerOf(answer, "Fuchsiadock-Next-Key");
     }
 
--- a/libs/events/tests/CatalogueTest.cpp
+++ b/libs/events/tests/CatalogueTest.cpp
@@ -51,10 +51,10 @@
 
 TEST(Catalogue, everyEventIsDocumentedAndEveryEntryExists)
 {
-    const auto documented
-            = pairsIn(readFile(EVENTS_CATALOGUE), std::regex(R"(\| (\d+) \| `([a-z-]+)`)"));
-    const auto declared = pairsIn(catalogueHeader(),
-                                  std::regex(R"re(\{(\d+), Severity::\w+,\s+"([a-z-]+)")re"));
+    const auto documented =
+            pairsIn(readFile(EVENTS_CATALOGUE), std::regex(R"(\| (\d+) \| `([a-z-]+)`)"));
+    const auto declared =
+            pairsIn(catalogueHeader(), std::regex(R"re(\{(\d+), Severity::\w+,\s+"([a-z-]+)")re"));
     EXPECT_FALSE(declared.empty());
     EXPECT_EQ(documented, declared);
 }
--- a/libs/faultmatrix/tests/Daemon.cpp
+++ b/libs/faultmatrix/tests/Daemon.cpp
@@ -127,8 +127,8 @@
         tellHome(event);
         return;
     }
-    const auto decision
-            = once::decideAtEntry(incarnation(), request.key_, !request.context_.empty());
+    const auto decision =
+            once::decideAtEntry(incarnation(), request.key_, !request.context_.empty());
     std::visit(base::Overloaded{
                        [&](const once::DecideHere &here) {
                            event.key_ = here.key_;
--- a/libs/faultmatrix/tests/DaemonAsHome.cpp
+++ b/libs/faultmatrix/tests/DaemonAsHome.cpp
@@ -89,8 +89,8 @@
     record.handedDown_ = start.handedDown_;
     record.budgetLeft_.reset();
     const auto priority = admission::Priority::ofRoot(0, record.request_.name_);
-    const auto choice
-            = routing_->choose(record.request_.service_, priority, start.avoid_, network_.now());
+    const auto choice =
+            routing_->choose(record.request_.service_, priority, start.avoid_, network_.now());
     if (!hasConfig_ || !choice) {
         tellHome(once::NotChosen{id, once::NotRun{once::Reason::NoInstance, base::Millis(100)}});
         return;
--- a/libs/faultmatrix/tests/Fault.h
+++ b/libs/faultmatrix/tests/Fault.h
@@ -35,12 +35,12 @@
     ColdStart,
 };
 
-inline constexpr std::array stepNames
-        = {"received", "routed",   "sent",    "admitted", "dispatched",
-           "running",  "answered", "relayed", "delivered"};
-inline constexpr std::array faultNames
-        = {"crash",     "pause",     "slow",    "lostMessage",           "duplicate", "late",
-           "truncated", "partition", "logDown", "answerLostAfterEffect", "drain",     "coldStart"};
+inline constexpr std::array stepNames = {"received", "routed",     "sent",
+                                         "admitted", "dispatched", "running",
+                                         "answered", "relayed",    "delivered"};
+inline constexpr std::array faultNames = {
+        "crash",     "pause",     "slow",    "lostMessage",           "duplicate", "late",
+        "truncated", "partition", "logDown", "answerLostAfterEffect", "drain",     "coldStart"};
 inline constexpr std::size_t stepCount = stepNames.size();
 inline constexpr std::size_t faultCount = faultNames.size();
 inline constexpr std::size_t hopCount = 2;
--- a/libs/faultmatrix/tests/FaultMatrixTest.cpp
+++ b/libs/faultmatrix/tests/FaultMatrixTest.cpp
@@ -50,8 +50,8 @@
 /** Whether the caller must get its answer although the cell takes place. */
 bool mustComplete(const Cell &cell)
 {
-    static const std::set<Fault> harmless
-            = {Fault::Slow, Fault::Duplicate, Fault::LogDown, Fault::Drain, Fault::ColdStart};
+    static const std::set<Fault> harmless = {Fault::Slow, Fault::Duplicate, Fault::LogDown,
+                                             Fault::Drain, Fault::ColdStart};
     static const std::set<Fault> ofMessages = {Fault::LostMessage, Fault::Late, Fault::Truncated};
     static const std::set<Step> repeated = {Step::Received, Step::Relayed, Step::Delivered};
     if (harmless.contains(cell.fault_))
--- a/libs/faultmatrix/tests/Scenario.cpp
+++ b/libs/faultmatrix/tests/Scenario.cpp
@@ -61,8 +61,8 @@
         member.region_ = "south";
         member.service_ = places[i].service_;
         member.slots_ = 2;
-        member.serving_ = member.service_.empty() ? model::ServingState::Absent
-                                                  : model::ServingState::Ready;
+        member.serving_ =
+                member.service_.empty() ? model::ServingState::Absent : model::ServingState::Ready;
         cluster_.members_.push_back(member);
         network_.processes_[i].dataCentre_ = places[i].dataCentre_;
         network_.processes_[i + places.size()].dataCentre_ = places[i].dataCentre_;
@@ -132,8 +132,8 @@
             [this, &caller, number](const RemoteResult &result) {
                 if (result)
                     history_.requests_[caller.name_].told_.push_back(result->outcome_);
-                const bool isKnown
-                        = result && !std::holds_alternative<once::Unknown>(result->outcome_);
+                const bool isKnown =
+                        result && !std::holds_alternative<once::Unknown>(result->outcome_);
                 // Repeats although it knows, at once and after the key's expiry.
                 if (isKnown || caller.afterAnswer_ > 0)
                     ++caller.afterAnswer_;
--- a/libs/logclient/include/logclient/LogClient.h
+++ b/libs/logclient/include/logclient/LogClient.h
@@ -26,8 +26,8 @@
     virtual void append(const std::string &stream, std::string data, AppendDone done) = 0;
 
     /** Reads at most `max` records from an offset on. */
-    virtual void read(const std::string &stream, std::uint64_t from, std::size_t max, ReadDone done)
-            = 0;
+    virtual void read(const std::string &stream, std::uint64_t from, std::size_t max,
+                      ReadDone done) = 0;
 };
 
 } // namespace logclient
--- a/libs/logclient/src/Backoff.cpp
+++ b/libs/logclient/src/Backoff.cpp
@@ -15,8 +15,8 @@
 {
     const auto half = current_.micros() / 2;
     const auto spread = static_cast<std::uint64_t>(std::max<std::int64_t>(half, 0)) + 1;
-    const auto delay
-            = base::Millis::fromMicros(half + static_cast<std::int64_t>(random_.below(spread)));
+    const auto delay =
+            base::Millis::fromMicros(half + static_cast<std::int64_t>(random_.below(spread)));
     current_ = std::min(current_ * 2, cap_);
     return delay;
 }
--- a/libs/membership/src/details/Events.cpp
+++ b/libs/membership/src/details/Events.cpp
@@ -67,8 +67,8 @@
     }
     if (different.empty() || isCatchingUp_)
         return;
-    const bool isKnown
-            = isOwn(message.senderDataCentre_) || heard_.contains(message.senderDataCentre_);
+    const bool isKnown =
+            isOwn(message.senderDataCentre_) || heard_.contains(message.senderDataCentre_);
     if (!isDue(nextDigest_[isKnown ? message.senderDataCentre_ : std::string()],
                timing_.digestInterval_))
         return;
@@ -87,8 +87,8 @@
 
 void Core::Impl::onBody(const DatagramReceived &event, const PingRequest &request)
 {
-    const auto sequence
-            = probes_.startForward({event.from_, request.sequence_, request.targetId_, running_});
+    const auto sequence =
+            probes_.startForward({event.from_, request.sequence_, request.targetId_, running_});
     if (const auto *target = table_.find(request.targetId_);
         target && target->record_.member_.controlAddress_ == request.target_)
         send(*target, Ping{sequence, request.targetId_});
@@ -159,8 +159,8 @@
 void Core::Impl::on(const SeedsFound &event)
 {
     for (const auto &address : event.addresses_) {
-        const bool isKnown
-                = std::find(foundSeeds_.begin(), foundSeeds_.end(), address) != foundSeeds_.end();
+        const bool isKnown =
+                std::find(foundSeeds_.begin(), foundSeeds_.end(), address) != foundSeeds_.end();
         if (isKnown || address == self_.controlAddress_)
             continue;
         if (foundSeeds_.size() == maxFoundSeeds)
@@ -191,9 +191,9 @@
     table_.raiseRevision(self_.id_, self_.generation_, self_.revision_);
     highestRevision_ = std::max(highestRevision_, self_.revision_);
     isChanged_ = true;
-    hintRounds_
-            = static_cast<std::uint32_t>(std::bit_width(table_.live(self_.dataCentre_).size())) / 2
-              + 1;
+    hintRounds_ =
+            static_cast<std::uint32_t>(std::bit_width(table_.live(self_.dataCentre_).size())) / 2
+            + 1;
     relayRounds_ = 2;
     if (isRelay())
         relayProbe();
--- a/libs/membership/src/details/Merging.cpp
+++ b/libs/membership/src/details/Merging.cpp
@@ -32,8 +32,8 @@
     const auto *own = table_.find(self_.id_);
     if (isLeaving_ || record.version() <= own->record_.version())
         return false;
-    const bool isTaken
-            = record.member_.generation_ > self_.generation_ || record.status_ == Status::Left;
+    const bool isTaken =
+            record.member_.generation_ > self_.generation_ || record.status_ == Status::Left;
     if (isTaken) {
         if (generationRaises_ == maxGenerationRaises)
             return false;
@@ -68,8 +68,8 @@
         heard_.try_emplace(dataCentre, now_);
     if (status == Status::Suspect) {
         const auto members = static_cast<double>(table_.live(self_.dataCentre_).size() + 1);
-        const auto intervals = static_cast<double>(timing_.suspicionFactor_)
-                               * std::max(1.0, std::log10(members));
+        const auto intervals =
+                static_cast<double>(timing_.suspicionFactor_) * std::max(1.0, std::log10(members));
         const auto wait = static_cast<double>(timing_.probeInterval_.micros()) * intervals;
         table_.setRefuteBy(id, running_ + base::Millis::fromMicros(static_cast<long>(wait)));
     }
--- a/libs/membership/src/details/Selection.cpp
+++ b/libs/membership/src/details/Selection.cpp
@@ -71,9 +71,9 @@
 
 bool Core::Impl::isIsolated() const
 {
-    const bool hasOtherSeed = std::any_of(
-            options_.seeds_.begin(), options_.seeds_.end(),
-            [&](const model::Address &seed) { return seed != self_.controlAddress_; });
+    const bool hasOtherSeed =
+            std::any_of(options_.seeds_.begin(), options_.seeds_.end(),
+                        [&](const model::Address &seed) { return seed != self_.controlAddress_; });
     const bool expectsOthers = hasOtherSeed || !foundSeeds_.empty() || hasContact_;
     const bool isSilent = !hasContact_ || now_ - lastContact_ > timing_.isolationTimeout_;
     return expectsOthers && isSilent;
--- a/libs/membership/tests/Pump.h
+++ b/libs/membership/tests/Pump.h
@@ -144,9 +144,9 @@
                 const auto *record = daemon.core_->find(id);
                 const bool isListed = record && record->isLive();
                 const bool isRunning = other.core_ != nullptr;
-                const bool isOutdated
-                        = isListed && isRunning
-                          && record->member_.generation_ != other.core_->self().generation_;
+                const bool isOutdated =
+                        isListed && isRunning
+                        && record->member_.generation_ != other.core_->self().generation_;
                 if (isOutdated)
                     text += observer + " lists an earlier process of " + id + "\n";
                 if (isListed == isRunning)
@@ -178,10 +178,10 @@
         return true;
     }
 
-    std::function<bool(const std::string &from, const std::string &to)> isCut_
-            = [](const auto &, const auto &) {
-                  return false;
-              };
+    std::function<bool(const std::string &from, const std::string &to)> isCut_ = [](const auto &,
+                                                                                    const auto &) {
+        return false;
+    };
     std::function<void()> onStep_;
     std::function<void(const std::string &from, const membership::Datagram &)> onSend_;
     double loss_ = 0;
--- a/libs/metrics/include/metrics/Snapshot.h
+++ b/libs/metrics/include/metrics/Snapshot.h
@@ -12,8 +12,8 @@
 namespace metrics {
 
 /** Upper bounds of the histogram buckets in milliseconds; a last bucket takes the rest. */
-constexpr std::array<double, 14> bucketBoundsMillis
-        = {0.5, 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000};
+constexpr std::array<double, 14> bucketBoundsMillis = {0.5, 1,   2,   5,    10,   20,   50,
+                                                       100, 200, 500, 1000, 2000, 5000, 10000};
 
 /** Quantiles that are estimated. */
 constexpr std::array<double, 3> quantiles = {0.5, 0.9, 0.99};
--- a/libs/metrics/src/Prometheus.cpp
+++ b/libs/metrics/src/Prometheus.cpp
@@ -13,8 +13,8 @@
 
 constexpr std::string_view prefix = "fuchsiadock_";
 constexpr double millisPerSecond = 1000.0;
-constexpr std::array<std::string_view, outcomeCount> outcomeNames
-        = {"complete", "not-run", "unknown"};
+constexpr std::array<std::string_view, outcomeCount> outcomeNames = {"complete", "not-run",
+                                                                     "unknown"};
 
 std::string numberText(double value)
 {
--- a/libs/metrics/src/details/Histogram.cpp
+++ b/libs/metrics/src/details/Histogram.cpp
@@ -34,8 +34,8 @@
     current_(millis);
     ++total_.count_;
     total_.sumMillis_ += millis;
-    const auto bucket
-            = std::lower_bound(bucketBoundsMillis.begin(), bucketBoundsMillis.end(), millis);
+    const auto bucket =
+            std::lower_bound(bucketBoundsMillis.begin(), bucketBoundsMillis.end(), millis);
     ++total_.buckets_[bucket - bucketBoundsMillis.begin()];
 }
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -187,8 +187,8 @@
 void HttpServer::Impl::deliver(Exchange &exchange)
 {
     if (exchange.isTooLarge_) {
-        exchange.response_
-                = HttpResponse{.status_ = 413, .body_ = "the body is larger than the limit\n"};
+        exchange.response_ =
+                HttpResponse{.status_ = 413, .body_ = "the body is larger than the limit\n"};
         return;
     }
     waiting_.emplace(exchange.id_, &exchange);
@@ -288,10 +288,10 @@
                                                    + std::strerror(errno));
     impl->epoll_ = MHD_get_daemon_info(impl->daemon_, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     reactor.ace().register_handler(impl->epoll_, impl.get(), ACE_Event_Handler::READ_MASK);
-    impl->hangUpTimer_
-            = reactor.schedule(hangUpCheckInterval, [raw = impl.get()] { raw->checkHangUps(); });
-    impl->idleTimer_
-            = reactor.schedule(idleRunInterval, [raw = impl.get()] { raw->runWhenIdle(); });
+    impl->hangUpTimer_ =
+            reactor.schedule(hangUpCheckInterval, [raw = impl.get()] { raw->checkHangUps(); });
+    impl->idleTimer_ =
+            reactor.schedule(idleRunInterval, [raw = impl.get()] { raw->runWhenIdle(); });
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
 }
 
--- a/libs/net/src/PeerClient.cpp
+++ b/libs/net/src/PeerClient.cpp
@@ -117,10 +117,10 @@
     static const std::string scheme = "http";
     static const std::string authorityName = ":authority";
     const auto authority = to_.text();
-    std::vector<nghttp2_nv> fields
-            = {details::fieldOf(methodName, request.method_), details::fieldOf(schemeName, scheme),
-               details::fieldOf(authorityName, authority),
-               details::fieldOf(pathName, request.target_)};
+    std::vector<nghttp2_nv> fields = {details::fieldOf(methodName, request.method_),
+                                      details::fieldOf(schemeName, scheme),
+                                      details::fieldOf(authorityName, authority),
+                                      details::fieldOf(pathName, request.target_)};
     for (const auto &[name, value] : request.headers_)
         fields.push_back(details::fieldOf(name, value));
     const bool hasBody = !request.body_.empty();
@@ -172,8 +172,8 @@
     const auto id = found->second;
     callOf_.erase(found);
     streamOf_.erase(id);
-    const auto kind
-            = errorCode == NGHTTP2_REFUSED_STREAM ? FailureKind::NotSent : FailureKind::Lost;
+    const auto kind =
+            errorCode == NGHTTP2_REFUSED_STREAM ? FailureKind::NotSent : FailureKind::Lost;
     client_.finish(id, tl::unexpected<Failure>(Failure{kind, "the stream was reset"}));
 }
 
--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -189,8 +189,8 @@
     } while (outputOffset_ == output_.size() && nghttp2_session_want_write(session_) != 0
              && !output_.empty());
     watchWrites(outputOffset_ < output_.size());
-    const bool isFinished
-            = nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0;
+    const bool isFinished =
+            nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0;
     if (isFinished && outputOffset_ == output_.size())
         closeConnection();
 }
--- a/libs/note/src/Parse.cpp
+++ b/libs/note/src/Parse.cpp
@@ -172,8 +172,8 @@
             return std::nullopt;
         RetryRule rule;
         rule.tolerance_.requestClass_ = reader_.text(YamlReader::child(field, "class"), true);
-        rule.tolerance_.budget_ = clamped<std::uint32_t>(
-                reader_.number(YamlReader::child(field, "budget"), true, 0));
+        rule.tolerance_.budget_ =
+                clamped<std::uint32_t>(reader_.number(YamlReader::child(field, "budget"), true, 0));
         rule.tolerance_.ratio_ = reader_.real(YamlReader::child(field, "ratio"), defaultRatio);
         const auto scope = YamlReader::child(field, "scope");
         const auto scopeText = reader_.text(scope, false);
--- a/libs/note/src/State.cpp
+++ b/libs/note/src/State.cpp
@@ -32,8 +32,8 @@
     }
     if (withdrawn.size() > limits::withdrawnKept) {
         std::sort(withdrawn.begin(), withdrawn.end());
-        state.floor_
-                = std::max(state.floor_, withdrawn[withdrawn.size() - limits::withdrawnKept - 1]);
+        state.floor_ =
+                std::max(state.floor_, withdrawn[withdrawn.size() - limits::withdrawnKept - 1]);
     }
     std::erase_if(state.items_, [&](const auto &entry) {
         return !entry.second.value_ && entry.second.changed_ <= state.floor_;
--- a/libs/note/src/details/Values.cpp
+++ b/libs/note/src/details/Values.cpp
@@ -17,8 +17,8 @@
 constexpr std::uint32_t maxBudget = 100;
 constexpr std::size_t maxMethodBytes = 16;
 
-constexpr std::string_view nameRule
-        = "must be 1 to 64 letters, digits, '-', '_' or '.', starting with a letter or digit";
+constexpr std::string_view nameRule =
+        "must be 1 to 64 letters, digits, '-', '_' or '.', starting with a letter or digit";
 
 bool isLetterOrDigit(char c)
 {
--- a/libs/notesync/src/NoteSync.cpp
+++ b/libs/notesync/src/NoteSync.cpp
@@ -260,8 +260,8 @@
 {
     if (announcement.digest_ == digest_)
         return;
-    const bool isNewer
-            = announcement.revision_ > ownRevision() || announcement.next_ >= fold_.position();
+    const bool isNewer =
+            announcement.revision_ > ownRevision() || announcement.next_ >= fold_.position();
     if (isNewer)
         announcer_ = announcement.daemonId_;
 }
--- a/libs/notesync/src/Update.cpp
+++ b/libs/notesync/src/Update.cpp
@@ -73,19 +73,19 @@
 
 std::string encodeUpdate(const Update &update)
 {
-    const auto value
-            = std::visit(base::Overloaded{
-                                 [](const Same &) {
-                                     return json{{"same", true}};
-                                 },
-                                 [](const Delta &delta) {
-                                     return json{{"delta", toJson(delta)}};
-                                 },
-                                 [](const Whole &whole) {
-                                     return json{{"whole", note::encodeState(whole.state_)}};
-                                 },
-                         },
-                         update);
+    const auto value =
+            std::visit(base::Overloaded{
+                               [](const Same &) {
+                                   return json{{"same", true}};
+                               },
+                               [](const Delta &delta) {
+                                   return json{{"delta", toJson(delta)}};
+                               },
+                               [](const Whole &whole) {
+                                   return json{{"whole", note::encodeState(whole.state_)}};
+                               },
+                       },
+                       update);
     // Records are other people's bytes: what is not UTF-8 must not throw.
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/libs/notesync/src/details/Election.cpp
+++ b/libs/notesync/src/details/Election.cpp
@@ -58,8 +58,8 @@
         highestRevision_ = std::max(highestRevision_, member.revision_);
     }
     // Members change far more often in their revision than in who they are.
-    const bool isSame = std::equal(others.begin(), others.end(), others_.begin(), others_.end(),
-                                   isSameDaemon);
+    const bool isSame =
+            std::equal(others.begin(), others.end(), others_.begin(), others_.end(), isSameDaemon);
     others_ = std::move(others);
     members_ = std::move(members);
     if (!isSame)
--- a/libs/once/include/once/ExecutorEvent.h
+++ b/libs/once/include/once/ExecutorEvent.h
@@ -77,7 +77,7 @@
 };
 
 /** What an Executor is told. */
-using ExecutorEvent = std::variant<Delegated, Asked, WaiterGone, Admitted, Refused, BackendAnswered,
-                                   BackendLost>;
+using ExecutorEvent =
+        std::variant<Delegated, Asked, WaiterGone, Admitted, Refused, BackendAnswered, BackendLost>;
 
 } // namespace once
--- a/libs/once/src/Key.cpp
+++ b/libs/once/src/Key.cpp
@@ -27,8 +27,8 @@
         return base::fail("bad-key", "the key does not hold the fields of a key");
     Key key;
     std::int64_t expiry = 0;
-    std::tie(key.home_.id_, key.home_.generation_, key.serial_, expiry, key.customer_, key.service_)
-            = *fields;
+    std::tie(key.home_.id_, key.home_.generation_, key.serial_, expiry, key.customer_,
+             key.service_) = *fields;
     key.expiry_ = base::Millis::fromMicros(expiry);
     key.mac_ = bytes->substr(packed.size());
     return key;
--- a/libs/once/src/SubKey.cpp
+++ b/libs/once/src/SubKey.cpp
@@ -22,8 +22,7 @@
         return base::fail("bad-sub-key", "the text does not hold the fields of a sub-key");
     SubKey subKey;
     std::tie(subKey.home_.id_, subKey.home_.generation_, subKey.number_, subKey.executor_.id_,
-             subKey.executor_.generation_)
-            = *fields;
+             subKey.executor_.generation_) = *fields;
     return subKey;
 }
 
--- a/libs/once/src/details/TextCodec.cpp
+++ b/libs/once/src/details/TextCodec.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr std::string_view alphabet
-        = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+constexpr std::string_view alphabet =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
 constexpr int bitsPerCharacter = 6;
 constexpr int bitsPerByte = 8;
 
--- a/libs/once/src/details/TextCodec.h
+++ b/libs/once/src/details/TextCodec.h
@@ -30,8 +30,8 @@
     try {
         std::size_t used = 0;
         const msgpack::unpack_limit limit(16, 16, 1024, 1024, 0, 4);
-        const auto handle
-                = msgpack::unpack(bytes.data(), bytes.size(), used, nullptr, nullptr, limit);
+        const auto handle =
+                msgpack::unpack(bytes.data(), bytes.size(), used, nullptr, nullptr, limit);
         const auto &object = handle.get();
         const bool isWhole = used == bytes.size() && object.type == msgpack::type::ARRAY
                              && object.via.array.size == std::tuple_size_v<Fields>;
--- a/libs/rendezvous/src/Core.cpp
+++ b/libs/rendezvous/src/Core.cpp
@@ -29,11 +29,11 @@
 bool isElected(const std::vector<model::Member> &members, const Options &options)
 {
     const auto own = base::rendezvousWeight(electionKey, options.selfId_);
-    const auto heavier
-            = std::count_if(members.begin(), members.end(), [&](const model::Member &member) {
-                  return member.dataCentre_ == options.dataCentre_
-                         && base::rendezvousWeight(electionKey, member.id_) > own;
-              });
+    const auto heavier =
+            std::count_if(members.begin(), members.end(), [&](const model::Member &member) {
+                return member.dataCentre_ == options.dataCentre_
+                       && base::rendezvousWeight(electionKey, member.id_) > own;
+            });
     return static_cast<std::size_t>(heavier) < options.publishersPerDataCentre_;
 }
 
--- a/libs/retry/src/Core.cpp
+++ b/libs/retry/src/Core.cpp
@@ -148,8 +148,8 @@
 base::Millis Core::Impl::backoff(std::uint32_t attempt)
 {
     const auto doublings = std::min(attempt - 1, std::uint32_t{20});
-    const auto limit
-            = std::min(settings_.firstDelay_ * (std::int64_t{1} << doublings), settings_.maxDelay_);
+    const auto limit =
+            std::min(settings_.firstDelay_ * (std::int64_t{1} << doublings), settings_.maxDelay_);
     const auto bound = static_cast<std::uint64_t>(limit.micros()) + 1;
     return base::Millis::fromMicros(static_cast<std::int64_t>(random_.below(bound)));
 }
--- a/libs/retry/tests/CallTree.h
+++ b/libs/retry/tests/CallTree.h
@@ -168,14 +168,14 @@
                               Done done)
 {
     ++executions_[site];
-    const auto token = sites_[site].contexts_->open(
-            {.budget_ = retry::ChainBudget(budget), .depth_ = depth});
+    const auto token =
+            sites_[site].contexts_->open({.budget_ = retry::ChainBudget(budget), .depth_ = depth});
     const auto &children = sites_[site].children_;
     const auto answer = [this, site, token, done] {
         const auto left = sites_[site].contexts_->close(*token);
         const bool isFailed = random_.below(3) == 0;
-        const auto result
-                = isFailed ? retry::AttemptResult::NotRun : retry::AttemptResult::Answered;
+        const auto result =
+                isFailed ? retry::AttemptResult::NotRun : retry::AttemptResult::Answered;
         later([=] { done(result, left); });
     };
     // Some answer before all of their own calls have ended.
--- a/libs/retry/tests/CoreTest.cpp
+++ b/libs/retry/tests/CoreTest.cpp
@@ -20,10 +20,10 @@
         core_.handle(event, now_);
         std::size_t extra = 0;
         for (const auto result : results) {
-            const auto told = core_.handle(
-                    AttemptEnded{call_, static_cast<std::uint32_t>(extra + 1), result,
-                                 "daemon-" + std::to_string(extra), std::nullopt},
-                    now_);
+            const auto told =
+                    core_.handle(AttemptEnded{call_, static_cast<std::uint32_t>(extra + 1), result,
+                                              "daemon-" + std::to_string(extra), std::nullopt},
+                                 now_);
             if (told.empty() || std::holds_alternative<GiveUp>(told[0])) {
                 stop_ = told.empty() ? std::nullopt
                                      : std::optional(std::get<GiveUp>(told[0]).reason_);
--- a/libs/routing/src/details/Pool.cpp
+++ b/libs/routing/src/details/Pool.cpp
@@ -77,8 +77,8 @@
         return false;
     }
     const admission::Level level = instance.level(now_);
-    const bool isAdmitted
-            = pass < Pass::AlsoInProgress ? level.covers(priority_) : level.admits(priority_);
+    const bool isAdmitted =
+            pass < Pass::AlsoInProgress ? level.covers(priority_) : level.admits(priority_);
     if (!isAdmitted) {
         foundShed_ = true;
         shedUntil_ = std::min(shedUntil_, instance.levelUntil());
--- a/libs/routing/tests/ChainModel.h
+++ b/libs/routing/tests/ChainModel.h
@@ -119,8 +119,8 @@
         explicit Node(std::uint32_t slots)
             : routing_(ownOptions())
         {
-            const std::map<std::string, model::Customer> customers
-                    = {{"quiet", {.name_ = "quiet"}}, {"flood", {.name_ = "flood"}}};
+            const std::map<std::string, model::Customer> customers = {
+                    {"quiet", {.name_ = "quiet"}}, {"flood", {.name_ = "flood"}}};
             admission_.handle(admission::Configured{slots, customers}, base::Millis(1));
         }
 
@@ -209,9 +209,9 @@
 
     void root(const Stream &stream)
     {
-        const admission::Priority priority
-                = {.rank_ = stream.rank_,
-                   .bucket_ = static_cast<int>(random_.below(admission::Priority::bucketCount))};
+        const admission::Priority priority = {
+                .rank_ = stream.rank_,
+                .bucket_ = static_cast<int>(random_.below(admission::Priority::bucketCount))};
         ++countsOf(nameOf(stream), stream.rank_).arrived_;
         const auto deadline = now_ + base::Millis(1000);
         const admission::CallScope scope = {"front", stream.requestClass_, stream.customer_};
@@ -309,8 +309,8 @@
     void end(Node &node, std::uint64_t id, bool isRefused)
     {
         const auto time = now_ - visits_.at(id).startedAt_;
-        const auto commands = node.admission_.handle(
-                admission::Finished{id, admission::Outcome::Ok, time}, now_);
+        const auto commands =
+                node.admission_.handle(admission::Finished{id, admission::Outcome::Ok, time}, now_);
         answer(node, id, isRefused);
         apply(node, commands);
     }
--- a/libs/routing/tests/CorePropertyTest.cpp
+++ b/libs/routing/tests/CorePropertyTest.cpp
@@ -133,9 +133,9 @@
     void changeMember()
     {
         model::Member &member = members_[*rc::gen::inRange(0, memberCount)];
-        member.serving_
-                = *rc::gen::element(model::ServingState::Ready, model::ServingState::Ready,
-                                    model::ServingState::Draining, model::ServingState::Absent);
+        member.serving_ =
+                *rc::gen::element(model::ServingState::Ready, model::ServingState::Ready,
+                                  model::ServingState::Draining, model::ServingState::Absent);
         member.generation_ += *rc::gen::inRange(0, 2);
         handle(MembersChanged{members_});
     }
--- a/libs/routing/tests/LoadTest.cpp
+++ b/libs/routing/tests/LoadTest.cpp
@@ -85,8 +85,8 @@
 TEST(RoutingLoad, reportOfIdlenessDoesNotDrawCallsToADrowningInstance)
 {
     Calls calls({2000, 20, 20, 20}, 1000);
-    const std::vector<Reported> reports
-            = {{"w0", true, 0.0}, {"w1", true, 1.0}, {"w2", true, 1.0}, {"w3", true, 1.0}};
+    const std::vector<Reported> reports = {
+            {"w0", true, 0.0}, {"w1", true, 1.0}, {"w2", true, 1.0}, {"w3", true, 1.0}};
     EXPECT_LT(calls.run(Millis(20000), reports)["w0"], evenShare / 5);
 }
 
@@ -99,8 +99,8 @@
 TEST(RoutingLoad, healthStuckOnNoEverywhereChangesNothing)
 {
     Calls calls({20, 20, 20, 20}, 1000);
-    const std::vector<Reported> reports
-            = {{"w0", false}, {"w1", false}, {"w2", false}, {"w3", false}};
+    const std::vector<Reported> reports = {
+            {"w0", false}, {"w1", false}, {"w2", false}, {"w3", false}};
     for (const auto &[id, share] : calls.run(Millis(20000), reports))
         EXPECT_NEAR(share, evenShare, 0.05) << id;
 }
--- a/libs/settings/src/Loader.cpp
+++ b/libs/settings/src/Loader.cpp
@@ -78,8 +78,8 @@
 Problem readNumber(const YAML::Node &node, Number least, Number most, Number &target)
 {
     long long value = 0;
-    const auto range = "must be a whole number from " + std::to_string(least) + " to "
-                       + std::to_string(most);
+    const auto range =
+            "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most);
     if (!node.IsScalar() || !YAML::convert<long long>::decode(node, value))
         return range;
     if (value < static_cast<long long>(least) || value > static_cast<long long>(most))
--- a/libs/settings/tests/LoaderTest.cpp
+++ b/libs/settings/tests/LoaderTest.cpp
@@ -31,8 +31,8 @@
 
 TEST(Settings, readsACompleteFile)
 {
-    const auto result
-            = settings::parse(complete + "seeds: [127.0.0.1:7012]\nmode: baseline\n", "f");
+    const auto result =
+            settings::parse(complete + "seeds: [127.0.0.1:7012]\nmode: baseline\n", "f");
     ASSERT_TRUE(result);
     EXPECT_EQ(result->id_, "redeem-a-1");
     EXPECT_EQ(result->seeds_.at(0).port_, 7012);
--- a/tools/bench/BackendServer.cpp
+++ b/tools/bench/BackendServer.cpp
@@ -50,8 +50,8 @@
     std::unique_ptr<BackendServer> backend(new BackendServer(reactor, std::move(options)));
     BackendServer *self = backend.get();
     const net::HttpServerOptions listen{.listen_ = self->options_.listen_,
-                                        .maxConnections_
-                                        = self->options_.connections_ + controlConnections};
+                                        .maxConnections_ =
+                                                self->options_.connections_ + controlConnections};
     auto server = net::HttpServer::start(
             reactor, listen,
             [self](net::ExchangeId id, net::HttpRequest request) {
@@ -169,8 +169,8 @@
                                    : refusal(503, protocol::notRun, "no time for a call"));
         return;
     }
-    const std::string callId
-            = header(work.request_, echo::requestId) + "." + std::to_string(work.nextCall_);
+    const std::string callId =
+            header(work.request_, echo::requestId) + "." + std::to_string(work.nextCall_);
     net::HttpRequest request{call.method_, "/" + call.service_ + call.path_, {}, ""};
     for (const std::string_view name : {protocol::context, protocol::customer, echo::work}) {
         if (std::string value = header(work.request_, name); !value.empty()) {
@@ -194,8 +194,8 @@
 {
     // A request without a key of its own may be repeated; then its calls are new ones.
     const std::string own = header(work.request_, protocol::idempotencyKey);
-    const std::string prefix
-            = own.empty() ? options_.listen_.text() + "-" + std::to_string(work.number_) : own;
+    const std::string prefix =
+            own.empty() ? options_.listen_.text() + "-" + std::to_string(work.number_) : own;
     return prefix + "." + std::to_string(work.nextCall_);
 }
 
@@ -205,8 +205,8 @@
     Work &work = running_.at(id);
     work.call_ = 0;
     const bool notSent = !result && result.error().kind_ == net::FailureKind::NotSent;
-    const std::string_view outcome
-            = result ? net::headerValue(result->headers_, protocol::outcome) : "";
+    const std::string_view outcome =
+            result ? net::headerValue(result->headers_, protocol::outcome) : "";
     if (result && outcome == protocol::complete && isEchoOf(sent, *result)) {
         work.hasEffect_ = work.hasEffect_ || call.once_;
         callNext(id);
@@ -275,8 +275,8 @@
     }
     const auto recorded = parseWork(header(work.request_, echo::work));
     const bool isRecorded = recorded && recorded->contains(options_.service_);
-    const base::Millis time
-            = isRecorded ? recorded->at(options_.service_) : options_.time_.sample(random_);
+    const base::Millis time =
+            isRecorded ? recorded->at(options_.service_) : options_.time_.sample(random_);
     const auto micros = static_cast<double>(time.micros());
     return base::Millis::fromMicros(static_cast<std::int64_t>(micros * factor));
 }
--- a/tools/bench/Cluster.cpp
+++ b/tools/bench/Cluster.cpp
@@ -126,8 +126,8 @@
 
 base::Result<void> Cluster::writeSettings(const std::string &id, std::size_t index) const
 {
-    const std::string &dataCentre
-            = plan_.dataCentres_[instances_[index].number_ % plan_.dataCentres_.size()];
+    const std::string &dataCentre =
+            plan_.dataCentres_[instances_[index].number_ % plan_.dataCentres_.size()];
     return writeFile(workFile(id + ".yaml"),
                      "id: " + id + "\nregion: " + plan_.region_ + "\ndataCentre: " + dataCentre
                              + "\ndataAddress: " + address(index, 0).text()
--- a/tools/bench/ExperimentCommand.cpp
+++ b/tools/bench/ExperimentCommand.cpp
@@ -43,8 +43,8 @@
     options.noteFile_ = file.parent_path() / plan->cluster_.note_;
     options.firstPort_ = arguments["first-port"].as<std::uint16_t>();
     const TemporaryDirectory work;
-    options.workDirectory_
-            = arguments.count("keep") > 0 ? arguments["keep"].as<std::string>() : work.path();
+    options.workDirectory_ =
+            arguments.count("keep") > 0 ? arguments["keep"].as<std::string>() : work.path();
     bool passed = true;
     for (const std::string &mode : plan->modes_) {
         const auto data = runMode(*plan, options, mode);
--- a/tools/bench/LatencyCommand.cpp
+++ b/tools/bench/LatencyCommand.cpp
@@ -82,8 +82,8 @@
     const TemporaryDirectory work;
     const PlannedCluster plan = clusterPlan();
     ClusterOptions clusterOptions;
-    clusterOptions.binaryDirectory_
-            = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+    clusterOptions.binaryDirectory_ =
+            std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
     clusterOptions.workDirectory_ = work.path();
     clusterOptions.noteFile_ = work.path() + "/note.yaml";
     clusterOptions.firstPort_ = arguments["first-port"].as<std::uint16_t>();
--- a/tools/bench/LoadReport.cpp
+++ b/tools/bench/LoadReport.cpp
@@ -57,19 +57,19 @@
     nlohmann::json result = nlohmann::json::object();
     for (std::size_t kind = 0; kind < tallies.size(); ++kind) {
         const Tally &tally = tallies[kind];
-        result[mix.kinds_[kind].name_]
-                = {{"sent", tally.sent_},
-                   {"complete", tally.complete_},
-                   {"late", tally.late_},
-                   {"failed", tally.failed_},
-                   {"notRun", tally.notRun_},
-                   {"unknown", tally.unknown_},
-                   {"wrong", tally.wrong_},
-                   {"attempts", tally.attempts_},
-                   {"retries", tally.retries()},
-                   {"goodputPerSecond", perSecond(tally.complete_, duration)},
-                   {"p50Ms", tally.p50Ms_},
-                   {"p99Ms", tally.p99Ms_}};
+        result[mix.kinds_[kind].name_] = {
+                {"sent", tally.sent_},
+                {"complete", tally.complete_},
+                {"late", tally.late_},
+                {"failed", tally.failed_},
+                {"notRun", tally.notRun_},
+                {"unknown", tally.unknown_},
+                {"wrong", tally.wrong_},
+                {"attempts", tally.attempts_},
+                {"retries", tally.retries()},
+                {"goodputPerSecond", perSecond(tally.complete_, duration)},
+                {"p50Ms", tally.p50Ms_},
+                {"p99Ms", tally.p99Ms_}};
     }
     return result;
 }
--- a/tools/bench/LogServer.cpp
+++ b/tools/bench/LogServer.cpp
@@ -43,11 +43,11 @@
 {
     std::unique_ptr<LogServer> log(new LogServer(reactor, options));
     LogServer *self = log.get();
-    auto server
-            = net::HttpServer::start(reactor, net::HttpServerOptions{.listen_ = options.listen_},
-                                     [self](net::ExchangeId id, const net::HttpRequest &request) {
-                                         self->handle(id, request);
-                                     });
+    auto server =
+            net::HttpServer::start(reactor, net::HttpServerOptions{.listen_ = options.listen_},
+                                   [self](net::ExchangeId id, const net::HttpRequest &request) {
+                                       self->handle(id, request);
+                                   });
     if (!server) {
         return tl::unexpected(server.error());
     }
--- a/tools/bench/TraceReplay.cpp
+++ b/tools/bench/TraceReplay.cpp
@@ -164,8 +164,8 @@
                            const net::HttpRequest &request, const net::CallResult &result)
 {
     record.endedAt_ = base::monotonicNow();
-    record.outcome_
-            = judgeAnswer(request, result, {record.endedAt_ - record.arrivedAt_, line.deadline_});
+    record.outcome_ =
+            judgeAnswer(request, result, {record.endedAt_ - record.arrivedAt_, line.deadline_});
     if (result && record.outcome_ == RequestOutcome::NotRun && !line.keyGroup_.empty()) {
         const std::string next(net::headerValue(result->headers_, protocol::nextKey));
         std::string &key = keys_[line.keyGroup_];
--- a/tools/decision-bench/main.cpp
+++ b/tools/decision-bench/main.cpp
@@ -76,8 +76,8 @@
     auto changed = all;
     const Millis start = base::monotonicNow();
     for (int i = 0; i < changes; ++i) {
-        changed[0].serving_
-                = i % 2 == 0 ? model::ServingState::Draining : model::ServingState::Ready;
+        changed[0].serving_ =
+                i % 2 == 0 ? model::ServingState::Draining : model::ServingState::Ready;
         core.handle(routing::MembersChanged{changed}, Millis(5000));
     }
     const double micros = static_cast<double>((base::monotonicNow() - start).micros()) / changes;
@@ -104,9 +104,9 @@
     measure(name, [&] {
         for (int i = 0; i < decisions; ++i) {
             now = now + Millis::fromMicros(100);
-            const admission::Priority priority
-                    = {.rank_ = static_cast<int>(random.below(4)),
-                       .bucket_ = static_cast<int>(random.below(admission::Priority::bucketCount))};
+            const admission::Priority priority = {
+                    .rank_ = static_cast<int>(random.below(4)),
+                    .bucket_ = static_cast<int>(random.below(admission::Priority::bucketCount))};
             take(core.handle(
                     admission::Arrived{next++, priority, "customer", "class", now + Millis(1000)},
                     now));
--- a/tools/once-bench/main.cpp
+++ b/tools/once-bench/main.cpp
@@ -137,8 +137,8 @@
     settings.maxRecords_ = count;
     settings.maxAnswerBytes_ = count * (bodyBytes + 512) * 2;
     once::Executor executor(executorId, settings);
-    const auto *name
-            = isSettling ? "executor: run to its end, settled" : "executor: run to its end, kept";
+    const auto *name =
+            isSettling ? "executor: run to its end, settled" : "executor: run to its end, kept";
     const Measurement measurement(name, count);
     for (std::uint64_t number = 1; number <= count; ++number) {
         const once::SubKey subKey{homeId, number, executorId};
