--- a/libs/routing/include/routing/Options.h
+++ b/libs/routing/include/routing/Options.h
@@ -25,7 +25,8 @@
 
     int failuresToEject_ = 5;                        ///< in a row
     base::Millis ejectionTime_ = base::Millis(1000); ///< doubles with every further ejection
-    base::Millis longestEjection_ = base::Millis(30000);
+    /** Shorter than the 5 s in which the system has to be back to normal after a surge. */
+    base::Millis longestEjection_ = base::Millis(4000);
 
     base::Millis drainMemory_ = base::Millis(10000); ///< "leaving" on an answer holds this long
     base::Millis hintExpiry_ = base::Millis(5000);   ///< of health and load reports
