Read hostile peer messages in property tests

Cause: the codec of attempts and answers between daemons was the one parser of outside bytes without a property test. Change: random field values are read within their bounds or refused with an error; what is written is read back.

--- /dev/null
+++ b/libs/dock/tests/AttemptCodecTest.cpp
@@ -0,0 +1,87 @@
+#include <dock/AttemptCodec.h>
+#include <dock/HeaderNames.h>
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+using dock::Attempt;
+using dock::AttemptAnswer;
+using net::Header;
+
+namespace {
+
+/** Fields of the peer protocol with values of any text. */
+net::Headers hostileFields()
+{
+    using namespace dock::header;
+    net::Headers headers = {{kind, *rc::gen::element<std::string>("run", "ask", "complete",
+                                                                  "not-run", "unknown", "")}};
+    for (const auto &name : {priority, timeLeftMicros, budget, depth, subKey, settledBelow, level,
+                             retryAfterMs, queueingMicros, peerReason, flags}) {
+        if (*rc::gen::arbitrary<bool>())
+            headers.push_back({name, *rc::gen::arbitrary<std::string>()});
+    }
+    return headers;
+}
+
+} // namespace
+
+RC_GTEST_PROP(AttemptCodec, anyAttemptIsReadWithinBoundsOrRefused, ())
+{
+    const auto attempt = dock::decodeAttempt({.headers_ = hostileFields()});
+    if (!attempt) {
+        RC_ASSERT(attempt.error().code_ == "bad-attempt");
+        return;
+    }
+    RC_ASSERT(attempt->timeLeft_ >= base::Millis(0));
+    RC_ASSERT(attempt->timeLeft_ <= base::Millis(3'600'000));
+    RC_ASSERT(attempt->budget_ <= 1000U);
+    RC_ASSERT(attempt->priority_.rank_ >= 0 && attempt->priority_.rank_ <= 9);
+}
+
+RC_GTEST_PROP(AttemptCodec, anyAnswerIsReadWithinBoundsOrRefused, ())
+{
+    const auto answer = dock::decodeAnswer({.headers_ = hostileFields()});
+    if (!answer) {
+        RC_ASSERT(answer.error().code_ == "bad-answer");
+        return;
+    }
+    RC_ASSERT(answer->budgetLeft_ <= 1000U);
+    RC_ASSERT(answer->levels_.own_ <= admission::Level::all());
+    RC_ASSERT(answer->queueing_ >= base::Millis(0));
+}
+
+RC_GTEST_PROP(AttemptCodec, attemptsAreReadAsWritten, (std::uint32_t budget, std::uint32_t depth))
+{
+    Attempt attempt{.service_ = "wallet",
+                    .requestClass_ = "redeem",
+                    .customer_ = "schools",
+                    .priority_ = admission::Priority::ofRoot(3, "key"),
+                    .timeLeft_ = base::Millis::fromMicros(1'234'567),
+                    .budget_ = budget % 1000,
+                    .depth_ = depth % 1000,
+                    .subKey_ = once::SubKey{{"home", 7}, 9, {"executor", 8}},
+                    .settledBelow_ = 5};
+    attempt.request_ = {.method_ = "POST", .target_ = "/r", .headers_ = {{"x", "y"}}, .body_ = "b"};
+    const auto read = dock::decodeAttempt(dock::encodeAttempt(attempt));
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(*read == attempt);
+}
+
+TEST(AttemptCodec, answersAreReadAsWritten)
+{
+    const once::Outcome outcomes[] = {once::NotRun{once::Reason::Overloaded, base::Millis(20)},
+                                      once::Unknown{once::Reason::AnswerLost}};
+    for (const auto &outcome : outcomes) {
+        const AttemptAnswer answer{.outcome_ = outcome,
+                                   .levels_ = {admission::Level::none(), admission::Level::all(),
+                                               admission::Level::fromNumber(300)},
+                                   .budgetLeft_ = 2,
+                                   .queueing_ = base::Millis(3),
+                                   .isLeaving_ = true};
+        const auto read = dock::decodeAnswer(dock::encodeAnswer(answer));
+        ASSERT_TRUE(read);
+        EXPECT_EQ(*read, answer);
+    }
+}
