Drop an unused declaration that the linter refuses

Cause: using net::Header in AttemptCodecTest.cpp is not used; clang-tidy stops there. Change: the line is gone.

--- a/libs/dock/tests/AttemptCodecTest.cpp
+++ b/libs/dock/tests/AttemptCodecTest.cpp
@@ -7,7 +7,6 @@
 
 using dock::Attempt;
 using dock::AttemptAnswer;
-using net::Header;
 
 namespace {
 
