Report an unreachable executor in one place

Cause: delegating and asking each had the same five lines for an executor that is no member. Change: KeyedCalls::reportNotSent serves both; behaviour is unchanged.

--- a/libs/dock/include/dock/KeyedCalls.h
+++ b/libs/dock/include/dock/KeyedCalls.h
@@ -75,6 +75,7 @@
     void delegate(const once::Delegate &order);
     void ask(const once::Ask &order);
     void release(const once::Release &order);
+    void reportNotSent(const once::SubKey &subKey);
     void delegated(const once::Delegate &order, SendResult result);
     void answered(const once::SubKey &subKey, SendResult result);
     void scheduleWakeUp();
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -188,15 +188,21 @@
     tell(once::Chosen{order.call_, {member.id_, member.generation_}});
 }
 
+// Posted, as the home is still at work on its commands.
+void KeyedCalls::reportNotSent(const once::SubKey &subKey)
+{
+    reactor_.post([this, subKey, alive = isAlive_] {
+        if (*alive)
+            answered(subKey, tl::unexpected(net::FailureKind::NotSent));
+    });
+}
+
 void KeyedCalls::delegate(const once::Delegate &order)
 {
     const auto record = records_.find(order.record_);
     const auto *member = findMember_(order.subKey_.executor_.id_);
     if (record == records_.end() || member == nullptr) {
-        reactor_.post([this, subKey = order.subKey_, alive = isAlive_] {
-            if (*alive)
-                answered(subKey, tl::unexpected(net::FailureKind::NotSent));
-        });
+        reportNotSent(order.subKey_);
         return;
     }
     auto attempt = attemptOf(record->second.info_, record->second.attempt_.handedDown_,
@@ -229,10 +235,7 @@
 {
     const auto *member = findMember_(order.subKey_.executor_.id_);
     if (member == nullptr) {
-        reactor_.post([this, subKey = order.subKey_, alive = isAlive_] {
-            if (*alive)
-                answered(subKey, tl::unexpected(net::FailureKind::NotSent));
-        });
+        reportNotSent(order.subKey_);
         return;
     }
     Attempt attempt{.kind_ = AttemptKind::Ask, .timeLeft_ = askTimeout, .subKey_ = order.subKey_};
