Remove an operation that nobody calls

Cause: HttpServer::stopAccepting was meant for draining, where a leaving daemon goes on serving instead and refuses new work. Change: it is gone, with its state.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -51,9 +51,6 @@
     /** Sends the whole answer; ignored when the caller has hung up. */
     void respond(ExchangeId id, HttpResponse response);
 
-    /** Stops accepting connections; requests in progress go on. */
-    void stopAccepting();
-
     /** The port bound, also when port 0 was asked for. */
     std::uint16_t port() const;
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -86,7 +86,6 @@
     Reactor &reactor_;
     MHD_Daemon *daemon_ = nullptr;
     int epoll_ = -1;
-    int quiesced_ = -1;
     std::size_t maxBodyBytes_ = 0;
     RequestHandler onRequest_;
     HangUpHandler onHangUp_;
@@ -307,8 +306,6 @@
             MHD_resume_connection(exchange->connection_);
     }
     MHD_stop_daemon(impl_->daemon_);
-    if (impl_->quiesced_ >= 0)
-        ::close(impl_->quiesced_);
 }
 
 void HttpServer::respond(ExchangeId id, HttpResponse response)
@@ -326,12 +323,6 @@
     impl_->runSoon();
 }
 
-void HttpServer::stopAccepting()
-{
-    if (impl_->quiesced_ < 0)
-        impl_->quiesced_ = MHD_quiesce_daemon(impl_->daemon_);
-}
-
 std::uint16_t HttpServer::port() const
 {
     return MHD_get_daemon_info(impl_->daemon_, MHD_DAEMON_INFO_BIND_PORT)->port;
