--- a/libs/dock/include/dock/CallerAnswer.h
+++ b/libs/dock/include/dock/CallerAnswer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -9,12 +10,20 @@
 
 namespace dock {
 
+/** How the field Retry-After states a time. */
+enum class RetryAfterForm : std::uint8_t {
+    WholeSeconds, ///< rounded up, and at least one
+    Decimals,     ///< seconds with three decimals
+};
+
 /** The answer that a caller gets for an outcome; nextKey is left out when empty. */
-net::HttpResponse callerAnswer(const once::Outcome &outcome, const std::string &nextKey = {});
+net::HttpResponse callerAnswer(const once::Outcome &outcome, RetryAfterForm form,
+                               const std::string &nextKey = {});
 
 /** A refusal that no backend server had a part in. */
 net::HttpResponse refusal(int status, std::string_view reason, base::Millis retryAfter = {},
-                          const std::string &nextKey = {});
+                          const std::string &nextKey = {},
+                          RetryAfterForm form = RetryAfterForm::WholeSeconds);
 
 /** Status of a request that needs a key. */
 inline constexpr int statusKeyNeeded = 428;
--- a/libs/dock/include/dock/ControlTask.h
+++ b/libs/dock/include/dock/ControlTask.h
@@ -2,10 +2,12 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <ace/Task.h>
 #include <base/Error.h>
 #include <dock/Messages.h>
+#include <dock/PlatformBinding.h>
 #include <once/Incarnation.h>
 
 namespace settings {
@@ -26,10 +28,11 @@
 
     /**
      * The outbox and onEnded are called on this task's thread; onEnded once, when this daemon has
-     * drained and said that it leaves. The settings must outlive the task.
+     * drained and said that it leaves. The settings must outlive the task. With a binding the
+     * daemon runs on the platform, else with its own log.
      */
     ControlTask(const settings::Settings &settings, once::Incarnation self, Outbox outbox,
-                Ended onEnded);
+                Ended onEnded, std::optional<PlatformBinding> binding = {});
     ~ControlTask() override;
 
     /** Binds the ports and starts the thread; fails with "listen-failed" or "bind-failed". */
--- a/libs/dock/include/dock/Daemon.h
+++ b/libs/dock/include/dock/Daemon.h
@@ -14,7 +14,8 @@
 class Daemon
 {
 public:
-    explicit Daemon(settings::Settings settings);
+    /** With a binding the daemon runs on the platform, else with its own log. */
+    explicit Daemon(settings::Settings settings, std::optional<PlatformBinding> binding = {});
     ~Daemon();
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
--- a/libs/dock/include/dock/DataTask.h
+++ b/libs/dock/include/dock/DataTask.h
@@ -5,6 +5,7 @@
 
 #include <ace/Task.h>
 #include <base/Error.h>
+#include <dock/CallInterface.h>
 #include <dock/Messages.h>
 #include <once/Incarnation.h>
 
@@ -24,7 +25,8 @@
     using Outbox = std::function<void(ToControl)>;
 
     /** The outbox is called on this task's thread. The settings must outlive the task. */
-    DataTask(const settings::Settings &settings, once::Incarnation self, Outbox outbox);
+    DataTask(const settings::Settings &settings, once::Incarnation self, Outbox outbox,
+             CallInterface interface = {});
     ~DataTask() override;
 
     /** Binds the ports and starts the thread; fails with "listen-failed". */
--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -26,6 +26,7 @@
 
 class Executor;
 class Recorder;
+struct CallInterface;
 
 /** Names one request that the entry works on; 0 when it was answered at once. */
 using EntryId = std::uint64_t;
@@ -48,7 +49,8 @@
 
     /** All that is passed in must outlive the entry. */
     Entry(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
-          net::PeerClient &client, Executor &executor, retry::ContextTable &contexts);
+          net::PeerClient &client, Executor &executor, retry::ContextTable &contexts,
+          const CallInterface &interface);
     ~Entry();
     Entry(const Entry &) = delete;
     Entry &operator=(const Entry &) = delete;
--- a/libs/dock/include/dock/Executor.h
+++ b/libs/dock/include/dock/Executor.h
@@ -25,6 +25,8 @@
 
 namespace dock {
 
+struct CallInterface;
+
 /** Names one attempt that waits for its answer at this daemon. */
 using AttemptId = std::uint64_t;
 
@@ -41,12 +43,14 @@
     using ContextFunction = std::function<void(const std::string &token)>;
 
     /**
-     * The context table holds the calls that run here; it must outlive the executor. A running call
+     * The context table holds the calls that run here; it and the interface must outlive the
+     * executor. A running call
      * that is cancelled is told of as cancelled first, then as ended.
      */
     Executor(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
-             retry::ContextTable &contexts, BackendChanged onBackendChanged,
-             ContextFunction onContextEnded, ContextFunction onContextCancelled);
+             retry::ContextTable &contexts, const CallInterface &interface,
+             BackendChanged onBackendChanged, ContextFunction onContextEnded,
+             ContextFunction onContextCancelled);
     ~Executor();
     Executor(const Executor &) = delete;
     Executor &operator=(const Executor &) = delete;
--- a/libs/dock/include/dock/Messages.h
+++ b/libs/dock/include/dock/Messages.h
@@ -41,8 +41,19 @@
 struct BeginDrain
 {};
 
+/** The backend server beside the daemon takes work; repeated, as silence means absence. */
+struct BackendAnnounced
+{
+    BackendServer backend_;
+};
+
+/** The backend server beside the daemon takes no new work. */
+struct BackendLeaving
+{};
+
 /** Messages from the control task to the data task. */
-using ToData = std::variant<ConfigInForce, MembersKnown, IncarnationChanged, BeginDrain>;
+using ToData = std::variant<ConfigInForce, MembersKnown, IncarnationChanged, BeginDrain,
+                            BackendAnnounced, BackendLeaving>;
 
 /** The backend server beside the daemon came, changed or left. */
 struct BackendStateChanged
--- /dev/null
+++ b/libs/dock/include/dock/PlatformBinding.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <base/Error.h>
+#include <dock/BackendMessage.h>
+#include <dock/CallInterface.h>
+#include <model/Config.h>
+#include <net/HttpRequest.h>
+
+namespace logclient {
+class KeyedLog;
+}
+namespace net {
+class Reactor;
+}
+
+namespace dock {
+
+/** Translations between a daemon and the platform that it runs on; they decide nothing. */
+struct PlatformBinding
+{
+    CallInterface interface_;
+
+    std::string configTopic_; ///< keyed topic that holds the configuration
+    std::string configKey_;
+    std::string meetingTopic_; ///< keyed topic in which daemons leave their addresses
+    std::string readinessPath_;
+
+    /** Opens the platform's log on the reactor. */
+    std::function<std::unique_ptr<logclient::KeyedLog>(net::Reactor &)> openLog_;
+
+    /** Decodes a configuration; fails with "bad-config". */
+    std::function<base::Result<model::Config>(std::string_view record)> decodeConfig_;
+
+    /** Decodes a message of a backend server; fails with "bad-message" or "no-such-path". */
+    std::function<base::Result<BackendMessage>(const net::HttpRequest &)> decodeBackendMessage_;
+};
+
+} // namespace dock
--- a/libs/dock/include/dock/StatusReport.h
+++ b/libs/dock/include/dock/StatusReport.h
@@ -8,7 +8,6 @@
 #include <membership/RevisionSummary.h>
 #include <metrics/Snapshot.h>
 #include <model/Member.h>
-#include <notesync/SyncStatus.h>
 
 namespace dock {
 
@@ -22,7 +21,7 @@
     std::vector<std::string> unreachableDataCentres_;
     std::vector<model::Member> members_;
     std::vector<membership::RevisionSummary> revisions_;
-    notesync::SyncStatus notes_;
+    model::Revision revision_ = 0; ///< of the configuration in force
     gossip::Counters gossip_;
     DataStatus data_;
 
--- a/libs/dock/src/CallerAnswer.cpp
+++ b/libs/dock/src/CallerAnswer.cpp
@@ -1,5 +1,7 @@
 #include <dock/CallerAnswer.h>
 
+#include <cstdio>
+
 #include <base/Overloaded.h>
 
 namespace dock {
@@ -32,6 +34,18 @@
     return response;
 }
 
+std::string retryAfterText(base::Millis time, RetryAfterForm form)
+{
+    if (form == RetryAfterForm::Decimals) {
+        char text[32];
+        std::snprintf(text, sizeof(text), "%.3f",
+                      static_cast<double>(time.count()) / millisPerSecond);
+        return text;
+    }
+    const auto seconds = (time.count() + millisPerSecond - 1) / millisPerSecond;
+    return std::to_string(std::max<std::int64_t>(1, seconds));
+}
+
 int statusOf(once::Reason reason)
 {
     switch (reason) {
@@ -50,32 +64,31 @@
 } // namespace
 
 net::HttpResponse refusal(int status, std::string_view reason, base::Millis retryAfter,
-                          const std::string &nextKey)
+                          const std::string &nextKey, RetryAfterForm form)
 {
     const std::string text(reason);
     net::HttpResponse response{.status_ = status, .body_ = "not run: " + text + "\n"};
     addField(response, "Fuchsiadock-Outcome", "not-run");
     addField(response, "Fuchsiadock-Reason", text);
-    // Whole seconds are all that the field can say, and at least one.
-    const auto seconds = (retryAfter.count() + millisPerSecond - 1) / millisPerSecond;
-    addField(response, "Retry-After", std::to_string(std::max<std::int64_t>(1, seconds)));
+    addField(response, "Retry-After", retryAfterText(retryAfter, form));
     if (!nextKey.empty())
         addField(response, "Fuchsiadock-Next-Key", nextKey);
     return response;
 }
 
-net::HttpResponse callerAnswer(const once::Outcome &outcome, const std::string &nextKey)
+net::HttpResponse callerAnswer(const once::Outcome &outcome, RetryAfterForm form,
+                               const std::string &nextKey)
 {
-    auto response =
-            std::visit(base::Overloaded{
-                               [](const once::Complete &whole) { return complete(*whole.answer_); },
-                               [](const once::NotRun &why) {
-                                   return refusal(statusOf(why.reason_),
-                                                  once::reasonText(why.reason_), why.retryAfter_);
-                               },
-                               [](const once::Unknown &why) { return unknown(why.reason_); },
-                       },
-                       outcome);
+    auto response = std::visit(
+            base::Overloaded{
+                    [](const once::Complete &whole) { return complete(*whole.answer_); },
+                    [form](const once::NotRun &why) {
+                        return refusal(statusOf(why.reason_), once::reasonText(why.reason_),
+                                       why.retryAfter_, {}, form);
+                    },
+                    [](const once::Unknown &why) { return unknown(why.reason_); },
+            },
+            outcome);
     if (!nextKey.empty())
         addField(response, "Fuchsiadock-Next-Key", nextKey);
     return response;
--- a/libs/dock/src/ControlTask.cpp
+++ b/libs/dock/src/ControlTask.cpp
@@ -1,25 +1,24 @@
 #include <dock/ControlTask.h>
 
-#include <admin/AdminServer.h>
+#include <admin/AdminSources.h>
 #include <base/Overloaded.h>
+#include <dock/PlatformBinding.h>
 #include <dock/StatusReport.h>
 #include <events/Catalogue.h>
 #include <events/Log.h>
 #include <gossip/GossipService.h>
 #include <gossip/Options.h>
-#include <logclient/HttpLogClient.h>
 #include <net/HttpServer.h>
 #include <net/Reactor.h>
-#include <notesync/NoteService.h>
-#include <rendezvous/RendezvousService.h>
 #include <settings/Settings.h>
 
+#include "details/NoteSource.h"
+#include "details/PlatformSource.h"
+
 namespace dock {
 
 namespace {
 
-constexpr base::Millis logTimeout(2000);
-
 /** Time for the last datagrams to be sent before the process ends. */
 constexpr base::Millis leaveTime(500);
 
@@ -31,8 +30,14 @@
 {
     using Members = std::shared_ptr<const std::vector<model::Member>>;
 
-    Impl(const settings::Settings &settings, once::Incarnation self, Outbox outbox, Ended onEnded)
+    /** Where configurations and the addresses of other daemons come from. */
+    using Source = std::variant<std::unique_ptr<details::NoteSource>,
+                                std::unique_ptr<details::PlatformSource>>;
+
+    Impl(const settings::Settings &settings, once::Incarnation self, Outbox outbox, Ended onEnded,
+         std::optional<PlatformBinding> binding)
         : settings_(settings)
+        , binding_(std::move(binding))
         , self_(std::move(self))
         , outbox_(std::move(outbox))
         , onEnded_(std::move(onEnded))
@@ -40,10 +45,8 @@
 
     base::Result<void> listen();
     base::Result<void> startGossip();
-    void startNotes();
-    void startRendezvous();
-    std::unique_ptr<logclient::LogClient> logClient();
-    base::Result<void> startAdmin();
+    void startSource();
+    admin::AdminSources adminSources();
     StatusReport report() const;
     std::vector<admin::RevisionCount> revisionCounts() const;
     void onControlRequest(net::ExchangeId id, const net::HttpRequest &request);
@@ -54,16 +57,22 @@
     void beginDrain();
     void leave();
 
+    /** Calls the function with the source in use. */
+    template<typename Function>
+    auto withSource(Function function) const
+    {
+        return std::visit([&function](const auto &source) { return function(*source); }, source_);
+    }
+
     const settings::Settings &settings_;
+    const std::optional<PlatformBinding> binding_;
     once::Incarnation self_;
     Outbox outbox_;
     Ended onEnded_;
     net::Reactor reactor_;
     std::unique_ptr<net::HttpServer> controlServer_;
     std::unique_ptr<gossip::GossipService> gossip_;
-    std::unique_ptr<notesync::NoteService> notes_;
-    std::unique_ptr<rendezvous::RendezvousService> rendezvous_;
-    std::unique_ptr<admin::AdminServer> admin_;
+    Source source_;
     DataStatus dataStatus_;
     BackendServer backend_;
     bool isDraining_ = false;
@@ -97,7 +106,7 @@
             {.onMembers_ = [this](Members members) { onMembers(std::move(members)); },
              .onSeedsWanted_ =
                      [this] {
-                         rendezvous_->wantSeeds();
+                         withSource([](auto &source) { source.wantSeeds(); });
                      }});
     if (!service)
         return tl::unexpected(service.error());
@@ -105,51 +114,36 @@
     return {};
 }
 
-void ControlTask::Impl::startNotes()
-{
-    notesync::SyncOptions options;
-    options.selfId_ = settings_.id_;
-    options.dataCentre_ = settings_.dataCentre_;
-    options.seed_ = self_.generation_;
-    options.retention_ = settings_.logRetention_;
-    notes_ = std::make_unique<notesync::NoteService>(
-            reactor_, logClient(), options,
-            [this](std::shared_ptr<const model::Config> config) { onConfig(std::move(config)); });
-}
-
-std::unique_ptr<logclient::LogClient> ControlTask::Impl::logClient()
+void ControlTask::Impl::startSource()
 {
-    return std::make_unique<logclient::HttpLogClient>(reactor_, settings_.logAddress_, logTimeout);
+    details::SourceHooks hooks{.onConfig_ =
+                                       [this](std::shared_ptr<const model::Config> config) {
+                                           onConfig(std::move(config));
+                                       },
+                               .onSeeds_ =
+                                       [this](std::vector<model::Address> seeds) {
+                                           gossip_->addSeeds(std::move(seeds));
+                                       },
+                               .toData_ = outbox_};
+    const auto seed = self_.generation_;
+    if (binding_)
+        source_ = std::make_unique<details::PlatformSource>(reactor_, settings_, *binding_, seed,
+                                                            std::move(hooks));
+    else
+        source_ =
+                std::make_unique<details::NoteSource>(reactor_, settings_, seed, std::move(hooks));
 }
 
-void ControlTask::Impl::startRendezvous()
+admin::AdminSources ControlTask::Impl::adminSources()
 {
-    rendezvous_ = std::make_unique<rendezvous::RendezvousService>(
-            reactor_, logClient(),
-            rendezvous::Options{.selfId_ = settings_.id_,
-                                .dataCentre_ = settings_.dataCentre_,
-                                .controlAddress_ = settings_.controlAddress_,
-                                .seed_ = self_.generation_},
-            [this](std::vector<model::Address> seeds) { gossip_->addSeeds(std::move(seeds)); });
-}
-
-base::Result<void> ControlTask::Impl::startAdmin()
-{
-    auto server = admin::AdminServer::start(
-            reactor_, {.listen_ = settings_.adminAddress_, .token_ = settings_.adminToken_},
-            *notes_,
-            {.members_ = [this] { return gossip_->members(); },
-             .revisions_ = [this] { return revisionCounts(); },
-             .status_ = [this] { return report().json(); },
-             .metrics_ = [this] { return report().prometheus(); },
-             .histograms_ =
-                     [this] {
-                         return report().histogramsJson();
-                     }});
-    if (!server)
-        return tl::unexpected(server.error());
-    admin_ = std::move(*server);
-    return {};
+    return {.members_ = [this] { return gossip_->members(); },
+            .revisions_ = [this] { return revisionCounts(); },
+            .status_ = [this] { return report().json(); },
+            .metrics_ = [this] { return report().prometheus(); },
+            .histograms_ =
+                    [this] {
+                        return report().histogramsJson();
+                    }};
 }
 
 std::vector<admin::RevisionCount> ControlTask::Impl::revisionCounts() const
@@ -171,7 +165,7 @@
             .unreachableDataCentres_ = gossip_->unreachableDataCentres(),
             .members_ = *gossip_->members(),
             .revisions_ = gossip_->revisions(),
-            .notes_ = notes_->status(),
+            .revision_ = withSource([](const auto &source) { return source.revision(); }),
             .gossip_ = gossip_->counters(),
             .data_ = dataStatus_};
 }
@@ -180,7 +174,8 @@
 {
     auto answer = gossip_->handleControlRequest(request);
     if (!answer)
-        answer = notes_->handleControlRequest(request);
+        answer = withSource(
+                [&request](auto &source) { return source.handleControlRequest(request); });
     if (!answer)
         answer = net::HttpResponse{.status_ = statusNoSuchPath};
     controlServer_->respond(id, std::move(*answer));
@@ -199,8 +194,7 @@
         events::log(events::generationRaised, "generation=" + std::to_string(generation));
         outbox_(IncarnationChanged{self_});
     }
-    notes_->setMembers(members);
-    rendezvous_->setMembers(members);
+    withSource([&members](auto &source) { source.setMembers(members); });
     outbox_(MembersKnown{std::move(members)});
 }
 
@@ -213,7 +207,8 @@
 
 void ControlTask::Impl::updateSelf()
 {
-    gossip_->updateSelf(backend_.serving_, backend_.service_, backend_.slots_, notes_->revision());
+    gossip_->updateSelf(backend_.serving_, backend_.service_, backend_.slots_,
+                        withSource([](const auto &source) { return source.revision(); }));
 }
 
 void ControlTask::Impl::handle(const ToControl &message)
@@ -234,6 +229,7 @@
     if (isDraining_)
         return;
     isDraining_ = true;
+    withSource([](auto &source) { source.drain(); });
     outbox_(BeginDrain{});
 }
 
@@ -244,9 +240,9 @@
 }
 
 ControlTask::ControlTask(const settings::Settings &settings, once::Incarnation self, Outbox outbox,
-                         Ended onEnded)
-    : impl_(std::make_unique<Impl>(settings, std::move(self), std::move(outbox),
-                                   std::move(onEnded)))
+                         Ended onEnded, std::optional<PlatformBinding> binding)
+    : impl_(std::make_unique<Impl>(settings, std::move(self), std::move(outbox), std::move(onEnded),
+                                   std::move(binding)))
 {}
 
 ControlTask::~ControlTask()
@@ -258,12 +254,13 @@
 {
     if (auto gossiping = impl_->startGossip(); !gossiping)
         return gossiping;
-    impl_->startNotes();
-    impl_->startRendezvous();
+    impl_->startSource();
     if (auto listening = impl_->listen(); !listening)
         return listening;
-    if (auto administering = impl_->startAdmin(); !administering)
-        return administering;
+    const auto sourceStarted =
+            impl_->withSource([this](auto &source) { return source.start(impl_->adminSources()); });
+    if (!sourceStarted)
+        return sourceStarted;
     activate();
     return {};
 }
--- a/libs/dock/src/Daemon.cpp
+++ b/libs/dock/src/Daemon.cpp
@@ -4,16 +4,17 @@
 
 namespace dock {
 
-Daemon::Daemon(settings::Settings settings)
+Daemon::Daemon(settings::Settings settings, std::optional<PlatformBinding> binding)
     : settings_(std::move(settings))
 {
     const once::Incarnation self{settings_.id_,
                                  static_cast<std::uint64_t>(base::wallNow().count())};
     data_ = std::make_unique<DataTask>(
-            settings_, self, [this](ToControl message) { control_->deliver(std::move(message)); });
+            settings_, self, [this](ToControl message) { control_->deliver(std::move(message)); },
+            binding ? binding->interface_ : CallInterface());
     control_ = std::make_unique<ControlTask>(
             settings_, self, [this](ToData message) { data_->deliver(std::move(message)); },
-            [this] { ended_.set_value(); });
+            [this] { ended_.set_value(); }, std::move(binding));
 }
 
 Daemon::~Daemon()
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -39,17 +39,19 @@
     using CancelFunction = std::function<void()>;
     using Cancels = std::unordered_map<net::ExchangeId, CancelFunction>;
 
-    Impl(const settings::Settings &settings, once::Incarnation self, Outbox outbox)
+    Impl(const settings::Settings &settings, once::Incarnation self, Outbox outbox,
+         CallInterface interface)
         : settings_(settings)
+        , interface_(std::move(interface))
         , outbox_(std::move(outbox))
         , contexts_(base::randomSecret())
         , client_(reactor_, settings.maxBodyBytes_)
         , executor_(
-                  reactor_, settings, self, contexts_,
+                  reactor_, settings, self, contexts_, interface_,
                   [this](const BackendServer &backend) { outbox_(BackendStateChanged{backend}); },
                   [this](const std::string &token) { contextEnded(token); },
                   [this](const std::string &token) { contextCancelled(token); })
-        , entry_(reactor_, settings, self, client_, executor_, contexts_)
+        , entry_(reactor_, settings, self, client_, executor_, contexts_, interface_)
         , backendApi_(executor_, entry_, settings.dataAddress_.host_)
     {}
 
@@ -66,6 +68,7 @@
     void sendStatus();
 
     const settings::Settings &settings_;
+    const CallInterface interface_;
     Outbox outbox_;
     net::Reactor reactor_;
     retry::ContextTable contexts_;
@@ -116,9 +119,11 @@
 
 void DataTask::Impl::onCallerRequest(net::ExchangeId id, net::HttpRequest request)
 {
-    if (auto answer = backendApi_.answer(request)) {
-        dataServer_->respond(id, std::move(*answer));
-        return;
+    if (!interface_.hasRoutes()) {
+        if (auto answer = backendApi_.answer(request)) {
+            dataServer_->respond(id, std::move(*answer));
+            return;
+        }
     }
     const auto entryId = entry_.receive(std::move(request), RequestSource::Caller,
                                         [this, id](net::HttpResponse response) {
@@ -197,6 +202,8 @@
                            executor_.adopt(change.self_);
                        },
                        [this](const BeginDrain &) { beginDrain(); },
+                       [this](const BackendAnnounced &said) { executor_.announce(said.backend_); },
+                       [this](const BackendLeaving &) { executor_.backendLeft(); },
                },
                message);
 }
@@ -208,6 +215,7 @@
     isDraining_ = true;
     drainBegan_ = base::monotonicNow();
     events::log(events::drainBegan, "running=" + std::to_string(executor_.activeCount()));
+    dataServer_->closeAfterAnswers();
     entry_.drain();
     executor_.drain();
     checkDrain();
@@ -243,8 +251,10 @@
     reactor_.schedule(statusInterval, [this] { sendStatus(); });
 }
 
-DataTask::DataTask(const settings::Settings &settings, once::Incarnation self, Outbox outbox)
-    : impl_(std::make_unique<Impl>(settings, std::move(self), std::move(outbox)))
+DataTask::DataTask(const settings::Settings &settings, once::Incarnation self, Outbox outbox,
+                   CallInterface interface)
+    : impl_(std::make_unique<Impl>(settings, std::move(self), std::move(outbox),
+                                   std::move(interface)))
 {}
 
 DataTask::~DataTask()
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -5,8 +5,10 @@
 #include <base/Clock.h>
 #include <base/Mac.h>
 #include <base/Overloaded.h>
+#include <base/Random.h>
 #include <dock/AttemptCodec.h>
 #include <dock/AttemptSender.h>
+#include <dock/CallInterface.h>
 #include <dock/CallerAnswer.h>
 #include <dock/Executor.h>
 #include <dock/HeaderNames.h>
@@ -65,18 +67,53 @@
     return target.substr(0, target.find('?'));
 }
 
-/** Fields that concern this hop only; the context is that of the caller's own request. */
-void removeOwnFields(net::Headers &headers)
+std::string lowerCase(std::string_view text)
 {
-    std::erase_if(headers, [](const net::Header &field) {
-        return isHopByHop(field.name_) || field.name_.starts_with(header::peerPrefix)
-               || net::equalsIgnoringCase(field.name_, header::deadlineMs)
-               || net::equalsIgnoringCase(field.name_, header::context);
-    });
-    for (auto &field : headers) {
-        for (auto &c : field.name_)
-            c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    std::string result(text);
+    for (auto &c : result)
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    return result;
+}
+
+/** Whether the field Connection names this one as concerning the connection only. */
+bool isNamedByConnection(std::string_view connection, const std::string &name)
+{
+    while (!connection.empty()) {
+        const auto comma = std::min(connection.find(','), connection.size());
+        auto token = connection.substr(0, comma);
+        connection.remove_prefix(std::min(comma + 1, connection.size()));
+        while (!token.empty() && token.front() == ' ')
+            token.remove_prefix(1);
+        while (!token.empty() && token.back() == ' ')
+            token.remove_suffix(1);
+        if (net::equalsIgnoringCase(token, name))
+            return true;
     }
+    return false;
+}
+
+/** Host name of a request without its port. */
+std::string hostOf(const net::Headers &headers)
+{
+    const auto host = net::headerValue(headers, "host");
+    return lowerCase(host.substr(0, host.find(':')));
+}
+
+/** Removes fields that concern this hop only, or that the system states itself. */
+void removeOwnFields(net::Headers &headers, const CallInterface &interface)
+{
+    const std::string connection(net::headerValue(headers, "connection"));
+    for (auto &field : headers)
+        field.name_ = lowerCase(field.name_);
+    std::erase_if(headers, [&](const net::Header &field) {
+        const auto &name = field.name_;
+        if (name == "host")
+            return !interface.hasRoutes();
+        return isHopByHop(name) || name.starts_with(header::peerPrefix)
+               || name == interface.deadlineMs_ || name == interface.context_
+               || name == interface.callerService_ || name == interface.expectedInstance_
+               || isNamedByConnection(connection, name);
+    });
 }
 
 } // namespace
@@ -84,8 +121,10 @@
 struct Entry::Impl
 {
     Impl(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
-         net::PeerClient &client, Executor &executor, retry::ContextTable &contexts)
+         net::PeerClient &client, Executor &executor, retry::ContextTable &contexts,
+         const CallInterface &interface)
         : settings_(settings)
+        , interface_(interface)
         , self_(std::move(self))
         , client_(client)
         , executor_(executor)
@@ -115,16 +154,31 @@
         CallInfo call_; ///< without header fields and body
     };
 
+    /** Where a request goes to. */
+    struct Destination
+    {
+        std::string service_;
+        std::string target_; ///< as the backend server gets it
+        model::RequestClass class_;
+    };
+
     /** How to end one request before its answer. */
     using Cancel = std::function<void()>;
 
     static once::HomeSettings homeSettings(const settings::Settings &settings);
     static retry::RetrySettings retrySettings(const settings::Settings &settings);
+    RetryAfterForm retryAfterForm() const
+    {
+        return interface_.hasFractionalRetryAfter_ ? RetryAfterForm::Decimals
+                                                   : RetryAfterForm::WholeSeconds;
+    }
     bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
     bool needsKey(const CallInfo &call) const;
     const model::Member *findMember(const std::string &id) const;
     std::string customerOf(const std::string &stated) const;
-    CallInfo describe(net::HttpRequest request, std::string service, std::string target);
+    std::optional<Destination> destinationOf(const net::HttpRequest &request);
+    CallInfo describe(net::HttpRequest request, Destination destination);
+    base::Millis deadlineOf(const CallInfo &call, std::string_view stated) const;
     void inheritFrom(CallInfo &call, const retry::RunningCall &parent) const;
     void addTolerance(CallInfo &call) const;
     std::string freshKey(const CallInfo &call);
@@ -139,6 +193,8 @@
     void finishWith(EntryId id, const once::Outcome &outcome, const CallReport &report = {});
 
     const settings::Settings &settings_;
+    const CallInterface &interface_;
+    base::Random random_{randomSeed()};
     once::Incarnation self_;
     net::PeerClient &client_;
     Executor &executor_;
@@ -193,21 +249,45 @@
     return config_->customers_.contains(stated) ? stated : defaultCustomer;
 }
 
-CallInfo Entry::Impl::describe(net::HttpRequest request, std::string service, std::string target)
+std::optional<Entry::Impl::Destination> Entry::Impl::destinationOf(const net::HttpRequest &request)
+{
+    if (!interface_.hasRoutes()) {
+        auto [service, target] = splitTarget(request.target_);
+        if (!config_->services_.contains(service))
+            return std::nullopt;
+        auto requestClass = config_->classify(service, request.method_, pathOf(target));
+        return Destination{std::move(service), std::move(target), std::move(requestClass)};
+    }
+    const auto *route = config_->route(hostOf(request.headers_), pathOf(request.target_));
+    if (route == nullptr)
+        return std::nullopt;
+    return Destination{std::string(route->serviceAt(random_.unit())), request.target_,
+                       route->class_};
+}
+
+/** Point in time up to which the request is worked on, on this daemon's clock. */
+base::Millis Entry::Impl::deadlineOf(const CallInfo &call, std::string_view stated) const
+{
+    const auto ofClass = static_cast<std::uint64_t>(call.class_.deadline_.count());
+    auto time = std::min(numberOr(stated, ofClass), longestDeadlineMs);
+    // On a route the configuration bounds what a caller asks for.
+    if (interface_.hasRoutes())
+        time = std::min(time, ofClass);
+    return call.receivedAt_ + base::Millis(static_cast<std::int64_t>(time));
+}
+
+CallInfo Entry::Impl::describe(net::HttpRequest request, Destination destination)
 {
     CallInfo call;
     const auto &headers = request.headers_;
     call.receivedAt_ = base::monotonicNow();
-    call.service_ = std::move(service);
-    call.class_ = config_->classify(call.service_, request.method_, pathOf(target));
+    call.service_ = std::move(destination.service_);
+    call.class_ = std::move(destination.class_);
     call.keyText_ = net::headerValue(headers, header::idempotencyKey);
     call.keyCustomer_ = net::headerValue(headers, header::customer).substr(0, longestCustomer);
     call.customer_ = customerOf(call.keyCustomer_);
-    const auto stated = numberOr(net::headerValue(headers, header::deadlineMs),
-                                 static_cast<std::uint64_t>(call.class_.deadline_.count()));
-    call.deadline_ = call.receivedAt_
-                     + base::Millis(static_cast<std::int64_t>(std::min(stated, longestDeadlineMs)));
-    const std::string token(net::headerValue(headers, header::context));
+    call.deadline_ = deadlineOf(call, net::headerValue(headers, interface_.deadlineMs_));
+    const std::string token(net::headerValue(headers, interface_.context_));
     if (const auto *parent = contexts_.find(token); parent != nullptr) {
         call.contextToken_ = token;
         inheritFrom(call, *parent);
@@ -218,8 +298,10 @@
         call.priority_ = admission::Priority::ofRoot(call.class_.rank_, name);
     }
     addTolerance(call);
-    request.target_ = std::move(target);
-    removeOwnFields(request.headers_);
+    request.target_ = std::move(destination.target_);
+    removeOwnFields(request.headers_, interface_);
+    if (!interface_.callerService_.empty())
+        request.headers_.push_back({interface_.callerService_, settings_.platform_->service_});
     call.request_ = std::move(request);
     return call;
 }
@@ -249,7 +331,7 @@
 
 std::string Entry::Impl::freshKey(const CallInfo &call)
 {
-    if (isDraining_ || call.isChild())
+    if (isDraining_ || call.isChild() || interface_.hasRoutes())
         return {};
     return home_->issueKey(call.keyCustomer_, call.service_, base::monotonicNow()).text();
 }
@@ -271,7 +353,8 @@
 {
     if (isBaseline())
         return false;
-    return !call.class_.idempotent_ || once::isIssuedFor(call.keyText_, call.service_);
+    return !call.class_.idempotent_
+           || (!interface_.hasRoutes() && once::isIssuedFor(call.keyText_, call.service_));
 }
 
 void Entry::Impl::startKeyed(EntryId id, CallInfo call, RequestSource source)
@@ -285,6 +368,12 @@
         startAtHome(id, std::move(call), key);
         return;
     }
+    // A caller on a route names each of its attempts anew, so the key need not leave this daemon.
+    if (interface_.hasRoutes()) {
+        auto key = home_->issueKey(call.keyCustomer_, call.service_, call.receivedAt_);
+        startAtHome(id, std::move(call), std::move(key));
+        return;
+    }
     if (call.keyText_.empty()) {
         finish(id, refusal(statusKeyNeeded, "key-needed", {}, freshKey(call)));
         return;
@@ -361,7 +450,8 @@
         events::log(events::outcomeUnknown,
                     "class=" + call.class_.name_
                             + " reason=" + std::string(once::reasonText(unknown->reason_)));
-    finish(id, callerAnswer(outcome, needsKey(call) ? freshKey(call) : std::string()));
+    finish(id, callerAnswer(outcome, retryAfterForm(),
+                            needsKey(call) ? freshKey(call) : std::string()));
 }
 
 void Entry::Impl::finish(EntryId id, net::HttpResponse response)
@@ -373,8 +463,10 @@
 }
 
 Entry::Entry(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
-             net::PeerClient &client, Executor &executor, retry::ContextTable &contexts)
-    : impl_(std::make_unique<Impl>(reactor, settings, std::move(self), client, executor, contexts))
+             net::PeerClient &client, Executor &executor, retry::ContextTable &contexts,
+             const CallInterface &interface)
+    : impl_(std::make_unique<Impl>(reactor, settings, std::move(self), client, executor, contexts,
+                                   interface))
 {}
 
 Entry::~Entry() = default;
@@ -385,8 +477,8 @@
 {
     const auto key = net::headerValue(request.headers_, header::idempotencyKey);
     const auto context = net::headerValue(request.headers_, header::context);
-    if (once::mayHaveRun(key, !context.empty()))
-        refused = callerAnswer(once::homeGaveNoAnswer(), {});
+    if (!interface_.hasRoutes() && once::mayHaveRun(key, !context.empty()))
+        refused = callerAnswer(once::homeGaveNoAnswer(), retryAfterForm());
     finish(id, std::move(refused));
 }
 
@@ -400,12 +492,12 @@
                 id, request, refusal(statusUnavailable, "no-configuration", retryWhenUnconfigured));
         return 0;
     }
-    auto [service, target] = splitTarget(request.target_);
-    if (!impl_->config_->services_.contains(service)) {
+    auto destination = impl_->destinationOf(request);
+    if (!destination) {
         impl_->finishUnserved(id, request, refusal(statusNotFound, "unknown-service"));
         return 0;
     }
-    auto call = impl_->describe(std::move(request), std::move(service), std::move(target));
+    auto call = impl_->describe(std::move(request), std::move(*destination));
     open.call_ = withoutContent(call);
     if (impl_->needsKey(call))
         impl_->startKeyed(id, std::move(call), source);
--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -16,9 +16,9 @@
 
 Executor::Executor(net::Reactor &reactor, const settings::Settings &settings,
                    once::Incarnation self, retry::ContextTable &contexts,
-                   BackendChanged onBackendChanged, ContextFunction onContextEnded,
-                   ContextFunction onContextCancelled)
-    : impl_(std::make_unique<Impl>(reactor, settings, std::move(self), contexts))
+                   const CallInterface &interface, BackendChanged onBackendChanged,
+                   ContextFunction onContextEnded, ContextFunction onContextCancelled)
+    : impl_(std::make_unique<Impl>(reactor, settings, std::move(self), contexts, interface))
 {
     impl_->onBackendChanged_ = std::move(onBackendChanged);
     impl_->onContextEnded_ = std::move(onContextEnded);
--- a/libs/dock/src/StatusReport.cpp
+++ b/libs/dock/src/StatusReport.cpp
@@ -128,8 +128,8 @@
         snapshot = *data_.metrics_;
     auto &values = snapshot.values_;
     values.push_back(gauge("members", "daemons known", static_cast<double>(members_.size())));
-    values.push_back(gauge("revision", "release-note revision in force",
-                           static_cast<double>(notes_.revision_)));
+    values.push_back(
+            gauge("revision", "configuration revision in force", static_cast<double>(revision_)));
     values.push_back(gauge("concurrency_limit", "requests that may run at once", data_.limit_));
     values.push_back(gauge("level", "worst priority that is admitted", data_.level_.value_));
     values.push_back(gauge("running", "requests running or queued at the backend server",
--- a/libs/dock/src/details/BackendExchange.cpp
+++ b/libs/dock/src/details/BackendExchange.cpp
@@ -1,12 +1,17 @@
 #include "details/BackendExchange.h"
 
 #include <dock/AttemptCodec.h>
+#include <dock/CallInterface.h>
 #include <dock/HeaderNames.h>
 
 namespace dock::details {
 
 namespace {
 
+constexpr int statusMisdirected = 421;
+constexpr int firstSuccess = 200;
+constexpr int lastSuccess = 299;
+
 once::AnswerPtr answerOf(net::HttpResponse response)
 {
     auto answer = std::make_shared<once::Answer>();
@@ -35,23 +40,47 @@
 } // namespace
 
 net::HttpRequest backendRequest(net::HttpRequest request, base::Millis timeLeft,
-                                const std::string &contextToken)
+                                const std::string &contextToken, const std::string &instanceId,
+                                const CallInterface &interface)
 {
-    std::erase_if(request.headers_, [](const net::Header &field) {
-        return isHopByHop(field.name_) || net::equalsIgnoringCase(field.name_, header::deadlineMs)
-               || net::equalsIgnoringCase(field.name_, header::context);
+    const auto isReplaced = [&interface](std::string_view name) {
+        for (const auto *own :
+             {&interface.deadlineMs_, &interface.context_, &interface.expectedInstance_}) {
+            if (!own->empty() && net::equalsIgnoringCase(name, *own))
+                return true;
+        }
+        return false;
+    };
+    std::erase_if(request.headers_, [&](const net::Header &field) {
+        const bool isHost = net::equalsIgnoringCase(field.name_, "host");
+        return (isHost ? !interface.hasRoutes() : isHopByHop(field.name_))
+               || isReplaced(field.name_);
     });
-    request.headers_.push_back({"Fuchsiadock-Deadline-Ms", std::to_string(timeLeft.count())});
-    request.headers_.push_back({"Fuchsiadock-Context", contextToken});
+    const auto addField = [&request](const std::string &name, std::string value) {
+        if (!name.empty() && !value.empty())
+            request.headers_.push_back({name, std::move(value)});
+    };
+    addField(interface.deadlineMs_, std::to_string(timeLeft.count()));
+    addField(interface.context_, contextToken);
+    addField(interface.expectedInstance_, instanceId);
     return request;
 }
 
-BackendEnd endOf(net::CallResult result)
+BackendEnd endOf(net::CallResult result, const CallInterface &interface)
 {
     if (!result)
         return endOfFailure(result.error());
-    if (net::headerValue(result->headers_, header::outcome) == "not-run")
+    const auto &headers = result->headers_;
+    const auto has = [&headers](const std::string &name) {
+        return !name.empty() && !net::headerValue(headers, name).empty();
+    };
+    if (has(interface.notExecuted_) || net::headerValue(headers, header::outcome) == "not-run")
         return {once::NotRun{once::Reason::BackendRefused, {}}, admission::Outcome::Shed};
+    if (!interface.expectedInstance_.empty() && result->status_ == statusMisdirected)
+        return {once::NotRun{once::Reason::BackendUnavailable, {}}, admission::Outcome::Failed};
+    const bool isSuccess = result->status_ >= firstSuccess && result->status_ <= lastSuccess;
+    if (isSuccess && !interface.signature_.empty() && !has(interface.signature_))
+        return {once::Unknown{once::Reason::AnswerLost}, admission::Outcome::Failed};
     return {once::Complete{answerOf(std::move(*result))}, admission::Outcome::Ok};
 }
 
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -195,7 +195,8 @@
     auto &run = runs_.at(id);
     // The body of a request without a record is not needed any more.
     auto content = run.attempt_.subKey_ ? run.attempt_.request_ : std::move(run.attempt_.request_);
-    auto request = details::backendRequest(std::move(content), timeLeft, run.context_);
+    auto request = details::backendRequest(std::move(content), timeLeft, run.context_,
+                                           backend_.instanceId_, interface_);
     run.call_ = client_.send(
             backend_.address_, std::move(request), timeLeft,
             [this, id](net::CallResult result) { backendDone(id, std::move(result)); });
@@ -205,7 +206,7 @@
 {
     if (!runs_.contains(id))
         return;
-    const auto end = details::endOf(std::move(result));
+    const auto end = details::endOf(std::move(result), interface_);
     finish(id, end.admission_, end.outcome_);
 }
 
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -8,6 +8,7 @@
 
 #include <admission/Core.h>
 #include <admission/DownstreamLevels.h>
+#include <dock/CallInterface.h>
 #include <dock/Executor.h>
 #include <net/HttpClient.h>
 #include <net/Reactor.h>
@@ -20,6 +21,9 @@
 
 namespace dock {
 
+/** Below the shortest time after which the users' backend servers close idle connections, 10 s. */
+inline constexpr base::Millis longestIdle(8000);
+
 /** State of an executor and the steps between its decisions. */
 struct Executor::Impl
 {
@@ -48,11 +52,14 @@
     };
 
     Impl(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
-         retry::ContextTable &contexts)
+         retry::ContextTable &contexts, const CallInterface &interface)
         : reactor_(reactor)
         , settings_(settings)
         , contexts_(contexts)
-        , client_(reactor, settings.maxBodyBytes_)
+        , interface_(interface)
+        , client_(reactor, {.maxBodyBytes_ = settings.maxBodyBytes_,
+                            .maxIdle_ = longestIdle,
+                            .echoedField_ = interface.requestId_})
     {
         createRecord(std::move(self));
     }
@@ -86,6 +93,7 @@
     net::Reactor &reactor_;
     const settings::Settings &settings_;
     retry::ContextTable &contexts_;
+    const CallInterface &interface_;
     net::HttpClient client_;
     admission::Core admission_;
     admission::DownstreamLevels levels_;
--- /dev/null
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -0,0 +1,232 @@
+#include "PlatformSource.h"
+
+#include <algorithm>
+
+#include <base/Overloaded.h>
+#include <dock/CallerAnswer.h>
+#include <events/Catalogue.h>
+#include <events/Log.h>
+#include <follow/FollowService.h>
+#include <logclient/KeyedLog.h>
+#include <rendezvous/KeyedMeeting.h>
+#include <settings/Settings.h>
+
+namespace dock::details {
+
+namespace {
+
+/** Path on the control port at which daemons give each other the configuration in force. */
+const std::string configPath = "/config";
+
+/**
+ * Time in which the own read is expected to bring a revision that others have, before it is asked
+ * for: the time of a few answers of the log.
+ */
+constexpr base::Millis catchUpDelay(300);
+
+constexpr base::Millis askTimeout(1000);
+constexpr std::uint32_t maxConnections = 256;
+constexpr std::size_t longestMessage = 64 * 1024;
+constexpr int statusOk = 200;
+
+} // namespace
+
+PlatformSource::PlatformSource(net::Reactor &reactor, const settings::Settings &settings,
+                               const PlatformBinding &binding, std::uint64_t seed,
+                               SourceHooks hooks)
+    : reactor_(reactor)
+    , settings_(settings)
+    , binding_(binding)
+    , hooks_(std::move(hooks))
+    , log_(binding.openLog_(reactor))
+    , client_(reactor)
+    , tracker_(settings.platform_->service_, settings.platform_->backendAddress_)
+{
+    follow::Options options;
+    options.seed_ = seed;
+    config_ = std::make_unique<follow::FollowService>(
+            reactor, *log_, binding.configTopic_, options,
+            [this](const std::vector<logclient::KeyedRecord> &records) { onRecords(records); });
+    meeting_ = std::make_unique<rendezvous::KeyedMeeting>(
+            reactor, *log_,
+            rendezvous::KeyedOptions{
+                    .topic_ = binding.meetingTopic_,
+                    .self_ = {settings.id_, settings.dataCentre_, settings.controlAddress_},
+                    .seed_ = seed},
+            [this](std::vector<model::Address> seeds) { hooks_.onSeeds_(std::move(seeds)); });
+}
+
+PlatformSource::~PlatformSource()
+{
+    reactor_.cancel(catchUpTimer_);
+}
+
+base::Result<void>
+PlatformSource::listen(ServerSlot &slot, const model::Address &address,
+                       std::function<net::HttpResponse(const net::HttpRequest &)> answer)
+{
+    auto server =
+            net::HttpServer::start(reactor_,
+                                   {.listen_ = address,
+                                    .maxBodyBytes_ = longestMessage,
+                                    .maxConnections_ = maxConnections},
+                                   [&slot, answer = std::move(answer)](
+                                           net::ExchangeId id, const net::HttpRequest &request) {
+                                       slot->respond(id, answer(request));
+                                   });
+    if (!server)
+        return tl::unexpected(server.error());
+    slot = std::move(*server);
+    return {};
+}
+
+base::Result<void> PlatformSource::start(admin::AdminSources sources)
+{
+    const auto &addresses = *settings_.platform_;
+    auto started =
+            listen(heartbeatServer_, addresses.heartbeatAddress_,
+                   [this](const net::HttpRequest &request) { return answerBackend(request); });
+    if (started)
+        started = listen(readinessServer_, addresses.readinessAddress_,
+                         [this](const net::HttpRequest &request) { return answerProbe(request); });
+    if (started && settings_.metricsAddress_)
+        started = listen(metricsServer_, *settings_.metricsAddress_,
+                         [metrics = std::move(sources.metrics_)](const net::HttpRequest &) {
+                             return net::HttpResponse{
+                                     .headers_ = {{"Content-Type", "text/plain; version=0.0.4"}},
+                                     .body_ = metrics()};
+                         });
+    return started;
+}
+
+void PlatformSource::onRecords(const std::vector<logclient::KeyedRecord> &records)
+{
+    for (const auto &record : records) {
+        if (record.key_ == binding_.configKey_ && !record.value_.empty())
+            offerConfig(record.value_, "log");
+    }
+}
+
+/** Puts a configuration in force unless it is invalid or not newer than the one in force. */
+void PlatformSource::offerConfig(const std::string &record, const std::string &from)
+{
+    auto config = binding_.decodeConfig_(record);
+    if (!config) {
+        events::log(events::configRefused, "from=" + from + " inForce=" + std::to_string(revision_)
+                                                   + " cause=\"" + config.error().message_ + "\"");
+        return;
+    }
+    if (config->revision_ <= revision_)
+        return;
+    revision_ = config->revision_;
+    record_ = record;
+    hooks_.onConfig_(std::make_shared<const model::Config>(std::move(*config)));
+}
+
+void PlatformSource::setMembers(std::shared_ptr<const std::vector<model::Member>> members)
+{
+    members_ = std::move(members);
+    const bool isBehind =
+            std::any_of(members_->begin(), members_->end(), [this](const model::Member &member) {
+                return member.revision_ > revision_;
+            });
+    if (isBehind && catchUpTimer_ == 0)
+        catchUpTimer_ = reactor_.schedule(catchUpDelay, [this] { catchUp(); });
+}
+
+void PlatformSource::catchUp()
+{
+    catchUpTimer_ = 0;
+    const auto newest = std::max_element(members_->begin(), members_->end(),
+                                         [](const model::Member &a, const model::Member &b) {
+                                             return a.revision_ < b.revision_;
+                                         });
+    if (newest == members_->end() || newest->revision_ <= revision_)
+        return;
+    config_->catchUp();
+    askMember(newest->controlAddress_);
+    catchUpTimer_ = reactor_.schedule(askTimeout, [this] { catchUp(); });
+}
+
+void PlatformSource::askMember(const model::Address &address)
+{
+    client_.send(address, {.target_ = configPath}, askTimeout,
+                 [this, address](const net::CallResult &result) {
+                     if (result && result->status_ == statusOk)
+                         offerConfig(result->body_, address.text());
+                 });
+}
+
+void PlatformSource::wantSeeds()
+{
+    meeting_->wantSeeds();
+}
+
+std::optional<net::HttpResponse>
+PlatformSource::handleControlRequest(const net::HttpRequest &request)
+{
+    if (request.target_ != configPath)
+        return std::nullopt;
+    if (revision_ == 0)
+        return net::HttpResponse{.status_ = statusNotFound};
+    return net::HttpResponse{.body_ = record_};
+}
+
+net::HttpResponse PlatformSource::answerBackend(const net::HttpRequest &request)
+{
+    const auto message = binding_.decodeBackendMessage_(request);
+    if (!message) {
+        events::log(events::heartbeatIgnored, "cause=\"" + message.error().message_ + "\"");
+        const bool isPath = message.error().code_ == "no-such-path";
+        return {.status_ = isPath ? statusNotFound : statusBadRequest,
+                .body_ = message.error().message_ + "\n"};
+    }
+    std::visit([this](const auto &one) { take(one); }, *message);
+    return {.headers_ = {{"Content-Type", "application/json"}}, .body_ = "{}"};
+}
+
+void PlatformSource::take(const heartbeat::Heartbeat &message)
+{
+    if (const auto verdict = tracker_.take(message); verdict != heartbeat::Verdict::Accepted) {
+        noteIgnored(message.instanceId_, verdict);
+        return;
+    }
+    if (message.isDraining_) {
+        hooks_.toData_(BackendLeaving{});
+        return;
+    }
+    hooks_.toData_(BackendAnnounced{{.service_ = message.service_,
+                                     .address_ = message.address_,
+                                     .instanceId_ = message.instanceId_,
+                                     .slots_ = message.slots_}});
+}
+
+void PlatformSource::take(const heartbeat::Deregistration &message)
+{
+    if (const auto verdict = tracker_.take(message); verdict != heartbeat::Verdict::Accepted) {
+        noteIgnored(message.instanceId_, verdict);
+        return;
+    }
+    hooks_.toData_(BackendLeaving{});
+}
+
+void PlatformSource::noteIgnored(const std::string &instanceId, heartbeat::Verdict verdict)
+{
+    events::log(events::heartbeatIgnored,
+                "instance=" + instanceId + " cause=" + std::string(verdictText(verdict)));
+}
+
+net::HttpResponse PlatformSource::answerProbe(const net::HttpRequest &request) const
+{
+    if (request.target_ != binding_.readinessPath_)
+        return {.status_ = statusNotFound};
+    const bool isReady = revision_ > 0 && !isDraining_;
+    return {.status_ = isReady ? statusOk : statusUnavailable};
+}
+
+void PlatformSource::drain()
+{
+    isDraining_ = true;
+}
+
+} // namespace dock::details
--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -15,6 +15,7 @@
 inline constexpr Event backendAnnounced = {200, Severity::Info, "backend-announced"};
 inline constexpr Event backendLeft = {201, Severity::Info, "backend-left"};
 inline constexpr Event backendSilent = {202, Severity::Warning, "backend-silent"};
+inline constexpr Event heartbeatIgnored = {203, Severity::Warning, "heartbeat-ignored"};
 
 // 3xx: requests
 inline constexpr Event outcomeUnknown = {300, Severity::Warning, "outcome-unknown"};
@@ -25,5 +26,11 @@
 inline constexpr Event isolated = {402, Severity::Warning, "isolated"};
 
 inline constexpr Event generationRaised = {403, Severity::Warning, "generation-raised"};
+inline constexpr Event configRefused = {404, Severity::Warning, "config-refused"};
+
+// 5xx: the platform's log
+inline constexpr Event logLost = {500, Severity::Warning, "log-lost"};
+inline constexpr Event logRegained = {501, Severity::Info, "log-regained"};
+inline constexpr Event meetingFailed = {502, Severity::Warning, "meeting-failed"};
 
 } // namespace events
--- a/libs/gossip/src/GossipService.cpp
+++ b/libs/gossip/src/GossipService.cpp
@@ -40,7 +40,7 @@
         : reactor_(reactor)
         , callbacks_(std::move(callbacks))
         , codec_(options.clusterSecret_)
-        , client_(reactor, maxStateBytes)
+        , client_(reactor, {.maxBodyBytes_ = maxStateBytes})
         , socket_(reactor.ace(), [this](const auto &from, auto bytes) { receive(from, bytes); })
         , stateServer_(codec_, [this](const std::string &dataCentre) {
             return core_->state(base::monotonicNow(), dataCentre);
--- /dev/null
+++ b/libs/logclient/include/logclient/KeyedLog.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include <base/Millis.h>
+#include <logclient/KeyedPage.h>
+#include <logclient/ReadResult.h>
+
+namespace logclient {
+
+using KeyedDone = std::function<void(KeyedResult)>;
+using PutDone = std::function<void(AppendResult)>;
+
+/**
+ * A log whose topics keep the newest record of each key for ever.
+ *
+ * Callbacks run once, on the reactor's thread, never inside the call; none runs after destruction.
+ */
+class KeyedLog
+{
+public:
+    virtual ~KeyedLog() = default;
+
+    /** Reads the newest record of each key, in pages; `after` is the last key of the page before.
+     */
+    virtual void newest(const std::string &topic, const std::string &after, KeyedDone done) = 0;
+
+    /** Reads records from an offset on, waiting for the first one for at most `wait`. */
+    virtual void readFrom(const std::string &topic, std::uint64_t from, base::Millis wait,
+                          KeyedDone done) = 0;
+
+    /** Writes the newest record of a key; without a value the key is dropped. */
+    virtual void put(const std::string &topic, const std::string &key, const std::string &value,
+                     PutDone done) = 0;
+};
+
+} // namespace logclient
--- a/libs/logclient/src/HttpLogClient.cpp
+++ b/libs/logclient/src/HttpLogClient.cpp
@@ -121,7 +121,7 @@
 }
 
 HttpLogClient::HttpLogClient(net::Reactor &reactor, model::Address log, base::Millis timeout)
-    : client_(reactor, maxAnswerBytes)
+    : client_(reactor, {.maxBodyBytes_ = maxAnswerBytes})
     , log_(std::move(log))
     , timeout_(timeout)
 {}
--- a/libs/model/include/model/Service.h
+++ b/libs/model/include/model/Service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace model {
@@ -8,6 +9,7 @@
 struct Service
 {
     std::string name_;
+    std::uint32_t maxConnections_ = 0; ///< that one backend server accepts; 0: not stated
 
     bool operator==(const Service &) const = default;
 };
--- a/libs/model/src/Config.cpp
+++ b/libs/model/src/Config.cpp
@@ -42,4 +42,20 @@
     return best != nullptr ? *best : defaultClass();
 }
 
+const Route *Config::route(std::string_view host, std::string_view path) const
+{
+    const auto routes = routes_.find(host);
+    if (routes == routes_.end())
+        return nullptr;
+    for (auto slash = path.rfind('/'); slash != std::string_view::npos;
+         slash = path.rfind('/', slash - 1)) {
+        const auto found = routes->second.find(path.substr(0, slash + 1));
+        if (found != routes->second.end())
+            return &found->second;
+        if (slash == 0)
+            break;
+    }
+    return nullptr;
+}
+
 } // namespace model
--- a/libs/model/tests/ConfigTest.cpp
+++ b/libs/model/tests/ConfigTest.cpp
@@ -45,3 +45,42 @@
     EXPECT_EQ(Address::parse("127.0.0.1:99999").error().code_, "bad-address");
     EXPECT_EQ(Address::parse("host:80").error().code_, "bad-address");
 }
+
+namespace {
+
+Config routedConfig()
+{
+    Config config;
+    for (const auto *prefix : {"/", "/a/", "/a/b/"})
+        config.routes_["one.example"][prefix].class_.name_ = prefix;
+    return config;
+}
+
+std::string routeName(const Config &config, std::string_view host, std::string_view path)
+{
+    const auto *route = config.route(host, path);
+    return route != nullptr ? route->class_.name_ : "none";
+}
+
+} // namespace
+
+TEST(Route, longestPrefixOfTheHostWins)
+{
+    const auto config = routedConfig();
+    EXPECT_EQ(routeName(config, "one.example", "/a/b/c"), "/a/b/");
+    EXPECT_EQ(routeName(config, "one.example", "/a/b"), "/a/");
+    EXPECT_EQ(routeName(config, "one.example", "/ab/c"), "/");
+    EXPECT_EQ(routeName(config, "two.example", "/a/b/c"), "none");
+    EXPECT_EQ(routeName(config, "one.example", ""), "none");
+    EXPECT_EQ(routeName(config, "one.example", "a"), "none");
+}
+
+TEST(Route, servicesShareByWeight)
+{
+    const model::Route route{.services_ = {{"wallet", 90}, {"catalog", 10}}};
+    EXPECT_EQ(route.serviceAt(0), "wallet");
+    EXPECT_EQ(route.serviceAt(0.89), "wallet");
+    EXPECT_EQ(route.serviceAt(0.91), "catalog");
+    EXPECT_EQ(route.serviceAt(0.999), "catalog");
+    EXPECT_EQ((model::Route{.services_ = {{"wallet", 0}, {"catalog", 1}}}.serviceAt(0)), "catalog");
+}
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <memory>
 
 #include <base/Millis.h>
 #include <model/Address.h>
 #include <net/CallResult.h>
+#include <net/HttpClientOptions.h>
 #include <net/HttpRequest.h>
 
 namespace net {
@@ -19,13 +19,14 @@
 /**
  * HTTP/1.1 client of one reactor with kept-alive connections, by libcurl's multi interface.
  *
- * An answer that ends before its stated length is a Failure of kind Lost, never an answer.
+ * An answer that ends before its stated length or is not to the request sent is a Failure of kind
+ * Lost, never an answer.
  * All members are for the reactor's thread; callbacks never run inside send().
  */
 class HttpClient
 {
 public:
-    explicit HttpClient(Reactor &reactor, std::size_t maxBodyBytes = 16 * 1024 * 1024);
+    explicit HttpClient(Reactor &reactor, const HttpClientOptions &options = {});
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -51,6 +51,9 @@
     /** Sends the whole answer; ignored when the caller has hung up. */
     void respond(ExchangeId id, HttpResponse response);
 
+    /** From now on every answer ends its connection, so that callers go elsewhere. */
+    void closeAfterAnswers();
+
     /** The port bound, also when port 0 was asked for. */
     std::uint16_t port() const;
 
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -13,8 +13,10 @@
 
 namespace {
 
-/** Idle connections older than this are not used again, as the other side may be closing them. */
-constexpr long maxIdleSeconds = 20;
+/** Answers with a lower status are interim ones. */
+constexpr long firstFinalStatus = 200;
+
+constexpr std::int64_t millisPerSecond = 1000;
 
 /** Connections kept open when idle. */
 constexpr long maxIdleConnections = 1024;
@@ -26,12 +28,24 @@
     curl_slist *headerList_ = nullptr;
     HttpRequest request_;
     HttpResponse response_;
-    std::size_t maxBodyBytes_ = 0;
+    const HttpClientOptions *options_ = nullptr;
+    std::string expectedEcho_; ///< value of the field that the answer has to repeat
+    bool isEchoed_ = false;
     int sendCount_ = 0;
     bool isStatusLineNext_ = true;
     CallDone done_;
 };
 
+/** Whether the header block that has just ended is the answer to this call. */
+bool isOwnAnswer(const Call &call)
+{
+    if (call.expectedEcho_.empty() || call.isEchoed_)
+        return true;
+    long status = 0;
+    curl_easy_getinfo(call.easy_, CURLINFO_RESPONSE_CODE, &status);
+    return status < firstFinalStatus;
+}
+
 std::size_t onHeader(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &call = *static_cast<Call *>(user);
@@ -40,19 +54,23 @@
         line.remove_suffix(1);
     if (call.isStatusLineNext_) {
         call.response_.headers_.clear();
+        call.isEchoed_ = false;
         call.isStatusLineNext_ = false;
         return size;
     }
     if (line.empty()) {
         // A further header block follows an interim answer (1xx).
         call.isStatusLineNext_ = true;
-        return size;
+        return isOwnAnswer(call) ? size : 0;
     }
     if (const auto colon = line.find(':'); colon != std::string_view::npos) {
         auto value = line.substr(colon + 1);
         while (!value.empty() && value.front() == ' ')
             value.remove_prefix(1);
-        call.response_.headers_.push_back({std::string(line.substr(0, colon)), std::string(value)});
+        const auto name = line.substr(0, colon);
+        if (equalsIgnoringCase(name, call.options_->echoedField_))
+            call.isEchoed_ = value == call.expectedEcho_;
+        call.response_.headers_.push_back({std::string(name), std::string(value)});
     }
     return size;
 }
@@ -60,7 +78,7 @@
 std::size_t onBody(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &call = *static_cast<Call *>(user);
-    if (call.response_.body_.size() + size > call.maxBodyBytes_)
+    if (call.response_.body_.size() + size > call.options_->maxBodyBytes_)
         return 0;
     call.response_.body_.append(data, size);
     return size;
@@ -111,13 +129,14 @@
 
 struct HttpClient::Impl : ACE_Event_Handler
 {
-    explicit Impl(Reactor &reactor)
+    Impl(Reactor &reactor, const HttpClientOptions &options)
         : reactor_(reactor)
+        , options_(options)
     {}
 
     Reactor &reactor_;
+    const HttpClientOptions options_;
     CURLM *multi_ = nullptr;
-    std::size_t maxBodyBytes_ = 0;
     std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
     std::unordered_map<int, ACE_Reactor_Mask> watched_;
     std::vector<CURL *> spare_;
@@ -217,7 +236,8 @@
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.headerList_);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, timeout.count()));
-    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(options_.maxIdle_.count() / millisPerSecond));
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &call);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &call);
@@ -283,12 +303,11 @@
     return 0;
 }
 
-HttpClient::HttpClient(Reactor &reactor, std::size_t maxBodyBytes)
-    : impl_(std::make_unique<Impl>(reactor))
+HttpClient::HttpClient(Reactor &reactor, const HttpClientOptions &options)
+    : impl_(std::make_unique<Impl>(reactor, options))
 {
     static const auto globalInit = curl_global_init(CURL_GLOBAL_DEFAULT);
     assert(globalInit == CURLE_OK);
-    impl_->maxBodyBytes_ = maxBodyBytes;
     impl_->multi_ = curl_multi_init();
     curl_multi_setopt(impl_->multi_, CURLMOPT_SOCKETFUNCTION, &Impl::socketChanged);
     curl_multi_setopt(impl_->multi_, CURLMOPT_SOCKETDATA, impl_.get());
@@ -316,7 +335,9 @@
     const auto id = impl_->nextId_++;
     call->id_ = id;
     call->request_ = std::move(request);
-    call->maxBodyBytes_ = impl_->maxBodyBytes_;
+    call->options_ = &impl_->options_;
+    if (!impl_->options_.echoedField_.empty())
+        call->expectedEcho_ = headerValue(call->request_.headers_, impl_->options_.echoedField_);
     call->done_ = std::move(done);
     if (impl_->spare_.empty()) {
         call->easy_ = curl_easy_init();
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -24,7 +24,7 @@
 constexpr base::Millis idleRunInterval(1000);
 
 /** Memory of one connection for its headers; libmicrohttpd clears all of it for each request. */
-constexpr std::size_t connectionMemoryBytes = 16 * 1024;
+constexpr std::size_t connectionMemoryBytes = 32 * 1024;
 
 /** A request between its first byte and the end of its answer. */
 struct Exchange
@@ -34,6 +34,7 @@
     int socket_ = -1;
     HttpRequest request_;
     std::optional<HttpResponse> response_;
+    bool hasBegun_ = false; ///< its header fields were read
     bool isTooLarge_ = false;
     bool isSuspended_ = false;
     bool isHungUp_ = false;
@@ -45,16 +46,6 @@
     return MHD_YES;
 }
 
-MHD_Result addArgument(void *target, MHD_ValueKind, const char *name, const char *value)
-{
-    auto &text = *static_cast<std::string *>(target);
-    text += text.empty() ? '?' : '&';
-    text += name;
-    if (value != nullptr)
-        text += std::string("=") + value;
-    return MHD_YES;
-}
-
 /** Fields that the server states itself. */
 bool isManagedByServer(const std::string &name)
 {
@@ -63,12 +54,6 @@
            || equalsIgnoringCase(name, "Connection") || equalsIgnoringCase(name, "Keep-Alive");
 }
 
-/** Keeps escapes of the target as the caller wrote them. */
-std::size_t keepEscapes(void *, MHD_Connection *, char *text)
-{
-    return std::strlen(text);
-}
-
 int connectionSocket(MHD_Connection *connection)
 {
     const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -94,6 +79,7 @@
     TimerId hangUpTimer_ = 0;
     TimerId idleTimer_ = 0;
     bool isRunPending_ = false;
+    bool isClosing_ = false; ///< connections end with the next answer
 
     int handle_input(ACE_HANDLE) override;
     void runDaemon();
@@ -101,11 +87,12 @@
     void checkHangUps();
     void runWhenIdle();
 
-    Exchange *begin(MHD_Connection *connection, const char *url, const char *method);
+    void begin(Exchange &exchange, MHD_Connection *connection, const char *method);
     void deliver(Exchange &exchange);
     MHD_Result reply(Exchange &exchange);
     void finish(Exchange *exchange);
 
+    static void *targetRead(void *self, const char *target, MHD_Connection *connection);
     static MHD_Result access(void *self, MHD_Connection *connection, const char *url,
                              const char *method, const char *version, const char *data,
                              std::size_t *size, void **state);
@@ -169,20 +156,24 @@
     hangUpTimer_ = reactor_.schedule(hangUpCheckInterval, [this] { checkHangUps(); });
 }
 
-Exchange *HttpServer::Impl::begin(MHD_Connection *connection, const char *url, const char *method)
+// Called with the target as the caller wrote it; what is returned is the state of the request.
+void *HttpServer::Impl::targetRead(void *self, const char *target, MHD_Connection *)
 {
     auto exchange = std::make_unique<Exchange>();
-    exchange->id_ = nextId_++;
-    exchange->connection_ = connection;
-    exchange->socket_ = connectionSocket(connection);
-    exchange->request_.method_ = method;
-    std::string query;
-    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, addArgument, &query);
-    exchange->request_.target_ = url + query;
-    MHD_get_connection_values(connection, MHD_HEADER_KIND, addHeader, &exchange->request_.headers_);
+    exchange->id_ = static_cast<Impl *>(self)->nextId_++;
+    exchange->request_.target_ = target;
     return exchange.release();
 }
 
+void HttpServer::Impl::begin(Exchange &exchange, MHD_Connection *connection, const char *method)
+{
+    exchange.hasBegun_ = true;
+    exchange.connection_ = connection;
+    exchange.socket_ = connectionSocket(connection);
+    exchange.request_.method_ = method;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, addHeader, &exchange.request_.headers_);
+}
+
 void HttpServer::Impl::deliver(Exchange &exchange)
 {
     if (exchange.isTooLarge_) {
@@ -206,6 +197,8 @@
         if (!isManagedByServer(name))
             MHD_add_response_header(response, name.c_str(), value.c_str());
     }
+    if (isClosing_)
+        MHD_add_response_header(response, "Connection", "close");
     const auto result = MHD_queue_response(exchange.connection_,
                                            static_cast<unsigned>(answer.status_), response);
     MHD_destroy_response(response);
@@ -219,16 +212,16 @@
     delete exchange;
 }
 
-MHD_Result HttpServer::Impl::access(void *self, MHD_Connection *connection, const char *url,
+MHD_Result HttpServer::Impl::access(void *self, MHD_Connection *connection, const char *,
                                     const char *method, const char *, const char *data,
                                     std::size_t *size, void **state)
 {
     auto &impl = *static_cast<Impl *>(self);
-    if (*state == nullptr) {
-        *state = impl.begin(connection, url, method);
+    auto &exchange = *static_cast<Exchange *>(*state);
+    if (!exchange.hasBegun_) {
+        impl.begin(exchange, connection, method);
         return MHD_YES;
     }
-    auto &exchange = *static_cast<Exchange *>(*state);
     if (*size > 0) {
         auto &body = exchange.request_.body_;
         if (body.size() + *size > impl.maxBodyBytes_)
@@ -280,8 +273,8 @@
             &Impl::access, impl.get(), MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT,
             options.maxConnections_, MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds,
             MHD_OPTION_CONNECTION_MEMORY_LIMIT, connectionMemoryBytes, MHD_OPTION_NOTIFY_COMPLETED,
-            &Impl::completed, impl.get(), MHD_OPTION_UNESCAPE_CALLBACK, &keepEscapes, nullptr,
-            MHD_OPTION_END);
+            &Impl::completed, impl.get(), MHD_OPTION_URI_LOG_CALLBACK, &Impl::targetRead,
+            impl.get(), MHD_OPTION_END);
     if (impl->daemon_ == nullptr)
         return base::fail("listen-failed", "cannot listen on " + options.listen_.text() + ": "
                                                    + std::strerror(errno));
@@ -323,6 +316,11 @@
     impl_->runSoon();
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    impl_->isClosing_ = true;
+}
+
 std::uint16_t HttpServer::port() const
 {
     return MHD_get_daemon_info(impl_->daemon_, MHD_DAEMON_INFO_BIND_PORT)->port;
--- a/libs/notesync/src/NoteService.cpp
+++ b/libs/notesync/src/NoteService.cpp
@@ -80,7 +80,7 @@
          const SyncOptions &options, ConfigHandler onConfig)
         : reactor_(reactor)
         , log_(std::move(log))
-        , client_(reactor, maxUpdateBytes)
+        , client_(reactor, {.maxBodyBytes_ = maxUpdateBytes})
         , stream_(options.stream_)
         , onConfig_(std::move(onConfig))
         , sync_(options, base::monotonicNow())
--- /dev/null
+++ b/libs/rendezvous/src/KeyedMeeting.cpp
@@ -0,0 +1,121 @@
+#include <rendezvous/KeyedMeeting.h>
+
+#include <base/Overloaded.h>
+#include <events/Catalogue.h>
+#include <events/Log.h>
+#include <logclient/Backoff.h>
+#include <logclient/KeyedLog.h>
+#include <net/Reactor.h>
+
+namespace rendezvous {
+
+struct KeyedMeeting::Impl : std::enable_shared_from_this<KeyedMeeting::Impl>
+{
+    Impl(net::Reactor &reactor, logclient::KeyedLog &log, KeyedOptions options, FoundSeeds onSeeds)
+        : reactor_(reactor)
+        , log_(log)
+        , options_(std::move(options))
+        , onSeeds_(std::move(onSeeds))
+        , backoff_(options_.firstRetry_, options_.longestRetry_, options_.seed_)
+    {}
+
+    void write();
+    void read(const std::string &after);
+    void take(const logclient::KeyedPage &page);
+    void retry(const char *step, const logclient::LogError &error, void (Impl::*again)());
+    void readAll() { read({}); }
+
+    net::Reactor &reactor_;
+    logclient::KeyedLog &log_;
+    const KeyedOptions options_;
+    FoundSeeds onSeeds_;
+    logclient::Backoff backoff_;
+    bool isBusy_ = false; ///< a write, a read or a retry is outstanding
+};
+
+// Writing the same record again does no harm, so that a write without an answer is repeated.
+void KeyedMeeting::Impl::write()
+{
+    isBusy_ = true;
+    log_.put(options_.topic_, options_.self_.id_, options_.self_.text(),
+             [weak = weak_from_this()](const logclient::AppendResult &result) {
+                 const auto self = weak.lock();
+                 if (!self)
+                     return;
+                 if (!result) {
+                     self->retry("write", result.error(), &Impl::write);
+                     return;
+                 }
+                 self->backoff_.succeeded();
+                 self->readAll();
+             });
+}
+
+void KeyedMeeting::Impl::read(const std::string &after)
+{
+    isBusy_ = true;
+    log_.newest(options_.topic_, after,
+                [weak = weak_from_this()](const logclient::KeyedResult &result) {
+                    const auto self = weak.lock();
+                    if (!self)
+                        return;
+                    if (!result) {
+                        self->retry("read", result.error(), &Impl::readAll);
+                        return;
+                    }
+                    self->backoff_.succeeded();
+                    self->take(*result);
+                });
+}
+
+void KeyedMeeting::Impl::take(const logclient::KeyedPage &page)
+{
+    std::vector<model::Address> seeds;
+    for (const auto &record : page.records_) {
+        auto meeting = Meeting::parse(record.value_);
+        if (!meeting) {
+            events::log(events::meetingFailed, "step=parse key=" + record.key_ + " cause=\""
+                                                       + meeting.error().message_ + "\"");
+            continue;
+        }
+        if (meeting->id_ != options_.self_.id_)
+            seeds.push_back(meeting->controlAddress_);
+    }
+    if (!seeds.empty())
+        onSeeds_(std::move(seeds));
+    if (page.hasMore_ && !page.records_.empty())
+        read(page.records_.back().key_);
+    else
+        isBusy_ = false;
+}
+
+void KeyedMeeting::Impl::retry(const char *step, const logclient::LogError &error,
+                               void (Impl::*again)())
+{
+    events::log(events::meetingFailed,
+                std::string("step=") + step + " cause=\"" + logclient::text(error) + "\"");
+    reactor_.schedule(backoff_.failed(), [weak = weak_from_this(), again] {
+        if (const auto self = weak.lock())
+            (self.get()->*again)();
+    });
+}
+
+KeyedMeeting::KeyedMeeting(net::Reactor &reactor, logclient::KeyedLog &log, KeyedOptions options,
+                           FoundSeeds onSeeds)
+    : impl_(std::make_shared<Impl>(reactor, log, std::move(options), std::move(onSeeds)))
+{
+    reactor.post([weak = impl_->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->write();
+    });
+}
+
+KeyedMeeting::~KeyedMeeting() = default;
+
+void KeyedMeeting::wantSeeds()
+{
+    if (!impl_->isBusy_)
+        impl_->readAll();
+}
+
+} // namespace rendezvous
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <base/Millis.h>
 #include <model/Address.h>
+#include <settings/PlatformSettings.h>
 
 namespace settings {
 
@@ -26,6 +28,8 @@
     model::Address controlAddress_;
     model::Address adminAddress_;
     model::Address logAddress_;
+    std::optional<model::Address> metricsAddress_; ///< metrics without a token
+    std::optional<PlatformSettings> platform_;     ///< instead of log and administration
     std::vector<model::Address> seeds_;
     std::string adminToken_;
     std::string clusterSecret_;
--- a/libs/settings/src/Loader.cpp
+++ b/libs/settings/src/Loader.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <sstream>
 
 #include <yaml-cpp/yaml.h>
@@ -136,6 +137,16 @@
     return {};
 }
 
+PlatformSettings &platformOf(Settings &settings)
+{
+    return settings.platform_ ? *settings.platform_ : settings.platform_.emplace();
+}
+
+/** Fields that go together: a daemon has either its own log or the platform's. */
+constexpr const char *ownLogFields[] = {"log", "adminAddress"};
+constexpr const char *platformFields[] = {"platformStore", "heartbeatAddress", "readinessAddress",
+                                          "backendService", "backendAddress"};
+
 const std::map<std::string, Field> &fields()
 {
     using Node = YAML::Node;
@@ -171,15 +182,45 @@
                   return readAddress(n, s.controlAddress_);
               }}},
             {"adminAddress",
-             {true,
+             {false,
               [](const Node &n, Settings &s) {
                   return readAddress(n, s.adminAddress_);
               }}},
             {"log",
-             {true,
+             {false,
               [](const Node &n, Settings &s) {
                   return readAddress(n, s.logAddress_);
               }}},
+            {"metricsAddress",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readAddress(n, s.metricsAddress_.emplace());
+              }}},
+            {"platformStore",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readAddress(n, platformOf(s).store_);
+              }}},
+            {"heartbeatAddress",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readAddress(n, platformOf(s).heartbeatAddress_);
+              }}},
+            {"readinessAddress",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readAddress(n, platformOf(s).readinessAddress_);
+              }}},
+            {"backendService",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readName(n, platformOf(s).service_);
+              }}},
+            {"backendAddress",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readAddress(n, platformOf(s).backendAddress_);
+              }}},
             {"seeds",
              {false,
               [](const Node &n, Settings &s) {
@@ -309,12 +350,27 @@
 
     void checkTogether()
     {
+        if (settings_.platform_) {
+            checkComplete(platformFields);
+            if (seen_.contains("log"))
+                addFault(0, "log", "cannot be given together with 'platformStore'");
+            return;
+        }
+        checkComplete(ownLogFields);
         if (seen_.contains("adminToken") && seen_.contains("adminTokenFile"))
             addFault(0, "adminTokenFile", "cannot be given together with 'adminToken'");
         if (!seen_.contains("adminToken") && !seen_.contains("adminTokenFile"))
             addFault(0, "adminToken", "or 'adminTokenFile' is missing");
     }
 
+    void checkComplete(std::span<const char *const> names)
+    {
+        for (const auto *name : names) {
+            if (!seen_.contains(name))
+                addFault(0, name, "is missing");
+        }
+    }
+
     void addFault(int line, std::string field, std::string problem)
     {
         faults_.push_back({file_, line, std::move(field), std::move(problem)});
--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -7,6 +7,7 @@
 #include <dock/Daemon.h>
 #include <events/Catalogue.h>
 #include <events/Log.h>
+#include <platform/Binding.h>
 #include <settings/Loader.h>
 
 namespace fuchsiadock {
@@ -54,7 +55,10 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
-    dock::Daemon daemon(settings);
+    std::optional<dock::PlatformBinding> binding;
+    if (settings.platform_)
+        binding = platform::bindingFor(*settings.platform_);
+    dock::Daemon daemon(settings, std::move(binding));
     if (const auto started = daemon.start(); !started) {
         events::log(events::startFailed, started.error().message_);
         return exitFailed;
