Bound repeats on routes; notice silent connections; read settings on SIGHUP

Change: on routes a daemon saves one retry for each class and uses a fifth of the stated ratio; attempts that reached no backend server are free up to three. TCP_USER_TIMEOUT and keep-alive probes on connections to other daemons, the store and the backend server, and 500 ms to connect to a daemon. SIGHUP reads the settings, puts the log level in force and keeps the rest until the next start. An answer with another request's id is refused, one without is no success.

Tests: retry, settings, nine tests of the routed data path on loopback.

--- a/libs/dock/include/dock/IdempotentCalls.h
+++ b/libs/dock/include/dock/IdempotentCalls.h
@@ -75,4 +75,7 @@
 /** How retrying sees an outcome that is not a whole answer. */
 retry::AttemptResult attemptResultOf(const once::NotRun &why);
 
+/** Whether the backend server itself refused the attempt, so that it has seen it. */
+bool hasReachedBackend(const once::NotRun &why);
+
 } // namespace dock
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -37,6 +37,21 @@
 constexpr base::Millis retryWhenUnconfigured(1000);
 constexpr std::uint32_t baselineRetries = 3;
 
+/**
+ * Part of a service's retry budget that the calls of one route use. A run that is repeated repeats
+ * its calls, so the services of a chain of four routes above one another share its budget.
+ */
+constexpr double shareOfRetryBudget = 0.2;
+
+/**
+ * Retries of a route that one daemon saves up. Every daemon may spend its own within one window of
+ * the budget, whose slack is about three for each daemon.
+ */
+constexpr double savedRouteRetries = 1;
+
+/** Further instances that a request on a route is sent to as long as none ran or refused it. */
+constexpr std::uint32_t freeRouteAttempts = 3;
+
 /** Customer of requests that state none, or one that the configuration does not name. */
 const std::string defaultCustomer = "default";
 
@@ -134,8 +149,10 @@
                     .region_ = settings.region_,
                     .seed_ = randomSeed()})
         , home_(std::in_place, self_, homeSettings(settings), base::randomSecret())
-        , retryIdempotent_(retrySettings(settings), contexts, randomSeed())
-        , retryKeyed_({}, contexts, randomSeed())
+        , retryIdempotent_(retrySettings(settings, interface), contexts, randomSeed())
+        , retryKeyed_(interface.hasRoutes() ? retrySettings(settings, interface)
+                                            : retry::RetrySettings(),
+                      contexts, randomSeed())
         , recorder_(settings.traceFile_)
         , sender_(reactor, client, executor, routing_, settings.id_)
         , selector_(routing_,
@@ -160,13 +177,15 @@
         std::string service_;
         std::string target_; ///< as the backend server gets it
         model::RequestClass class_;
+        std::uint32_t maxAttempts_ = 1; ///< of a route
     };
 
     /** How to end one request before its answer. */
     using Cancel = std::function<void()>;
 
     static once::HomeSettings homeSettings(const settings::Settings &settings);
-    static retry::RetrySettings retrySettings(const settings::Settings &settings);
+    static retry::RetrySettings retrySettings(const settings::Settings &settings,
+                                              const CallInterface &interface);
     RetryAfterForm retryAfterForm() const
     {
         return interface_.hasFractionalRetryAfter_ ? RetryAfterForm::Decimals
@@ -181,6 +200,7 @@
     base::Millis deadlineOf(const CallInfo &call, std::string_view stated) const;
     void inheritFrom(CallInfo &call, const retry::RunningCall &parent) const;
     void addTolerance(CallInfo &call) const;
+    void addRouteTolerance(CallInfo &call, std::uint32_t maxAttempts) const;
     std::string freshKey(const CallInfo &call);
     void startIdempotent(EntryId id, CallInfo call);
     void startKeyed(EntryId id, CallInfo call, RequestSource source);
@@ -225,9 +245,15 @@
             .maxAnswerBytes_ = settings.onceBytes_};
 }
 
-retry::RetrySettings Entry::Impl::retrySettings(const settings::Settings &settings)
+retry::RetrySettings Entry::Impl::retrySettings(const settings::Settings &settings,
+                                                const CallInterface &interface)
 {
     retry::RetrySettings result;
+    if (interface.hasRoutes()) {
+        result.initialTokens_ = savedRouteRetries;
+        result.maxTokens_ = savedRouteRetries;
+        result.freeUnreached_ = freeRouteAttempts;
+    }
     if (settings.mode_ == settings::Mode::Baseline) {
         // Three retries at each hop without regard to load, as many a client library does.
         result.initialTokens_ = 1e9;
@@ -262,7 +288,7 @@
     if (route == nullptr)
         return std::nullopt;
     return Destination{std::string(route->serviceAt(random_.unit())), request.target_,
-                       route->class_};
+                       route->class_, route->maxAttempts_};
 }
 
 /** Point in time up to which the request is worked on, on this daemon's clock. */
@@ -297,7 +323,10 @@
                 call.keyText_.empty() ? settings_.id_ + std::to_string(nextId_) : call.keyText_;
         call.priority_ = admission::Priority::ofRoot(call.class_.rank_, name);
     }
-    addTolerance(call);
+    if (interface_.hasRoutes())
+        addRouteTolerance(call, destination.maxAttempts_);
+    else
+        addTolerance(call);
     request.target_ = std::move(destination.target_);
     removeOwnFields(request.headers_, interface_);
     if (!interface_.callerService_.empty())
@@ -329,6 +358,12 @@
     call.retryRatio_ = found->second.ratio_;
 }
 
+void Entry::Impl::addRouteTolerance(CallInfo &call, std::uint32_t maxAttempts) const
+{
+    call.budget_ = maxAttempts - std::min(maxAttempts, 1U);
+    call.retryRatio_ = settings_.platform_->retryBudgetRatio_ * shareOfRetryBudget;
+}
+
 std::string Entry::Impl::freshKey(const CallInfo &call)
 {
     if (isDraining_ || call.isChild() || interface_.hasRoutes())
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -13,6 +13,11 @@
     return retry::AttemptResult::NotRun;
 }
 
+bool hasReachedBackend(const once::NotRun &why)
+{
+    return why.reason_ == once::Reason::BackendRefused;
+}
+
 IdempotentCalls::IdempotentCalls(net::Reactor &reactor, retry::Core &retry,
                                  InstanceSelector &selector, AttemptSender &sender)
     : reactor_(reactor)
@@ -116,6 +121,7 @@
     if (!result) {
         const bool isUnsent = result.error() == net::FailureKind::NotSent;
         event.result_ = isUnsent ? retry::AttemptResult::NotSent : retry::AttemptResult::Lost;
+        event.reachedBackend_ = !isUnsent;
         call.mayHaveRun_ |= !isUnsent;
         call.lastRefusal_ = {once::Reason::NoInstance, {}};
         perform(retry_.handle(event, base::monotonicNow()));
@@ -126,6 +132,7 @@
     event.budgetLeft_ = result->budgetLeft_;
     if (const auto *notRun = std::get_if<once::NotRun>(&result->outcome_)) {
         event.result_ = attemptResultOf(*notRun);
+        event.reachedBackend_ = hasReachedBackend(*notRun);
         call.lastRefusal_ = *notRun;
     } else if (std::holds_alternative<once::Unknown>(result->outcome_)) {
         event.result_ = retry::AttemptResult::Lost;
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -138,7 +138,8 @@
             .attempt_ = found->second.attempt_.attempt_,
             .result_ = order.wasSent_ ? attemptResultOf(order.why_) : retry::AttemptResult::NotSent,
             .instance_ = order.last_ ? order.last_->id_ : std::string(),
-            .budgetLeft_ = std::exchange(found->second.budgetLeft_, std::nullopt)};
+            .budgetLeft_ = std::exchange(found->second.budgetLeft_, std::nullopt),
+            .reachedBackend_ = order.wasSent_ && hasReachedBackend(order.why_)};
     const auto commands = retry_.handle(event, now);
     for (const auto &command : commands) {
         if (std::holds_alternative<retry::GiveUp>(command)) {
--- /dev/null
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -0,0 +1,228 @@
+#include <base/Clock.h>
+#include <dock/CallInterface.h>
+
+#include "ThreeDaemons.h"
+
+using namespace dock::testing;
+using model::ServingState;
+
+namespace {
+
+dock::CallInterface routedInterface()
+{
+    return {.addressing_ = dock::CallInterface::Addressing::Routes,
+            .deadlineMs_ = "t-deadline",
+            .context_ = "",
+            .requestId_ = "t-request",
+            .callerService_ = "t-caller",
+            .expectedInstance_ = "t-expected",
+            .notExecuted_ = "t-not-executed",
+            .signature_ = "t-signature",
+            .hasFractionalRetryAfter_ = true};
+}
+
+model::Route route(const std::string &name, const std::string &prefix, bool isIdempotent)
+{
+    return {.class_ = {.name_ = name,
+                       .pathPrefix_ = prefix,
+                       .rank_ = 1,
+                       .idempotent_ = isIdempotent,
+                       .deadline_ = base::Millis(2000)},
+            .services_ = {{"wallet", 1}},
+            .maxAttempts_ = 2};
+}
+
+std::shared_ptr<const model::Config> routedConfig()
+{
+    auto config = std::make_shared<model::Config>();
+    config->revision_ = 1;
+    config->routes_["a.example"]["/read/"] = route("read", "/read/", true);
+    config->routes_["a.example"]["/write/"] = route("write", "/write/", false);
+    return config;
+}
+
+/** The whole answer of a backend server that keeps to the interface. */
+HttpResponse ownAnswer(const HttpRequest &request, int status = 200)
+{
+    return {.status_ = status,
+            .headers_ = {{"T-Request",
+                          std::string(net::headerValue(request.headers_, "t-request"))},
+                         {"T-Signature", "s"}},
+            .body_ = "whole"};
+}
+
+/** An entry daemon and two instances, on the platform's kind of interface. */
+class RoutedPath : public ::testing::Test
+{
+protected:
+    struct Place
+    {
+        std::unique_ptr<FakeBackend> backend_;
+        std::unique_ptr<Dock> dock_;
+    };
+
+    void serve(FakeBackend::Behaviour first, FakeBackend::Behaviour second)
+    {
+        first_.backend_ = std::make_unique<FakeBackend>(backendLoop_, std::move(first));
+        second_.backend_ = std::make_unique<FakeBackend>(backendLoop_, std::move(second));
+        auto members = std::make_shared<std::vector<model::Member>>();
+        members->push_back(entry_->member("", 0, ServingState::Absent));
+        members->push_back(first_.dock_->member("wallet", slots));
+        members->push_back(second_.dock_->member("wallet", slots));
+        for (auto *dock : {entry_.get(), first_.dock_.get(), second_.dock_.get()}) {
+            dock->task_->deliver(dock::ConfigInForce{routedConfig()});
+            dock->task_->deliver(dock::MembersKnown{members});
+        }
+        announce(first_);
+        announce(second_);
+    }
+
+    void serve(const FakeBackend::Behaviour &behaviour) { serve(behaviour, behaviour); }
+
+    static void announce(const Place &place)
+    {
+        place.dock_->task_->deliver(
+                dock::BackendAnnounced{{.service_ = "wallet",
+                                        .address_ = {"127.0.0.1", place.backend_->port()},
+                                        .instanceId_ = "i-" + place.dock_->settings_.id_,
+                                        .slots_ = slots}});
+    }
+
+    HttpResponse call(const std::string &method, const std::string &target,
+                      net::Headers headers = {})
+    {
+        headers.push_back({"Host", "A.example:80"});
+        headers.push_back({"T-Request", "r-" + std::to_string(++requests_)});
+        return caller_.call(entry_->address(),
+                            {.method_ = method, .target_ = target, .headers_ = headers});
+    }
+
+    int runs() const { return first_.backend_->runs() + second_.backend_->runs(); }
+
+    Loop backendLoop_;
+    Loop callerLoop_;
+    Caller caller_{callerLoop_};
+    std::unique_ptr<Dock> entry_ =
+            std::make_unique<Dock>(callerLoop_, "entry", 1, routedInterface());
+    Place first_{nullptr, std::make_unique<Dock>(callerLoop_, "first", 1, routedInterface())};
+    Place second_{nullptr, std::make_unique<Dock>(callerLoop_, "second", 1, routedInterface())};
+    int requests_ = 0;
+};
+
+} // namespace
+
+TEST_F(RoutedPath, forwardsTheRequestAsItCame)
+{
+    HttpRequest seen;
+    serve([&seen](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        seen = request;
+        server.respond(id, ownAnswer(request));
+    });
+    const auto answer = call("GET", "/read/a%20b?x=&y",
+                             {{"T-Deadline", "1500"},
+                              {"T-Caller", "forged"},
+                              {"T-Expected", "forged"},
+                              {"X-Note", "kept"},
+                              {"X-Hop", "removed"},
+                              {"Connection", "keep-alive, X-Hop"}});
+    ASSERT_EQ(answer.status_, 200) << answer.body_;
+    EXPECT_EQ(answer.body_, "whole");
+    EXPECT_EQ(headerOf(answer, "T-Signature"), "s");
+    EXPECT_EQ(seen.target_, "/read/a%20b?x=&y");
+    const auto field = [&seen](const char *name) {
+        return std::string(net::headerValue(seen.headers_, name));
+    };
+    EXPECT_EQ(field("t-caller"), "home");
+    EXPECT_TRUE(field("t-expected") == "i-first" || field("t-expected") == "i-second");
+    EXPECT_EQ(field("host"), "A.example:80");
+    EXPECT_EQ(field("x-note"), "kept");
+    EXPECT_EQ(field("x-hop"), "");
+    const auto left = std::stoi(field("t-deadline"));
+    EXPECT_GT(left, 0);
+    EXPECT_LE(left, 1500);
+}
+
+TEST_F(RoutedPath, noRouteIsNotFound)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        server.respond(id, ownAnswer(request));
+    });
+    EXPECT_EQ(call("GET", "/other/1").status_, 404);
+    EXPECT_EQ(runs(), 0);
+}
+
+TEST_F(RoutedPath, aRefusalOfTheBackendServerGoesToAnotherInstance)
+{
+    std::atomic<int> refusals = 0;
+    serve([&refusals](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        if (refusals++ == 0)
+            server.respond(id, {.status_ = 503, .headers_ = {{"T-Not-Executed", "1"}}});
+        else
+            server.respond(id, ownAnswer(request));
+    });
+    EXPECT_EQ(call("POST", "/write/1").status_, 200);
+    EXPECT_EQ(runs(), 2);
+}
+
+TEST_F(RoutedPath, anInstanceThatIsNotTheOneExpectedHasNotRunTheRequest)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &) {
+        server.respond(id, {.status_ = 421, .headers_ = {{"X-Other", "i-9"}}});
+    });
+    const auto answer = call("POST", "/write/1");
+    EXPECT_EQ(answer.status_, 503);
+    EXPECT_NE(headerOf(answer, "Retry-After").find('.'), std::string::npos);
+}
+
+TEST_F(RoutedPath, anAnswerToAnotherRequestNeverReachesTheCaller)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        auto answer = ownAnswer(request);
+        answer.headers_[0].value_ = "r-0";
+        server.respond(id, std::move(answer));
+    });
+    const auto answer = call("POST", "/write/1");
+    EXPECT_EQ(answer.status_, 504);
+    EXPECT_EQ(headerOf(answer, "T-Signature"), "");
+    EXPECT_EQ(runs(), 1);
+}
+
+TEST_F(RoutedPath, aSuccessWithoutSignatureIsNotPassedOn)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        auto answer = ownAnswer(request);
+        answer.headers_.pop_back();
+        server.respond(id, std::move(answer));
+    });
+    EXPECT_EQ(call("POST", "/write/1").status_, 504);
+}
+
+TEST_F(RoutedPath, aFailureOfTheBackendServerIsPassedOnAsItIs)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        server.respond(id, ownAnswer(request, 500));
+    });
+    const auto answer = call("GET", "/read/1");
+    EXPECT_EQ(answer.status_, 500);
+    EXPECT_EQ(headerOf(answer, "T-Signature"), "s");
+    EXPECT_EQ(runs(), 1);
+}
+
+TEST_F(RoutedPath, theRouteBoundsTheTimeThatACallerAsksFor)
+{
+    serve([](net::HttpServer &, net::ExchangeId, const HttpRequest &) {});
+    const auto began = base::monotonicNow();
+    EXPECT_EQ(call("POST", "/write/1", {{"T-Deadline", "60000"}}).status_, 504);
+    EXPECT_LT(base::monotonicNow() - began, base::Millis(10'000));
+}
+
+TEST_F(RoutedPath, aLeavingInstanceGetsNoNewWork)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        server.respond(id, ownAnswer(request));
+    });
+    first_.dock_->task_->deliver(dock::BackendLeaving{});
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(call("POST", "/write/1").status_, 200);
+    EXPECT_EQ(first_.backend_->runs(), 0);
+}
--- a/libs/dock/tests/TestSystem.h
+++ b/libs/dock/tests/TestSystem.h
@@ -111,8 +111,11 @@
 class Dock
 {
 public:
-    Dock(Loop &loop, const std::string &id, std::uint64_t generation = 1)
+    Dock(Loop &loop, const std::string &id, std::uint64_t generation = 1,
+         const CallInterface &interface = {})
     {
+        if (interface.hasRoutes())
+            settings_.platform_.emplace().service_ = "home";
         settings_.id_ = id;
         settings_.dataCentre_ = "a";
         settings_.region_ = "r";
@@ -120,8 +123,9 @@
         do {
             settings_.dataAddress_ = freeAddress(loop);
             settings_.peerAddress_ = freeAddress(loop);
-            task_ = std::make_unique<DataTask>(settings_, once::Incarnation{id, generation},
-                                               [this](const ToControl &message) { note(message); });
+            task_ = std::make_unique<DataTask>(
+                    settings_, once::Incarnation{id, generation},
+                    [this](const ToControl &message) { note(message); }, interface);
             started_ = task_->start();
         } while (!started_);
         member_ = {.id_ = id,
--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -11,6 +11,9 @@
 inline constexpr Event drainEnded = {103, Severity::Info, "drain-ended"};
 inline constexpr Event drainTimedOut = {104, Severity::Warning, "drain-timed-out"};
 
+inline constexpr Event settingsRead = {105, Severity::Info, "settings-read"};
+inline constexpr Event settingsRefused = {106, Severity::Error, "settings-refused"};
+
 // 2xx: the backend server beside the daemon
 inline constexpr Event backendAnnounced = {200, Severity::Info, "backend-announced"};
 inline constexpr Event backendLeft = {201, Severity::Info, "backend-left"};
--- a/libs/net/include/net/HttpClientOptions.h
+++ b/libs/net/include/net/HttpClientOptions.h
@@ -17,8 +17,9 @@
     base::Millis maxIdle_ = base::Millis(20'000);
 
     /**
-     * Name of a field that every answer has to repeat as the request states it; an answer that does
-     * not is taken for that to another request, and its connection is closed. Empty: not checked.
+     * Name of a field that every success has to repeat as the request states it, and other answers
+     * if they have it. An answer that does not is taken for that to another request, and its
+     * connection is closed. Empty: not checked.
      */
     std::string echoedField_;
 };
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <net/HttpClient.h>
 
 #include <cassert>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -9,12 +10,14 @@
 #include <curl/curl.h>
 #include <net/Reactor.h>
 
+#include "details/Silence.h"
+
 namespace net {
 
 namespace {
 
-/** Answers with a lower status are interim ones. */
-constexpr long firstFinalStatus = 200;
+constexpr long firstSuccess = 200;
+constexpr long lastSuccess = 299;
 
 constexpr std::int64_t millisPerSecond = 1000;
 
@@ -29,8 +32,8 @@
     HttpRequest request_;
     HttpResponse response_;
     const HttpClientOptions *options_ = nullptr;
-    std::string expectedEcho_; ///< value of the field that the answer has to repeat
-    bool isEchoed_ = false;
+    std::string expectedEcho_;        ///< value of the field that the answer has to repeat
+    std::optional<std::string> echo_; ///< what the answer repeats
     int sendCount_ = 0;
     bool isStatusLineNext_ = true;
     CallDone done_;
@@ -39,11 +42,12 @@
 /** Whether the header block that has just ended is the answer to this call. */
 bool isOwnAnswer(const Call &call)
 {
-    if (call.expectedEcho_.empty() || call.isEchoed_)
+    if (call.expectedEcho_.empty() || call.echo_ == call.expectedEcho_)
         return true;
     long status = 0;
     curl_easy_getinfo(call.easy_, CURLINFO_RESPONSE_CODE, &status);
-    return status < firstFinalStatus;
+    // Interim answers and refusals need not repeat the field.
+    return !call.echo_ && (status < firstSuccess || status > lastSuccess);
 }
 
 std::size_t onHeader(char *data, std::size_t, std::size_t size, void *user)
@@ -54,7 +58,7 @@
         line.remove_suffix(1);
     if (call.isStatusLineNext_) {
         call.response_.headers_.clear();
-        call.isEchoed_ = false;
+        call.echo_.reset();
         call.isStatusLineNext_ = false;
         return size;
     }
@@ -69,7 +73,7 @@
             value.remove_prefix(1);
         const auto name = line.substr(0, colon);
         if (equalsIgnoringCase(name, call.options_->echoedField_))
-            call.isEchoed_ = value == call.expectedEcho_;
+            call.echo_ = value;
         call.response_.headers_.push_back({std::string(name), std::string(value)});
     }
     return size;
@@ -93,6 +97,12 @@
     return call.sendCount_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
+int onSocket(void *, curl_socket_t socket, curlsocktype)
+{
+    details::closeWhenSilent(socket);
+    return CURL_SOCKOPT_OK;
+}
+
 Failure failureOf(const Call &call, CURLcode code)
 {
     Failure failure;
@@ -238,6 +248,7 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, timeout.count()));
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
                      static_cast<long>(options_.maxIdle_.count() / millisPerSecond));
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, onSocket);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &call);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &call);
--- a/libs/net/src/PeerClient.cpp
+++ b/libs/net/src/PeerClient.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "details/Http2Connection.h"
+#include "details/Silence.h"
 
 namespace net {
 
@@ -33,6 +34,7 @@
         return -1;
     const int isOn = 1;
     ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof(isOn));
+    details::closeWhenSilent(socket);
     sockaddr_in address = {};
     address.sin_family = AF_INET;
     address.sin_port = htons(to.port_);
--- a/libs/net/src/PeerServer.cpp
+++ b/libs/net/src/PeerServer.cpp
@@ -14,6 +14,7 @@
 #include <netinet/tcp.h>
 
 #include "details/Http2Connection.h"
+#include "details/Silence.h"
 
 namespace net {
 
@@ -151,6 +152,7 @@
     accepted.enable(ACE_NONBLOCK);
     int isOn = 1;
     accepted.set_option(IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof(isOn));
+    details::closeWhenSilent(accepted.get_handle());
     auto connection = std::make_unique<Connection>(*this, accepted.get_handle());
     auto *key = connection.get();
     connections_.emplace(key, std::move(connection));
--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -19,6 +19,9 @@
 constexpr std::int32_t streamWindowBytes = 1024 * 1024;
 constexpr std::int32_t connectionWindowBytes = 16 * 1024 * 1024;
 
+/** An instance that accepts no connection in this time is taken for unreachable. */
+constexpr base::Millis connectTimeout(500);
+
 Http2Connection &self(void *user)
 {
     return *static_cast<Http2Connection *>(user);
@@ -71,6 +74,12 @@
 void Http2Connection::startClient(bool isConnecting)
 {
     start(isConnecting, false);
+    if (!isConnecting)
+        return;
+    reactor_.schedule(connectTimeout, [this, alive = isAlive_] {
+        if (*alive && isConnecting_)
+            closeConnection();
+    });
 }
 
 void Http2Connection::start(bool isConnecting, bool isServer)
--- /dev/null
+++ b/libs/net/src/details/Silence.cpp
@@ -0,0 +1,33 @@
+#include "details/Silence.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace net::details {
+
+namespace {
+
+/** Time for two retransmissions, after 200 and 400 ms, and their acknowledgement. */
+constexpr unsigned unacknowledgedMs = 1000;
+
+constexpr int idleSecondsBeforeProbe = 1;
+constexpr int secondsBetweenProbes = 1;
+constexpr int probesBeforeClose = 2;
+
+} // namespace
+
+void closeWhenSilent(int socket)
+{
+    const int isOn = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs,
+                 sizeof(unacknowledgedMs));
+    ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &isOn, sizeof(isOn));
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idleSecondsBeforeProbe,
+                 sizeof(idleSecondsBeforeProbe));
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &secondsBetweenProbes,
+                 sizeof(secondsBetweenProbes));
+    ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probesBeforeClose, sizeof(probesBeforeClose));
+}
+
+} // namespace net::details
--- a/libs/retry/include/retry/Event.h
+++ b/libs/retry/include/retry/Event.h
@@ -67,6 +67,7 @@
     AttemptResult result_ = AttemptResult::Answered;
     std::string instance_;                    ///< daemon that the attempt went to
     std::optional<std::uint32_t> budgetLeft_; ///< as the answer says; none if no answer came
+    bool reachedBackend_ = true; ///< false: its backend server has certainly not seen it
 
     bool operator==(const AttemptEnded &) const = default;
 };
--- a/libs/retry/include/retry/RetrySettings.h
+++ b/libs/retry/include/retry/RetrySettings.h
@@ -17,6 +17,10 @@
     std::size_t maxBuckets_ = 1024;   ///< customer and class pairs told apart
     std::uint32_t maxOverloaded_ = 2; ///< refusals after which a call is not retried any more
 
+    /** Further attempts of a call that are not paid for, as those before reached no backend server.
+     */
+    std::uint32_t freeUnreached_ = 0;
+
     bool operator==(const RetrySettings &) const = default;
 };
 
--- a/libs/retry/src/Core.cpp
+++ b/libs/retry/src/Core.cpp
@@ -24,6 +24,7 @@
     std::uint32_t attempt_ = 0;
     std::uint32_t handedDown_ = 0;
     std::uint32_t overloaded_ = 0;
+    std::uint32_t unreached_ = 0; ///< attempts that were repeated without being paid for
     base::Millis attemptStart_;
     std::vector<std::string> avoid_;
 };
@@ -49,7 +50,7 @@
     void on(const CallEnded &event, base::Millis now, std::vector<Command> &out);
 
     ChainBudget *budgetOf(Call &call);
-    std::optional<StopReason> spend(Call &call, AttemptResult result, base::Millis finish);
+    std::optional<StopReason> spend(Call &call, const AttemptEnded &event, base::Millis finish);
     base::Millis backoff(std::uint32_t attempt);
     StartAttempt start(CallId id, Call &call, base::Millis delay, base::Millis now);
 
@@ -115,7 +116,7 @@
     }
     const auto delay = backoff(call.attempt_);
     const auto finish = now + delay + call.ratio_->meanTime_;
-    if (const auto stop = spend(call, event.result_, finish)) {
+    if (const auto stop = spend(call, event, finish)) {
         out.push_back(GiveUp{event.call_, *stop});
         calls_.erase(found);
         return;
@@ -129,14 +130,19 @@
 }
 
 /** Pays for another attempt that would end at that time, or says why there is none. */
-std::optional<StopReason> Core::Impl::spend(Call &call, AttemptResult result, base::Millis finish)
+std::optional<StopReason> Core::Impl::spend(Call &call, const AttemptEnded &event,
+                                            base::Millis finish)
 {
-    if (result == AttemptResult::Lost && !call.idempotent_)
+    if (event.result_ == AttemptResult::Lost && !call.idempotent_)
         return StopReason::MayHaveRun;
     if (call.overloaded_ >= settings_.maxOverloaded_)
         return StopReason::CalleeOverloaded;
     if (finish >= call.deadline_)
         return StopReason::DeadlineNear;
+    if (!event.reachedBackend_ && call.unreached_ < settings_.freeUnreached_) {
+        ++call.unreached_;
+        return std::nullopt;
+    }
     if (call.ratio_->tokens_ < 1)
         return StopReason::RatioSpent;
     if (auto *budget = budgetOf(call); !budget || !budget->spend())
--- a/libs/retry/tests/CoreTest.cpp
+++ b/libs/retry/tests/CoreTest.cpp
@@ -127,3 +127,27 @@
     EXPECT_EQ(table.find(*first), nullptr);
     EXPECT_EQ(table.close(*first), 0u);
 }
+
+TEST_F(CoreTest, attemptsThatReachedNoBackendServerAreFreeUpToABound)
+{
+    RetrySettings settings;
+    settings.initialTokens_ = 0;
+    settings.freeUnreached_ = 2;
+    Core core(settings, contexts_, 1);
+    auto call = root(0);
+    call.ratio_ = 0;
+    core.handle(call, now_);
+    const auto next = [&](std::uint32_t attempt, bool reachedBackend) {
+        const auto told = core.handle(AttemptEnded{.call_ = 0,
+                                                   .attempt_ = attempt,
+                                                   .result_ = AttemptResult::NotRun,
+                                                   .reachedBackend_ = reachedBackend},
+                                      now_);
+        return std::holds_alternative<StartAttempt>(told.at(0));
+    };
+    EXPECT_TRUE(next(1, false));
+    EXPECT_TRUE(next(2, false));
+    EXPECT_FALSE(next(3, false));
+    core.handle(call, now_);
+    EXPECT_FALSE(next(1, true));
+}
--- a/libs/settings/include/settings/PlatformSettings.h
+++ b/libs/settings/include/settings/PlatformSettings.h
@@ -14,6 +14,8 @@
     model::Address readinessAddress_; ///< listened on for the platform's readiness probes
     std::string service_;             ///< of the backend server beside this daemon
     model::Address backendAddress_;   ///< of the backend server beside this daemon
+    /** Arrivals beyond the first of each request that a service may get, for each request to it. */
+    double retryBudgetRatio_ = 0.1;
 
     bool operator==(const PlatformSettings &) const = default;
 };
--- a/libs/settings/src/Loader.cpp
+++ b/libs/settings/src/Loader.cpp
@@ -108,6 +108,15 @@
     return {};
 }
 
+Problem readRatio(const YAML::Node &node, double &target)
+{
+    double value = 0;
+    if (!node.IsScalar() || !YAML::convert<double>::decode(node, value) || value < 0 || value > 1)
+        return "must be a number from 0 to 1";
+    target = value;
+    return {};
+}
+
 Problem readMode(const YAML::Node &node, Mode &target)
 {
     const std::string text = node.IsScalar() ? node.Scalar() : "";
@@ -221,6 +230,11 @@
               [](const Node &n, Settings &s) {
                   return readAddress(n, platformOf(s).backendAddress_);
               }}},
+            {"retryBudgetRatio",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readRatio(n, platformOf(s).retryBudgetRatio_);
+              }}},
             {"seeds",
              {false,
               [](const Node &n, Settings &s) {
--- a/libs/settings/tests/LoaderTest.cpp
+++ b/libs/settings/tests/LoaderTest.cpp
@@ -84,3 +84,30 @@
     const auto result = settings::parse(yaml, "f");
     RC_ASSERT(result.has_value() || !result.error().empty());
 }
+
+TEST(Settings, wantsAllOrNothingOfThePlatform)
+{
+    const std::string platform = "id: redeem-a-1\n"
+                                 "region: vn-south\n"
+                                 "dataCentre: a\n"
+                                 "dataAddress: 127.0.0.1:7000\n"
+                                 "peerAddress: 127.0.0.1:7001\n"
+                                 "controlAddress: 127.0.0.1:7002\n"
+                                 "platformStore: 127.0.0.1:7100\n"
+                                 "heartbeatAddress: 127.0.0.1:7004\n"
+                                 "readinessAddress: 127.0.0.1:7005\n"
+                                 "backendService: redeem\n";
+    EXPECT_EQ(faultsOf(platform),
+              (std::vector<std::string>{"daemon.yaml: 'backendAddress' is missing"}));
+    const auto whole = platform + "backendAddress: 127.0.0.1:7006\nretryBudgetRatio: 0.2\n";
+    const auto result = settings::parse(whole, "f");
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->platform_->service_, "redeem");
+    EXPECT_EQ(result->platform_->retryBudgetRatio_, 0.2);
+    EXPECT_EQ(faultsOf(whole + "log: 127.0.0.1:7000\n"),
+              (std::vector<std::string>{
+                      "daemon.yaml: 'log' cannot be given together with 'platformStore'"}));
+    EXPECT_EQ(faultsOf(platform + "backendAddress: 127.0.0.1:1\nretryBudgetRatio: 2\n"),
+              (std::vector<std::string>{
+                      "daemon.yaml:12: 'retryBudgetRatio' must be a number from 0 to 1"}));
+}
--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -27,6 +27,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -35,7 +36,8 @@
 {
     const timespec pollTime = {0, drainPollNanos};
     while (ended.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
-        if (sigtimedwait(&signals, nullptr, &pollTime) > 0)
+        const auto signal = sigtimedwait(&signals, nullptr, &pollTime);
+        if (signal > 0 && signal != SIGHUP)
             return false;
     }
     return true;
@@ -47,7 +49,30 @@
         std::cerr << fault.text() << "\n";
 }
 
-int serve(const settings::Settings &settings)
+/** Reads the settings file again; what differs takes effect with the next start. */
+void reload(const settings::Settings &settings, const std::string &file)
+{
+    const auto loaded = settings::loadFile(file);
+    if (!loaded) {
+        for (const auto &fault : loaded.error())
+            events::log(events::settingsRefused, fault.text());
+        return;
+    }
+    if (loaded->logLevel_ != settings.logLevel_)
+        events::setUpLog(loaded->logLevel_, settings.id_);
+    events::log(events::settingsRead, *loaded == settings ? "unchanged" : "changed");
+}
+
+/** Waits for a signal to end, and reads the settings again on each SIGHUP. */
+void waitForEnd(const settings::Settings &settings, const std::string &file,
+                const sigset_t &signals)
+{
+    int signal = 0;
+    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
+        reload(settings, file);
+}
+
+int serve(const settings::Settings &settings, const std::string &file)
 {
     events::setUpLog(settings.logLevel_, settings.id_);
     // Blocked before any thread starts, so that only this thread receives them.
@@ -68,8 +93,7 @@
                                          + " control=" + settings.controlAddress_.text()
                                          + " admin=" + settings.adminAddress_.text());
     auto ended = daemon.ended();
-    int signal = 0;
-    sigwait(&signals, &signal);
+    waitForEnd(settings, file, signals);
     daemon.beginDrain();
     return waitForDrain(ended, signals) ? exitOk : exitFailed;
 }
@@ -80,7 +104,7 @@
 {
     cxxopts::Options options("fuchsiadock daemon", "Runs the daemon beside one backend server.\n"
                                                    "SIGTERM drains it; a second one ends it at "
-                                                   "once.\n");
+                                                   "once. SIGHUP reads the settings again.\n");
     options.add_options()("settings", "settings file (YAML)", cxxopts::value<std::string>(),
                           "FILE")("help", "show this help");
     try {
@@ -93,12 +117,13 @@
             std::cerr << "fuchsiadock daemon: --settings FILE is needed\n";
             return exitUsage;
         }
-        const auto loaded = settings::loadFile(arguments["settings"].as<std::string>());
+        const auto file = arguments["settings"].as<std::string>();
+        const auto loaded = settings::loadFile(file);
         if (!loaded) {
             printFaults(loaded.error());
             return exitUsage;
         }
-        return serve(*loaded);
+        return serve(*loaded, file);
     } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << "fuchsiadock daemon: " << error.what() << "\n";
         return exitUsage;
