Wait for sockets in one epoll call a turn

ACE's epoll reactor takes one event a turn and suspends and resumes each handler by epoll_ctl; a timerfd was set in most turns; five HTTP servers looked for hang-ups every 20 ms.

Change: net::Reactor owns its epoll set and dispatches to ACE event handlers, up to 128 a turn, without changing the set; timers are rounded up to a millisecond; hang-ups are looked for every 50 ms, only while requests wait.

--- a/libs/gossip/src/DatagramSocket.cpp
+++ b/libs/gossip/src/DatagramSocket.cpp
@@ -4,8 +4,8 @@
 #include <cstring>
 
 #include <ace/INET_Addr.h>
-#include <ace/Reactor.h>
 #include <membership/Datagram.h>
+#include <net/Reactor.h>
 
 namespace gossip {
 namespace {
@@ -18,8 +18,8 @@
 
 } // namespace
 
-DatagramSocket::DatagramSocket(ACE_Reactor &reactor, Receiver receiver)
-    : ACE_Event_Handler(&reactor)
+DatagramSocket::DatagramSocket(net::Reactor &reactor, Receiver receiver)
+    : reactor_(reactor)
     , receiver_(std::move(receiver))
 {}
 
@@ -27,18 +27,18 @@
 {
     if (socket_.get_handle() == ACE_INVALID_HANDLE)
         return;
-    reactor()->remove_handler(this, READ_MASK | DONT_CALL);
+    reactor_.unwatch(get_handle());
     socket_.close();
 }
 
 base::Result<void> DatagramSocket::bind(const model::Address &address)
 {
     const ACE_INET_Addr local(address.port_, address.host_.c_str());
-    const bool isBound = socket_.open(local, AF_INET, 0, 0) == 0
-                         && socket_.enable(ACE_NONBLOCK) == 0
-                         && reactor()->register_handler(this, READ_MASK) == 0;
+    const bool isBound =
+            socket_.open(local, AF_INET, 0, 0) == 0 && socket_.enable(ACE_NONBLOCK) == 0;
     if (!isBound)
         return base::fail("bind-failed", "UDP " + address.text() + ": " + std::strerror(errno));
+    reactor_.watch(get_handle(), *this, READ_MASK);
     return {};
 }
 
--- a/libs/gossip/src/DatagramSocket.h
+++ b/libs/gossip/src/DatagramSocket.h
@@ -8,15 +8,19 @@
 #include <base/Error.h>
 #include <model/Address.h>
 
+namespace net {
+class Reactor;
+}
+
 namespace gossip {
 
-/** Non-blocking UDP socket on an ACE reactor. */
+/** Non-blocking UDP socket on a reactor. */
 class DatagramSocket : public ACE_Event_Handler
 {
 public:
     using Receiver = std::function<void(const model::Address &from, std::string_view bytes)>;
 
-    DatagramSocket(ACE_Reactor &reactor, Receiver receiver);
+    DatagramSocket(net::Reactor &reactor, Receiver receiver);
     ~DatagramSocket() override;
 
     /** Fails with "bind-failed". */
@@ -31,6 +35,7 @@
     int handle_input(ACE_HANDLE) override;
 
 private:
+    net::Reactor &reactor_;
     Receiver receiver_;
     ACE_SOCK_Dgram socket_;
 };
--- a/libs/gossip/src/GossipService.cpp
+++ b/libs/gossip/src/GossipService.cpp
@@ -41,7 +41,7 @@
         , callbacks_(std::move(callbacks))
         , codec_(options.clusterSecret_)
         , client_(reactor, {.maxBodyBytes_ = maxStateBytes})
-        , socket_(reactor.ace(), [this](const auto &from, auto bytes) { receive(from, bytes); })
+        , socket_(reactor, [this](const auto &from, auto bytes) { receive(from, bytes); })
         , stateServer_(codec_, [this](const std::string &dataCentre) {
             return core_->state(base::monotonicNow(), dataCentre);
         })
--- a/libs/net/include/net/Reactor.h
+++ b/libs/net/include/net/Reactor.h
@@ -4,17 +4,17 @@
 #include <functional>
 #include <memory>
 
+#include <ace/Event_Handler.h>
 #include <base/Millis.h>
 
-class ACE_Reactor;
-
 namespace net {
 
 /** Names one scheduled timer; 0 names none. */
 using TimerId = std::uint64_t;
 
 /**
- * Event loop of one task: sockets and timers of one thread, over an ACE reactor on epoll.
+ * Event loop of one task: sockets and timers of one thread, over epoll, for ACE event
+ * handlers.
  *
  * All members except post() and stop() are for the thread that calls run().
  */
@@ -44,8 +44,15 @@
     /** Forgets a timer that has not run yet; an unknown id is ignored. */
     void cancel(TimerId id);
 
-    /** The ACE reactor for event handlers of sockets. */
-    ACE_Reactor &ace();
+    /**
+     * Tells the handler when the socket can be read (READ_MASK, ACCEPT_MASK) or written
+     * (WRITE_MASK), until unwatch(); again for the same socket replaces mask and handler. What the
+     * handler returns is ignored.
+     */
+    void watch(int socket, ACE_Event_Handler &handler, ACE_Reactor_Mask mask);
+
+    /** Ends watching a socket; to be called before it is closed. */
+    void unwatch(int socket);
 
 private:
     struct Impl;
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include <ace/Event_Handler.h>
-#include <ace/Reactor.h>
 #include <curl/curl.h>
 #include <net/Reactor.h>
 
@@ -148,7 +147,6 @@
     const HttpClientOptions options_;
     CURLM *multi_ = nullptr;
     std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
-    std::unordered_map<int, ACE_Reactor_Mask> watched_;
     std::vector<CURL *> spare_;
     CallId nextId_ = 1;
     TimerId timer_ = 0;
@@ -161,7 +159,6 @@
     void collect();
     void setUp(Call &call, const model::Address &to, base::Millis timeout);
     void release(Call &call);
-    void watch(int socket, ACE_Reactor_Mask mask);
 
     static int socketChanged(CURL *easy, curl_socket_t socket, int what, void *self, void *);
     static int timerChanged(CURLM *multi, long timeoutMs, void *self);
@@ -269,27 +266,11 @@
     }
 }
 
-void HttpClient::Impl::watch(int socket, ACE_Reactor_Mask mask)
-{
-    auto &ace = reactor_.ace();
-    const auto [entry, isNew] = watched_.try_emplace(socket, mask);
-    if (isNew) {
-        ace.register_handler(socket, this, mask);
-        return;
-    }
-    if (entry->second == mask)
-        return;
-    entry->second = mask;
-    ace.mask_ops(socket, mask, ACE_Reactor::SET_MASK);
-}
-
 int HttpClient::Impl::socketChanged(CURL *, curl_socket_t socket, int what, void *self, void *)
 {
     auto &impl = *static_cast<Impl *>(self);
     if (what == CURL_POLL_REMOVE) {
-        impl.reactor_.ace().remove_handler(socket, ACE_Event_Handler::ALL_EVENTS_MASK
-                                                           | ACE_Event_Handler::DONT_CALL);
-        impl.watched_.erase(socket);
+        impl.reactor_.unwatch(socket);
         return 0;
     }
     ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
@@ -297,7 +278,10 @@
         mask |= ACE_Event_Handler::READ_MASK;
     if ((what & CURL_POLL_OUT) != 0)
         mask |= ACE_Event_Handler::WRITE_MASK;
-    impl.watch(socket, mask);
+    if (mask == ACE_Event_Handler::NULL_MASK)
+        impl.reactor_.unwatch(socket);
+    else
+        impl.reactor_.watch(socket, impl, mask);
     return 0;
 }
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include <ace/Event_Handler.h>
-#include <ace/Reactor.h>
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <net/Reactor.h>
@@ -18,7 +17,7 @@
 namespace {
 
 /** How often suspended connections are checked for a caller that hung up. */
-constexpr base::Millis hangUpCheckInterval(20);
+constexpr base::Millis hangUpCheckInterval(50);
 
 /** How often libmicrohttpd gets a turn when no socket is ready, to expire idle connections. */
 constexpr base::Millis idleRunInterval(1000);
@@ -85,6 +84,7 @@
     void runDaemon();
     void runSoon();
     void checkHangUps();
+    void checkHangUpsLater();
     void runWhenIdle();
 
     void begin(Exchange &exchange, MHD_Connection *connection, const char *method);
@@ -131,6 +131,12 @@
     idleTimer_ = reactor_.schedule(idleRunInterval, [this] { runWhenIdle(); });
 }
 
+void HttpServer::Impl::checkHangUpsLater()
+{
+    if (hangUpTimer_ == 0 && !waiting_.empty())
+        hangUpTimer_ = reactor_.schedule(hangUpCheckInterval, [this] { checkHangUps(); });
+}
+
 // libmicrohttpd does not watch the socket of a suspended connection.
 void HttpServer::Impl::checkHangUps()
 {
@@ -153,7 +159,8 @@
             }
         }
     }
-    hangUpTimer_ = reactor_.schedule(hangUpCheckInterval, [this] { checkHangUps(); });
+    hangUpTimer_ = 0;
+    checkHangUpsLater();
 }
 
 // Called with the target as the caller wrote it; what is returned is the state of the request.
@@ -237,6 +244,7 @@
         return impl.reply(exchange);
     exchange.isSuspended_ = true;
     MHD_suspend_connection(connection);
+    impl.checkHangUpsLater();
     return MHD_YES;
 }
 
@@ -279,9 +287,7 @@
         return base::fail("listen-failed", "cannot listen on " + options.listen_.text() + ": "
                                                    + std::strerror(errno));
     impl->epoll_ = MHD_get_daemon_info(impl->daemon_, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-    reactor.ace().register_handler(impl->epoll_, impl.get(), ACE_Event_Handler::READ_MASK);
-    impl->hangUpTimer_ =
-            reactor.schedule(hangUpCheckInterval, [raw = impl.get()] { raw->checkHangUps(); });
+    reactor.watch(impl->epoll_, *impl, ACE_Event_Handler::READ_MASK);
     impl->idleTimer_ =
             reactor.schedule(idleRunInterval, [raw = impl.get()] { raw->runWhenIdle(); });
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
@@ -291,8 +297,7 @@
 {
     impl_->reactor_.cancel(impl_->hangUpTimer_);
     impl_->reactor_.cancel(impl_->idleTimer_);
-    impl_->reactor_.ace().remove_handler(impl_->epoll_, ACE_Event_Handler::READ_MASK
-                                                                | ACE_Event_Handler::DONT_CALL);
+    impl_->reactor_.unwatch(impl_->epoll_);
     impl_->onHangUp_ = {};
     for (const auto &[id, exchange] : impl_->waiting_) {
         if (exchange->isSuspended_)
--- a/libs/net/src/PeerServer.cpp
+++ b/libs/net/src/PeerServer.cpp
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include <ace/INET_Addr.h>
-#include <ace/Reactor.h>
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
 #include <net/Reactor.h>
@@ -188,15 +187,14 @@
         return base::fail("listen-failed", "cannot listen on " + options.listen_.text() + ": "
                                                    + std::strerror(errno));
     impl->acceptor_.enable(ACE_NONBLOCK);
-    reactor.ace().register_handler(impl.get(), ACE_Event_Handler::ACCEPT_MASK);
+    reactor.watch(impl->get_handle(), *impl, ACE_Event_Handler::ACCEPT_MASK);
     return std::unique_ptr<PeerServer>(new PeerServer(std::move(impl)));
 }
 
 PeerServer::~PeerServer()
 {
     impl_->onHangUp_ = {};
-    impl_->reactor_.ace().remove_handler(impl_.get(), ACE_Event_Handler::ACCEPT_MASK
-                                                              | ACE_Event_Handler::DONT_CALL);
+    impl_->reactor_.unwatch(impl_->get_handle());
     impl_->connections_.clear();
     impl_->acceptor_.close();
 }
--- a/libs/net/src/Reactor.cpp
+++ b/libs/net/src/Reactor.cpp
@@ -5,63 +5,45 @@
 #include <mutex>
 #include <thread>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
-#include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
-#include <ace/Reactor.h>
-#include <ace/Thread.h>
-#include <ace/Time_Value.h>
 #include <base/Clock.h>
-#include <sys/timerfd.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <unistd.h>
 
 namespace net {
 
 namespace {
 
-/** Wakes the loop; the posted functions themselves are run by the loop. */
-class WakeUpHandler : public ACE_Event_Handler
-{
-public:
-    int handle_exception(ACE_HANDLE) override { return 0; }
-};
+/** Events taken from the kernel in one turn. */
+constexpr int eventsInOneTurn = 128;
 
-/** The reactor waits in whole milliseconds; the alarm ends a wait in between. */
-class Alarm : public ACE_Event_Handler
+/** A socket and who is told of its events. */
+struct Watch
 {
-public:
-    Alarm()
-        : clock_(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC))
-    {}
-
-    ~Alarm() override { ::close(clock_); }
-
-    ACE_HANDLE get_handle() const override { return clock_; }
-
-    int handle_input(ACE_HANDLE) override
-    {
-        std::uint64_t expirations = 0;
-        [[maybe_unused]] const auto count = ::read(clock_, &expirations, sizeof(expirations));
-        return 0;
-    }
-
-    /** Wakes the loop after less than a second. */
-    void set(base::Millis delay)
-    {
-        itimerspec time = {};
-        time.it_value.tv_nsec = delay.micros() * 1000;
-        ::timerfd_settime(clock_, 0, &time, nullptr);
-    }
-
-private:
-    int clock_;
+    ACE_Event_Handler *handler_ = nullptr;
+    ACE_Reactor_Mask mask_ = 0;
+    std::uint32_t generation_ = 0; ///< tells apart two watches of one number in one turn
 };
 
-/** Timers that are due later than this may be late by up to a millisecond. */
-constexpr base::Millis preciseWithin(16);
+std::uint64_t tokenOf(int socket, std::uint32_t generation)
+{
+    return static_cast<std::uint64_t>(generation) << 32 | static_cast<std::uint32_t>(socket);
+}
 
-constexpr base::Millis oneMillisecond(1);
+std::uint32_t epollMask(ACE_Reactor_Mask mask)
+{
+    constexpr auto reading = ACE_Event_Handler::READ_MASK | ACE_Event_Handler::ACCEPT_MASK;
+    std::uint32_t events = 0;
+    if ((mask & reading) != 0)
+        events |= EPOLLIN;
+    if ((mask & ACE_Event_Handler::WRITE_MASK) != 0)
+        events |= EPOLLOUT;
+    return events;
+}
 
 /** Longest time that the loop waits when no timer is due. */
 constexpr base::Millis longestWait(1000);
@@ -71,22 +53,25 @@
 struct Reactor::Impl
 {
     Impl()
-        : ace_(new ACE_Dev_Poll_Reactor(), true)
+        : epoll_(::epoll_create1(EPOLL_CLOEXEC))
+        , wakeUp_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     {
-        ace_.register_handler(&alarm_, ACE_Event_Handler::READ_MASK);
+        epoll_event event = {.events = EPOLLIN, .data = {.u64 = tokenOf(wakeUp_, 0)}};
+        ::epoll_ctl(epoll_, EPOLL_CTL_ADD, wakeUp_, &event);
     }
 
     ~Impl()
     {
-        ace_.remove_handler(&alarm_, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
+        ::close(wakeUp_);
+        ::close(epoll_);
     }
 
     using TimerKey = std::pair<base::Millis, TimerId>;
 
-    // The handlers outlive the reactor, whose destructor looks at pending notifications.
-    WakeUpHandler wakeUp_;
-    Alarm alarm_;
-    ACE_Reactor ace_;
+    const int epoll_;
+    const int wakeUp_; ///< readable while another thread wants the loop to turn
+    std::unordered_map<int, Watch> watches_;
+    std::uint32_t nextGeneration_ = 1;
     std::atomic<bool> stopping_ = false;
     std::atomic<std::thread::id> owner_ = std::thread::id();
 
@@ -102,14 +87,16 @@
     void runPosted();
     void runTimers();
     base::Millis untilNextTimer() const;
-    base::Millis wholeWait(base::Millis wait);
+    void wakeUp() const;
+    void dispatch(const epoll_event &event);
     void turn(base::Millis longest);
 };
 
 void Reactor::Impl::runPosted()
 {
-    if (hasForeign_.exchange(false)) {
+    if (hasForeign_) {
         const std::lock_guard lock(mutex_);
+        hasForeign_ = false;
         for (auto &function : foreign_)
             local_.push_back(std::move(function));
         foreign_.clear();
@@ -139,23 +126,48 @@
     return std::clamp(wait, base::Millis(0), longestWait);
 }
 
-// The reactor cuts off fractions of a millisecond, and would poll through the last one.
-base::Millis Reactor::Impl::wholeWait(base::Millis wait)
+void Reactor::Impl::wakeUp() const
+{
+    const std::uint64_t one = 1;
+    // Fails only when the counter is at its limit, and then the loop is being woken already.
+    [[maybe_unused]] const auto written = ::write(wakeUp_, &one, sizeof(one));
+}
+
+void Reactor::Impl::dispatch(const epoll_event &event)
 {
-    if (wait >= preciseWithin)
-        return base::Millis((wait + base::Millis::fromMicros(999)).count());
-    if (wait >= oneMillisecond || wait <= base::Millis(0))
-        return base::Millis(wait.count());
-    alarm_.set(wait);
-    return oneMillisecond;
+    const auto socket = static_cast<int>(event.data.u64 & 0xffffffff);
+    if (socket == wakeUp_) {
+        std::uint64_t count = 0;
+        [[maybe_unused]] const auto taken = ::read(wakeUp_, &count, sizeof(count));
+        return;
+    }
+    // A handler told earlier in this turn may have ended or replaced the watch.
+    const auto current = [&]() -> const Watch * {
+        const auto found = watches_.find(socket);
+        const bool isSame = found != watches_.end()
+                            && tokenOf(socket, found->second.generation_) == event.data.u64;
+        return isSame ? &found->second : nullptr;
+    };
+    constexpr std::uint32_t broken = EPOLLERR | EPOLLHUP;
+    const auto *watch = current();
+    if (watch != nullptr && (event.events & (EPOLLIN | broken)) != 0
+        && (epollMask(watch->mask_) & EPOLLIN) != 0)
+        watch->handler_->handle_input(socket);
+    watch = current();
+    if (watch != nullptr && (event.events & (EPOLLOUT | broken)) != 0
+        && (epollMask(watch->mask_) & EPOLLOUT) != 0)
+        watch->handler_->handle_output(socket);
 }
 
 void Reactor::Impl::turn(base::Millis longest)
 {
     const auto wait = std::min(longest, untilNextTimer());
-    const auto micros = wholeWait(wait).micros();
-    ACE_Time_Value timeout(micros / 1'000'000, micros % 1'000'000);
-    ace_.handle_events(timeout);
+    // A timer may be late by a part of a millisecond, never early.
+    const auto wholeWait = (wait + base::Millis::fromMicros(999)).count();
+    epoll_event events[eventsInOneTurn];
+    const auto count = ::epoll_wait(epoll_, events, eventsInOneTurn, static_cast<int>(wholeWait));
+    for (int i = 0; i < count; ++i)
+        dispatch(events[i]);
     runTimers();
     runPosted();
 }
@@ -169,7 +181,6 @@
 void Reactor::run()
 {
     impl_->owner_ = std::this_thread::get_id();
-    impl_->ace_.owner(ACE_Thread::self());
     impl_->runPosted();
     while (!impl_->stopping_)
         impl_->turn(longestWait);
@@ -178,7 +189,6 @@
 void Reactor::runFor(base::Millis time)
 {
     impl_->owner_ = std::this_thread::get_id();
-    impl_->ace_.owner(ACE_Thread::self());
     impl_->runPosted();
     const auto end = base::monotonicNow() + time;
     while (!impl_->stopping_) {
@@ -192,7 +202,7 @@
 void Reactor::stop()
 {
     impl_->stopping_ = true;
-    impl_->ace_.notify(&impl_->wakeUp_);
+    impl_->wakeUp();
 }
 
 void Reactor::post(std::function<void()> function)
@@ -201,12 +211,14 @@
         impl_->local_.push_back(std::move(function));
         return;
     }
+    bool isAwake = false;
     {
         const std::lock_guard lock(impl_->mutex_);
         impl_->foreign_.push_back(std::move(function));
-        impl_->hasForeign_ = true;
+        isAwake = impl_->hasForeign_.exchange(true);
     }
-    impl_->ace_.notify(&impl_->wakeUp_);
+    if (!isAwake)
+        impl_->wakeUp();
 }
 
 TimerId Reactor::schedule(base::Millis delay, std::function<void()> function)
@@ -227,9 +239,25 @@
     impl_->timerDue_.erase(found);
 }
 
-ACE_Reactor &Reactor::ace()
+void Reactor::watch(int socket, ACE_Event_Handler &handler, ACE_Reactor_Mask mask)
+{
+    const auto [entry, isNew] = impl_->watches_.try_emplace(socket);
+    auto &watch = entry->second;
+    if (isNew)
+        watch.generation_ = impl_->nextGeneration_++;
+    else if (watch.mask_ == mask && watch.handler_ == &handler)
+        return;
+    watch.handler_ = &handler;
+    watch.mask_ = mask;
+    epoll_event event = {.events = epollMask(mask),
+                         .data = {.u64 = tokenOf(socket, watch.generation_)}};
+    ::epoll_ctl(impl_->epoll_, isNew ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, &event);
+}
+
+void Reactor::unwatch(int socket)
 {
-    return impl_->ace_;
+    if (impl_->watches_.erase(socket) > 0)
+        ::epoll_ctl(impl_->epoll_, EPOLL_CTL_DEL, socket, nullptr);
 }
 
 } // namespace net
--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -4,7 +4,6 @@
 #include <cstring>
 #include <utility>
 
-#include <ace/Reactor.h>
 #include <net/Reactor.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -46,7 +45,7 @@
 {
     *isAlive_ = false;
     if (!isClosed_) {
-        reactor_.ace().remove_handler(socket_, ALL_EVENTS_MASK | DONT_CALL);
+        reactor_.unwatch(socket_);
         ::close(socket_);
     }
     nghttp2_session_del(session_);
@@ -100,7 +99,7 @@
         mask |= WRITE_MASK;
         isWatchingWrites_ = true;
     }
-    reactor_.ace().register_handler(socket_, this, mask);
+    reactor_.watch(socket_, *this, mask);
     if (!isConnecting)
         flushSoon();
 }
@@ -210,7 +209,7 @@
         return;
     isWatchingWrites_ = isWanted;
     const ACE_Reactor_Mask mask = isWanted ? READ_MASK | WRITE_MASK : READ_MASK;
-    reactor_.ace().mask_ops(socket_, mask, ACE_Reactor::SET_MASK);
+    reactor_.watch(socket_, *this, mask);
 }
 
 void Http2Connection::closeConnection()
@@ -218,7 +217,7 @@
     if (isClosed_)
         return;
     isClosed_ = true;
-    reactor_.ace().remove_handler(socket_, ALL_EVENTS_MASK | DONT_CALL);
+    reactor_.unwatch(socket_);
     ::close(socket_);
     connectionClosed();
 }
