--- a/libs/dock/include/dock/CallInterface.h
+++ b/libs/dock/include/dock/CallInterface.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include <dock/HeaderNames.h>
@@ -23,7 +24,13 @@
     // Each name is in lower case; an empty one is not in use.
     std::string deadlineMs_ = header::deadlineMs; ///< time left to the caller
     std::string context_ = header::context;       ///< of the running call, handed on by its calls
-    std::string requestId_;        ///< names one request; the backend server repeats it
+    std::string requestId_; ///< names one request; the backend server repeats it
+    /**
+     * Set when the id of a call made by a backend server may begin with that of the request it
+     * serves: what stands between the two. A hint only: the call counts as made within a request
+     * when such a request runs here.
+     */
+    std::optional<char> requestIdSeparator_;
     std::string callerService_;    ///< service beside the daemon at which the request began
     std::string expectedInstance_; ///< any other instance refuses the request, with status 421
     std::string notExecuted_;      ///< in answers: the backend server has not run the request
--- a/libs/dock/include/dock/Executor.h
+++ b/libs/dock/include/dock/Executor.h
@@ -79,6 +79,9 @@
     /** Uses the customers' shares and limits of a configuration. */
     void configure(const model::Config &config);
 
+    /** Token of the running call of the request with that id; empty when none runs here. */
+    std::string contextOf(std::string_view requestId) const;
+
     /** Notes the level that a call made within a running request brought back. */
     void observeLevel(std::string_view contextToken, std::string_view callee,
                       admission::Level level);
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -198,6 +198,7 @@
     std::optional<Destination> destinationOf(const net::HttpRequest &request);
     CallInfo describe(net::HttpRequest request, Destination destination);
     base::Millis deadlineOf(const CallInfo &call, std::string_view stated) const;
+    std::string contextTokenOf(const net::Headers &headers) const;
     void inheritFrom(CallInfo &call, const retry::RunningCall &parent) const;
     void addTolerance(CallInfo &call) const;
     void addRouteTolerance(CallInfo &call, std::uint32_t maxAttempts) const;
@@ -302,6 +303,17 @@
     return call.receivedAt_ + base::Millis(static_cast<std::int64_t>(time));
 }
 
+/** Token of the running call that made the request, as stated or as its id tells; may be empty. */
+std::string Entry::Impl::contextTokenOf(const net::Headers &headers) const
+{
+    if (!interface_.requestIdSeparator_)
+        return std::string(net::headerValue(headers, interface_.context_));
+    const auto id = net::headerValue(headers, interface_.requestId_);
+    const auto separator = id.rfind(*interface_.requestIdSeparator_);
+    return separator == std::string_view::npos ? std::string()
+                                               : executor_.contextOf(id.substr(0, separator));
+}
+
 CallInfo Entry::Impl::describe(net::HttpRequest request, Destination destination)
 {
     CallInfo call;
@@ -313,7 +325,7 @@
     call.keyCustomer_ = net::headerValue(headers, header::customer).substr(0, longestCustomer);
     call.customer_ = customerOf(call.keyCustomer_);
     call.deadline_ = deadlineOf(call, net::headerValue(headers, interface_.deadlineMs_));
-    const std::string token(net::headerValue(headers, interface_.context_));
+    const auto token = contextTokenOf(headers);
     if (const auto *parent = contexts_.find(token); parent != nullptr) {
         call.contextToken_ = token;
         inheritFrom(call, *parent);
--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -137,6 +137,13 @@
     impl_->configureAdmission();
 }
 
+std::string Executor::contextOf(std::string_view requestId) const
+{
+    const auto found = impl_->runOfRequest_.find(std::string(requestId));
+    return found != impl_->runOfRequest_.end() ? impl_->runs_.at(found->second).context_
+                                               : std::string();
+}
+
 void Executor::observeLevel(std::string_view contextToken, std::string_view callee,
                             admission::Level level)
 {
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -108,10 +108,16 @@
         return std::nullopt;
     const auto id = nextRun_++;
     runOfContext_.emplace(*token, id);
+    std::string requestId;
+    if (!interface_.requestId_.empty())
+        requestId = net::headerValue(attempt.request_.headers_, interface_.requestId_);
+    if (!requestId.empty())
+        runOfRequest_[requestId] = id;
     runs_.emplace(id, Run{.attempt_ = std::move(attempt),
                           .deadline_ = startBy,
                           .arrivedAt_ = base::monotonicNow(),
-                          .context_ = std::move(*token)});
+                          .context_ = std::move(*token),
+                          .requestId_ = std::move(requestId)});
     return id;
 }
 
@@ -125,6 +131,10 @@
     const bool hasStarted = run.startedAt_ > base::Millis(0);
     queueing_ = (hasStarted ? run.startedAt_ : base::monotonicNow()) - run.arrivedAt_;
     runOfContext_.erase(run.context_);
+    // A later attempt of the same request may run already.
+    if (const auto found = runOfRequest_.find(run.requestId_);
+        found != runOfRequest_.end() && found->second == id)
+        runOfRequest_.erase(found);
     onContextEnded_(run.context_);
     if (const auto &subKey = run.attempt_.subKey_)
         runOfSubKey_.erase(subKey->text());
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -37,6 +37,7 @@
         base::Millis arrivedAt_;
         base::Millis startedAt_; ///< 0 until it has a slot
         std::string context_;    ///< token of its running call
+        std::string requestId_;  ///< empty where none is in use
         net::CallId call_ = 0;
         AttemptId waiter_ = 0; ///< of an idempotent request
     };
@@ -109,6 +110,7 @@
     std::unordered_map<RunId, Run> runs_;
     std::unordered_map<std::string, RunId> runOfSubKey_;
     std::unordered_map<std::string, RunId> runOfContext_;
+    std::unordered_map<std::string, RunId> runOfRequest_; ///< by request id, where one is in use
     std::unordered_map<AttemptId, Waiter> waiters_;
     base::Millis queueing_;            ///< of the run that ended last; reported by one answer
     std::uint32_t budgetLeft_ = 0;     ///< of the run that ended last; reported by one answer
--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -14,6 +14,7 @@
             .deadlineMs_ = "t-deadline",
             .context_ = "",
             .requestId_ = "t-request",
+            .requestIdSeparator_ = '.',
             .callerService_ = "t-caller",
             .expectedInstance_ = "t-expected",
             .notExecuted_ = "t-not-executed",
@@ -226,3 +227,30 @@
         EXPECT_EQ(call("POST", "/write/1").status_, 200);
     EXPECT_EQ(first_.backend_->runs(), 0);
 }
+
+TEST_F(RoutedPath, aCallWhoseIdBeginsWithThatOfARunningRequestIsItsChild)
+{
+    std::atomic<int> calls = 0;
+    serve([&](net::HttpServer &, net::ExchangeId, const HttpRequest &request) {
+        const std::string requestId(net::headerValue(request.headers_, "t-request"));
+        if (requestId.find('.') != std::string::npos) {
+            ++calls;
+            return; // never answers
+        }
+        auto &place =
+                net::headerValue(request.headers_, "t-expected") == "i-first" ? first_ : second_;
+        caller_.start(place.dock_->address(),
+                      {.method_ = "GET",
+                       .target_ = "/read/1",
+                       .headers_ = {{"Host", "a.example"}, {"T-Request", requestId + ".1"}}});
+    });
+    auto pending = caller_.start(entry_->address(),
+                                 {.method_ = "GET",
+                                  .target_ = "/read/1",
+                                  .headers_ = {{"Host", "a.example"}, {"T-Request", "root"}}},
+                                 base::Millis(300));
+    EXPECT_FALSE(pending.get());
+    // The caller hung up: the request and the call made within it are both cancelled.
+    while (calls < 1 || first_.backend_->hangUps() + second_.backend_->hangUps() < 2)
+        std::this_thread::yield();
+}
