Refuse requests between the end of a drain and the end of the process

Cause, by reading: after the drain the process lives on for 500 ms for its last datagrams, went on taking requests, and cut those that were open when it ended.

Change: the entry refuses them at once, as not run.

--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -83,6 +83,9 @@
     /** Issues no further keys: this daemon will not be there to honour them. */
     void drain();
 
+    /** Refuses every further request at once, as this process is about to end. */
+    void close();
+
     /** Forgets what was learnt from answers and has expired; to be called about once a second. */
     void prune();
 
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -227,11 +227,13 @@
     const bool isIdle = executor_.activeCount() == 0 && entry_.activeCount() == 0;
     if (isIdle && elapsed >= shortestDrain) {
         events::log(events::drainEnded, "after=" + std::to_string(elapsed.count()) + "ms");
+        entry_.close();
         outbox_(DrainEnded{});
         return;
     }
     if (elapsed >= std::max(shortestDrain, settings_.drainTimeout_)) {
         events::log(events::drainTimedOut, "running=" + std::to_string(executor_.activeCount()));
+        entry_.close();
         outbox_(DrainEnded{});
         return;
     }
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -36,6 +36,7 @@
 constexpr std::size_t longestCustomer = 64;
 constexpr std::uint64_t longestDeadlineMs = 600'000;
 constexpr base::Millis retryWhenUnconfigured(1000);
+constexpr base::Millis retryWhenClosed(200); ///< another daemon can serve it at once
 constexpr std::uint32_t baselineRetries = 3;
 
 /**
@@ -245,6 +246,7 @@
     logclient::TokenBucket failureLines_{failureLineBurst, failureLineInterval};
     std::uint64_t droppedLines_ = 0;
     bool isDraining_ = false;
+    bool isClosed_ = false;
 };
 
 once::HomeSettings Entry::Impl::homeSettings(const settings::Settings &settings)
@@ -568,6 +570,12 @@
     const auto id = impl_->nextId_++;
     auto &open = impl_->open_[id];
     open.respond_ = std::move(respond);
+    if (impl_->isClosed_) {
+        impl_->finishUnserved(id, request,
+                              refusal(statusUnavailable, "draining", retryWhenClosed, {},
+                                      impl_->retryAfterForm()));
+        return 0;
+    }
     if (!impl_->config_) {
         impl_->finishUnserved(
                 id, request, refusal(statusUnavailable, "no-configuration", retryWhenUnconfigured));
@@ -655,6 +663,11 @@
     impl_->isDraining_ = true;
 }
 
+void Entry::close()
+{
+    impl_->isClosed_ = true;
+}
+
 void Entry::prune()
 {
     impl_->selector_.prune(base::monotonicNow());
--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -254,3 +254,19 @@
     while (calls < 1 || first_.backend_->hangUps() + second_.backend_->hangUps() < 2)
         std::this_thread::yield();
 }
+
+TEST_F(RoutedPath, requestsAfterTheDrainAreRefusedAtOnce)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        server.respond(id, ownAnswer(request));
+    });
+    entry_->task_->deliver(dock::BeginDrain{});
+    EXPECT_EQ(call("POST", "/write/1").status_, 200);
+    while (!entry_->hasDrained())
+        std::this_thread::yield();
+    const auto runsBefore = runs();
+    const auto answer = call("POST", "/write/1");
+    EXPECT_EQ(answer.status_, 503);
+    EXPECT_EQ(headerOf(answer, "Connection"), "close");
+    EXPECT_EQ(runs(), runsBefore);
+}
