--- a/Makefile
+++ b/Makefile
@@ -36,4 +36,4 @@
 	git ls-files '*.cpp' '*.h' | xargs clang-format --dry-run -Werror
 
 tidy: build
-	git ls-files 'libs/*.cpp' 'tools/*.cpp' | xargs -P 10 -n 4 clang-tidy --quiet -p build
+	git ls-files 'libs/*.cpp' 'platform/*.cpp' 'tools/*.cpp' | xargs -P 10 -n 4 clang-tidy --quiet -p build
