--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <base/Clock.h>
 #include <base/Overloaded.h>
 #include <dock/CallerAnswer.h>
 #include <events/Catalogue.h>
@@ -24,6 +25,12 @@
  */
 constexpr base::Millis catchUpDelay(300);
 
+/**
+ * A daemon with a configuration that knows no other one is ready after this time, in which two
+ * attempts to join are made: it may be the only one.
+ */
+constexpr base::Millis readyAloneAfter(2500);
+
 constexpr base::Millis askTimeout(1000);
 constexpr std::uint32_t maxConnections = 256;
 constexpr std::size_t longestMessage = 64 * 1024;
@@ -118,6 +125,8 @@
     }
     if (config->revision_ <= revision_)
         return;
+    if (revision_ == 0)
+        configuredAt_ = base::monotonicNow();
     revision_ = config->revision_;
     record_ = record;
     hooks_.onConfig_(std::make_shared<const model::Config>(std::move(*config)));
@@ -216,12 +225,19 @@
                 "instance=" + instanceId + " cause=" + std::string(verdictText(verdict)));
 }
 
+bool PlatformSource::isReady() const
+{
+    if (revision_ == 0 || isDraining_)
+        return false;
+    const bool knowsOthers = members_ != nullptr && members_->size() > 1;
+    return knowsOthers || base::monotonicNow() - configuredAt_ >= readyAloneAfter;
+}
+
 net::HttpResponse PlatformSource::answerProbe(const net::HttpRequest &request) const
 {
     if (request.target_ != binding_.readinessPath_)
         return {.status_ = statusNotFound};
-    const bool isReady = revision_ > 0 && !isDraining_;
-    return {.status_ = isReady ? statusOk : statusUnavailable};
+    return {.status_ = isReady() ? statusOk : statusUnavailable};
 }
 
 void PlatformSource::drain()
--- a/libs/dock/src/details/PlatformSource.h
+++ b/libs/dock/src/details/PlatformSource.h
@@ -78,6 +78,7 @@
     void take(const heartbeat::Deregistration &message);
     void noteIgnored(const std::string &instanceId, heartbeat::Verdict verdict);
     net::HttpResponse answerProbe(const net::HttpRequest &request) const;
+    bool isReady() const;
 
     net::Reactor &reactor_;
     const settings::Settings &settings_;
@@ -94,6 +95,7 @@
     std::shared_ptr<const std::vector<model::Member>> members_;
     std::string record_; ///< of the configuration in force, as another daemon may ask for it
     model::Revision revision_ = 0;
+    base::Millis configuredAt_; ///< when the first configuration came into force
     net::TimerId catchUpTimer_ = 0;
     bool isDraining_ = false;
 };
