Split reading a request and logging its failure from the entry

RequestReader classifies a request by the configuration in force, FailureLog bounds the lines on requests without an answer.

--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -5,8 +5,6 @@
 #include <base/Clock.h>
 #include <base/Mac.h>
 #include <base/Overloaded.h>
-#include <base/Random.h>
-#include <dock/AttemptCodec.h>
 #include <dock/AttemptSender.h>
 #include <dock/CallInterface.h>
 #include <dock/CallerAnswer.h>
@@ -16,9 +14,6 @@
 #include <dock/InstanceSelector.h>
 #include <dock/KeyedCalls.h>
 #include <dock/Recorder.h>
-#include <events/Catalogue.h>
-#include <events/Log.h>
-#include <logclient/TokenBucket.h>
 #include <net/PeerClient.h>
 #include <net/Reactor.h>
 #include <once/Entry.h>
@@ -29,21 +24,15 @@
 #include <routing/Core.h>
 #include <settings/Settings.h>
 
+#include "details/FailureLog.h"
+#include "details/RequestReader.h"
+
 namespace dock {
 
 namespace {
 
-constexpr std::size_t longestCustomer = 64;
-constexpr std::uint64_t longestDeadlineMs = 600'000;
 constexpr base::Millis retryWhenUnconfigured(1000);
 constexpr base::Millis retryWhenClosed(200); ///< another daemon can serve it at once
-constexpr std::uint32_t baselineRetries = 3;
-
-/**
- * Part of a service's retry budget that the calls of one route use. A run that is repeated repeats
- * its calls, so the services of a chain of four routes above one another share its budget.
- */
-constexpr double shareOfRetryBudget = 0.2;
 
 /**
  * Retries of a route that one daemon saves up. Every daemon may spend its own within one window of
@@ -54,13 +43,6 @@
 /** Further instances that a request on a route is sent to as long as none ran or refused it. */
 constexpr std::uint32_t freeRouteAttempts = 3;
 
-/** Bound of the log lines on requests without an answer: 50 a second. */
-constexpr std::uint32_t failureLineBurst = 50;
-constexpr base::Millis failureLineInterval(20);
-
-/** Customer of requests that state none, or one that the configuration does not name. */
-const std::string defaultCustomer = "default";
-
 std::uint64_t randomSeed()
 {
     std::uint64_t seed = 0;
@@ -68,75 +50,6 @@
     return seed;
 }
 
-/** Splits "/service/rest?query" into the service and the target below it. */
-std::pair<std::string, std::string> splitTarget(const std::string &target)
-{
-    const auto begin = target.find_first_not_of('/');
-    if (begin == std::string::npos)
-        return {"", "/"};
-    const auto end = target.find_first_of("/?", begin);
-    if (end == std::string::npos)
-        return {target.substr(begin), "/"};
-    auto rest = target.substr(end);
-    if (rest.front() == '?')
-        rest.insert(rest.begin(), '/');
-    return {target.substr(begin, end - begin), rest};
-}
-
-std::string_view pathOf(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
-
-std::string lowerCase(std::string_view text)
-{
-    std::string result(text);
-    for (auto &c : result)
-        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    return result;
-}
-
-/** Whether the field Connection names this one as concerning the connection only. */
-bool isNamedByConnection(std::string_view connection, const std::string &name)
-{
-    while (!connection.empty()) {
-        const auto comma = std::min(connection.find(','), connection.size());
-        auto token = connection.substr(0, comma);
-        connection.remove_prefix(std::min(comma + 1, connection.size()));
-        while (!token.empty() && token.front() == ' ')
-            token.remove_prefix(1);
-        while (!token.empty() && token.back() == ' ')
-            token.remove_suffix(1);
-        if (net::equalsIgnoringCase(token, name))
-            return true;
-    }
-    return false;
-}
-
-/** Host name of a request without its port. */
-std::string hostOf(const net::Headers &headers)
-{
-    const auto host = net::headerValue(headers, "host");
-    return lowerCase(host.substr(0, host.find(':')));
-}
-
-/** Removes fields that concern this hop only, or that the system states itself. */
-void removeOwnFields(net::Headers &headers, const CallInterface &interface)
-{
-    const std::string connection(net::headerValue(headers, "connection"));
-    for (auto &field : headers)
-        field.name_ = lowerCase(field.name_);
-    std::erase_if(headers, [&](const net::Header &field) {
-        const auto &name = field.name_;
-        if (name == "host")
-            return !interface.hasRoutes();
-        return isHopByHop(name) || name.starts_with(header::peerPrefix)
-               || name == interface.deadlineMs_ || name == interface.context_
-               || name == interface.callerService_ || name == interface.expectedInstance_
-               || isNamedByConnection(connection, name);
-    });
-}
-
 } // namespace
 
 struct Entry::Impl
@@ -149,7 +62,6 @@
         , self_(std::move(self))
         , client_(client)
         , executor_(executor)
-        , contexts_(contexts)
         , routing_({.daemonId_ = settings.id_,
                     .dataCentre_ = settings.dataCentre_,
                     .region_ = settings.region_,
@@ -168,6 +80,7 @@
         , idempotent_(reactor, retryIdempotent_, selector_, sender_)
         , keyed_(reactor, *home_, retryKeyed_, selector_, sender_,
                  [this](const std::string &id) { return findMember(id); })
+        , reader_(settings, interface, executor, contexts, randomSeed())
     {}
 
     /** A request that waits for its answer. */
@@ -177,15 +90,6 @@
         CallInfo call_; ///< without header fields and body
     };
 
-    /** Where a request goes to. */
-    struct Destination
-    {
-        std::string service_;
-        std::string target_; ///< as the backend server gets it
-        model::RequestClass class_;
-        std::uint32_t maxAttempts_ = 1; ///< of a route
-    };
-
     /** How to end one request before its answer. */
     using Cancel = std::function<void()>;
 
@@ -200,14 +104,6 @@
     bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
     bool needsKey(const CallInfo &call) const;
     const model::Member *findMember(const std::string &id) const;
-    std::string customerOf(const std::string &stated) const;
-    std::optional<Destination> destinationOf(const net::HttpRequest &request);
-    CallInfo describe(net::HttpRequest request, Destination destination);
-    base::Millis deadlineOf(const CallInfo &call, std::string_view stated) const;
-    std::string contextTokenOf(const net::Headers &headers) const;
-    void inheritFrom(CallInfo &call, const retry::RunningCall &parent) const;
-    void addTolerance(CallInfo &call) const;
-    void addRouteTolerance(CallInfo &call, std::uint32_t maxAttempts) const;
     std::string freshKey(const CallInfo &call);
     void startIdempotent(EntryId id, CallInfo call);
     void startKeyed(EntryId id, CallInfo call, RequestSource source);
@@ -218,15 +114,12 @@
     void finish(EntryId id, net::HttpResponse response);
     void forwarded(EntryId id, net::CallResult result);
     void finishWith(EntryId id, const once::Outcome &outcome, const CallReport &report = {});
-    void logFailure(const CallInfo &call, const once::Outcome &outcome, const CallReport &report);
 
     const settings::Settings &settings_;
     const CallInterface &interface_;
-    base::Random random_{randomSeed()};
     once::Incarnation self_;
     net::PeerClient &client_;
     Executor &executor_;
-    retry::ContextTable &contexts_;
     routing::Core routing_;
     std::optional<once::Home> home_;
     retry::Core retryIdempotent_;
@@ -236,15 +129,14 @@
     InstanceSelector selector_;
     IdempotentCalls idempotent_;
     KeyedCalls keyed_;
-    std::shared_ptr<const model::Config> config_;
+    details::RequestReader reader_;
     Members members_;
     std::unordered_map<std::string, const model::Member *> memberById_;
     std::unordered_map<EntryId, OpenRequest> open_;
     std::unordered_map<EntryId, Cancel> cancels_;
     EntryId nextId_ = 1;
     std::uint64_t nextOwnKey_ = 1;
-    logclient::TokenBucket failureLines_{failureLineBurst, failureLineInterval};
-    std::uint64_t droppedLines_ = 0;
+    details::FailureLog failureLog_;
     bool isDraining_ = false;
     bool isClosed_ = false;
 };
@@ -280,114 +172,6 @@
     return found != memberById_.end() ? found->second : nullptr;
 }
 
-std::string Entry::Impl::customerOf(const std::string &stated) const
-{
-    // Callers can make up names; only those of the configuration are told apart.
-    return config_->customers_.contains(stated) ? stated : defaultCustomer;
-}
-
-std::optional<Entry::Impl::Destination> Entry::Impl::destinationOf(const net::HttpRequest &request)
-{
-    if (!interface_.hasRoutes()) {
-        auto [service, target] = splitTarget(request.target_);
-        if (!config_->services_.contains(service))
-            return std::nullopt;
-        auto requestClass = config_->classify(service, request.method_, pathOf(target));
-        return Destination{std::move(service), std::move(target), std::move(requestClass)};
-    }
-    const auto *route = config_->route(hostOf(request.headers_), pathOf(request.target_));
-    if (route == nullptr)
-        return std::nullopt;
-    return Destination{std::string(route->serviceAt(random_.unit())), request.target_,
-                       route->class_, route->maxAttempts_};
-}
-
-/** Point in time up to which the request is worked on, on this daemon's clock. */
-base::Millis Entry::Impl::deadlineOf(const CallInfo &call, std::string_view stated) const
-{
-    const auto ofClass = static_cast<std::uint64_t>(call.class_.deadline_.count());
-    auto time = std::min(numberOr(stated, ofClass), longestDeadlineMs);
-    // On a route the configuration bounds what a caller asks for.
-    if (interface_.hasRoutes())
-        time = std::min(time, ofClass);
-    return call.receivedAt_ + base::Millis(static_cast<std::int64_t>(time));
-}
-
-/** Token of the running call that made the request, as stated or as its id tells; may be empty. */
-std::string Entry::Impl::contextTokenOf(const net::Headers &headers) const
-{
-    if (!interface_.requestIdSeparator_)
-        return std::string(net::headerValue(headers, interface_.context_));
-    const auto id = net::headerValue(headers, interface_.requestId_);
-    const auto separator = id.rfind(*interface_.requestIdSeparator_);
-    return separator == std::string_view::npos ? std::string()
-                                               : executor_.contextOf(id.substr(0, separator));
-}
-
-CallInfo Entry::Impl::describe(net::HttpRequest request, Destination destination)
-{
-    CallInfo call;
-    const auto &headers = request.headers_;
-    call.receivedAt_ = base::monotonicNow();
-    call.service_ = std::move(destination.service_);
-    call.class_ = std::move(destination.class_);
-    call.requestId_ = net::headerValue(headers, interface_.requestId_);
-    call.keyText_ = net::headerValue(headers, header::idempotencyKey);
-    call.keyCustomer_ = net::headerValue(headers, header::customer).substr(0, longestCustomer);
-    call.customer_ = customerOf(call.keyCustomer_);
-    call.deadline_ = deadlineOf(call, net::headerValue(headers, interface_.deadlineMs_));
-    const auto token = contextTokenOf(headers);
-    if (const auto *parent = contexts_.find(token); parent != nullptr) {
-        call.contextToken_ = token;
-        inheritFrom(call, *parent);
-    } else {
-        call.hasUnknownContext_ = !token.empty();
-        const auto name = !call.requestId_.empty() ? call.requestId_
-                          : call.keyText_.empty()  ? settings_.id_ + std::to_string(nextId_)
-                                                   : call.keyText_;
-        call.priority_ = admission::Priority::ofRoot(call.class_.rank_, name);
-    }
-    if (interface_.hasRoutes())
-        addRouteTolerance(call, destination.maxAttempts_);
-    else
-        addTolerance(call);
-    request.target_ = std::move(destination.target_);
-    removeOwnFields(request.headers_, interface_);
-    if (!interface_.callerService_.empty())
-        request.headers_.push_back({interface_.callerService_, settings_.platform_->service_});
-    call.request_ = std::move(request);
-    return call;
-}
-
-void Entry::Impl::inheritFrom(CallInfo &call, const retry::RunningCall &parent) const
-{
-    call.customer_ = parent.customer_;
-    call.priority_ = admission::Priority::unpack(static_cast<int>(parent.priority_)).forChild();
-    call.deadline_ = std::min(call.deadline_, parent.deadline_);
-    call.depth_ = parent.depth_ + 1;
-}
-
-void Entry::Impl::addTolerance(CallInfo &call) const
-{
-    if (isBaseline()) {
-        call.isRetriedAtEachHop_ = true;
-        call.budget_ = baselineRetries;
-        call.retryRatio_ = 1;
-        return;
-    }
-    const auto found = config_->retryTolerances_.find(call.class_.name_);
-    if (found == config_->retryTolerances_.end())
-        return;
-    call.budget_ = found->second.budget_;
-    call.retryRatio_ = found->second.ratio_;
-}
-
-void Entry::Impl::addRouteTolerance(CallInfo &call, std::uint32_t maxAttempts) const
-{
-    call.budget_ = maxAttempts - std::min(maxAttempts, 1U);
-    call.retryRatio_ = settings_.platform_->retryBudgetRatio_ * shareOfRetryBudget;
-}
-
 std::string Entry::Impl::freshKey(const CallInfo &call)
 {
     if (isDraining_ || call.isChild() || interface_.hasRoutes())
@@ -505,38 +289,11 @@
         return;
     const auto &call = found->second.call_;
     recorder_.finished(call, outcome, report, base::monotonicNow());
-    logFailure(call, outcome, report);
+    failureLog_.note(call, outcome, report, base::monotonicNow());
     finish(id, callerAnswer(outcome, retryAfterForm(),
                             needsKey(call) ? freshKey(call) : std::string()));
 }
 
-/** Logs a request that has no answer of a backend server, within the bound of such lines. */
-void Entry::Impl::logFailure(const CallInfo &call, const once::Outcome &outcome,
-                             const CallReport &report)
-{
-    if (std::holds_alternative<once::Complete>(outcome))
-        return;
-    const auto now = base::monotonicNow();
-    if (!failureLines_.take(now)) {
-        ++droppedLines_;
-        return;
-    }
-    const auto *notRun = std::get_if<once::NotRun>(&outcome);
-    const auto reason =
-            notRun != nullptr ? notRun->reason_ : std::get<once::Unknown>(outcome).reason_;
-    std::string detail = "request=" + call.requestId_ + " class=" + call.class_.name_ + " service="
-                         + call.service_ + " reason=" + std::string(once::reasonText(reason))
-                         + " child=" + (call.isChild() ? "yes" : "no")
-                         + " rank=" + std::to_string(call.class_.rank_)
-                         + " attempts=" + std::to_string(report.attempts_)
-                         + " age=" + std::to_string((now - call.receivedAt_).count()) + "ms";
-    if (notRun != nullptr)
-        detail += " retryAfter=" + std::to_string(notRun->retryAfter_.count()) + "ms";
-    if (droppedLines_ > 0)
-        detail += " dropped=" + std::to_string(std::exchange(droppedLines_, 0));
-    events::log(notRun != nullptr ? events::requestNotRun : events::outcomeUnknown, detail);
-}
-
 void Entry::Impl::finish(EntryId id, net::HttpResponse response)
 {
     cancels_.erase(id);
@@ -576,22 +333,21 @@
                                       impl_->retryAfterForm()));
         return 0;
     }
-    if (!impl_->config_) {
+    if (!impl_->reader_.hasConfig()) {
         impl_->finishUnserved(
                 id, request, refusal(statusUnavailable, "no-configuration", retryWhenUnconfigured));
         return 0;
     }
-    auto destination = impl_->destinationOf(request);
-    if (!destination) {
+    auto call = impl_->reader_.read(request, impl_->settings_.id_ + std::to_string(id));
+    if (!call) {
         impl_->finishUnserved(id, request, refusal(statusNotFound, "unknown-service"));
         return 0;
     }
-    auto call = impl_->describe(std::move(request), std::move(*destination));
-    open.call_ = withoutContent(call);
-    if (impl_->needsKey(call))
-        impl_->startKeyed(id, std::move(call), source);
+    open.call_ = withoutContent(*call);
+    if (impl_->needsKey(*call))
+        impl_->startKeyed(id, std::move(*call), source);
     else
-        impl_->startIdempotent(id, std::move(call));
+        impl_->startIdempotent(id, std::move(*call));
     return impl_->open_.contains(id) ? id : 0;
 }
 
@@ -609,10 +365,11 @@
     if (impl_->isDraining_)
         return keys;
     for (std::size_t i = 0; i < count; ++i)
-        keys.push_back(impl_->home_
-                               ->issueKey(customer.substr(0, longestCustomer), service,
-                                          base::monotonicNow())
-                               .text());
+        keys.push_back(
+                impl_->home_
+                        ->issueKey(customer.substr(0, details::RequestReader::longestCustomer),
+                                   service, base::monotonicNow())
+                        .text());
     return keys;
 }
 
@@ -638,7 +395,7 @@
 void Entry::configure(std::shared_ptr<const model::Config> config)
 {
     impl_->recorder_.configure(*config);
-    impl_->config_ = std::move(config);
+    impl_->reader_.configure(std::move(config));
 }
 
 void Entry::setMembers(Members members)
--- /dev/null
+++ b/libs/dock/src/details/RequestReader.cpp
@@ -0,0 +1,229 @@
+#include "RequestReader.h"
+
+#include <algorithm>
+
+#include <base/Clock.h>
+#include <dock/AttemptCodec.h>
+#include <dock/CallInterface.h>
+#include <dock/Executor.h>
+#include <dock/HeaderNames.h>
+#include <retry/ContextTable.h>
+#include <settings/Settings.h>
+
+namespace dock::details {
+
+namespace {
+
+constexpr std::uint64_t longestDeadlineMs = 600'000;
+constexpr std::uint32_t baselineRetries = 3;
+
+/**
+ * Part of a service's retry budget that the calls of one route use. A run that is repeated repeats
+ * its calls, so the services of a chain of four routes above one another share its budget.
+ */
+constexpr double shareOfRetryBudget = 0.2;
+
+/** Customer of requests that state none, or one that the configuration does not name. */
+const std::string defaultCustomer = "default";
+
+/** Splits "/service/rest?query" into the service and the target below it. */
+std::pair<std::string, std::string> splitTarget(const std::string &target)
+{
+    const auto begin = target.find_first_not_of('/');
+    if (begin == std::string::npos)
+        return {"", "/"};
+    const auto end = target.find_first_of("/?", begin);
+    if (end == std::string::npos)
+        return {target.substr(begin), "/"};
+    auto rest = target.substr(end);
+    if (rest.front() == '?')
+        rest.insert(rest.begin(), '/');
+    return {target.substr(begin, end - begin), rest};
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string lowerCase(std::string_view text)
+{
+    std::string result(text);
+    for (auto &c : result)
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    return result;
+}
+
+/** Whether the field Connection names this one as concerning the connection only. */
+bool isNamedByConnection(std::string_view connection, const std::string &name)
+{
+    while (!connection.empty()) {
+        const auto comma = std::min(connection.find(','), connection.size());
+        auto token = connection.substr(0, comma);
+        connection.remove_prefix(std::min(comma + 1, connection.size()));
+        while (!token.empty() && token.front() == ' ')
+            token.remove_prefix(1);
+        while (!token.empty() && token.back() == ' ')
+            token.remove_suffix(1);
+        if (net::equalsIgnoringCase(token, name))
+            return true;
+    }
+    return false;
+}
+
+/** Host name of a request without its port. */
+std::string hostOf(const net::Headers &headers)
+{
+    const auto host = net::headerValue(headers, "host");
+    return lowerCase(host.substr(0, host.find(':')));
+}
+
+/** Removes fields that concern this hop only, or that the system states itself. */
+void removeOwnFields(net::Headers &headers, const CallInterface &interface)
+{
+    const std::string connection(net::headerValue(headers, "connection"));
+    for (auto &field : headers)
+        field.name_ = lowerCase(field.name_);
+    std::erase_if(headers, [&](const net::Header &field) {
+        const auto &name = field.name_;
+        if (name == "host")
+            return !interface.hasRoutes();
+        return isHopByHop(name) || name.starts_with(header::peerPrefix)
+               || name == interface.deadlineMs_ || name == interface.context_
+               || name == interface.callerService_ || name == interface.expectedInstance_
+               || isNamedByConnection(connection, name);
+    });
+}
+
+} // namespace
+
+RequestReader::RequestReader(const settings::Settings &settings, const CallInterface &interface,
+                             const Executor &executor, const retry::ContextTable &contexts,
+                             std::uint64_t seed)
+    : settings_(settings)
+    , interface_(interface)
+    , executor_(executor)
+    , contexts_(contexts)
+    , random_(seed)
+{}
+
+void RequestReader::configure(std::shared_ptr<const model::Config> config)
+{
+    config_ = std::move(config);
+}
+
+std::string RequestReader::customerOf(const std::string &stated) const
+{
+    // Callers can make up names; only those of the configuration are told apart.
+    return config_->customers_.contains(stated) ? stated : defaultCustomer;
+}
+
+std::optional<RequestReader::Destination>
+RequestReader::destinationOf(const net::HttpRequest &request)
+{
+    if (!interface_.hasRoutes()) {
+        auto [service, target] = splitTarget(request.target_);
+        if (!config_->services_.contains(service))
+            return std::nullopt;
+        auto requestClass = config_->classify(service, request.method_, pathOf(target));
+        return Destination{std::move(service), std::move(target), std::move(requestClass)};
+    }
+    const auto *route = config_->route(hostOf(request.headers_), pathOf(request.target_));
+    if (route == nullptr)
+        return std::nullopt;
+    return Destination{std::string(route->serviceAt(random_.unit())), request.target_,
+                       route->class_, route->maxAttempts_};
+}
+
+/** Point in time up to which the request is worked on, on this daemon's clock. */
+base::Millis RequestReader::deadlineOf(const CallInfo &call, std::string_view stated) const
+{
+    const auto ofClass = static_cast<std::uint64_t>(call.class_.deadline_.count());
+    auto time = std::min(numberOr(stated, ofClass), longestDeadlineMs);
+    // On a route the configuration bounds what a caller asks for.
+    if (interface_.hasRoutes())
+        time = std::min(time, ofClass);
+    return call.receivedAt_ + base::Millis(static_cast<std::int64_t>(time));
+}
+
+/** Token of the running call that made the request, as stated or as its id tells; may be empty. */
+std::string RequestReader::contextTokenOf(const net::Headers &headers) const
+{
+    if (!interface_.requestIdSeparator_)
+        return std::string(net::headerValue(headers, interface_.context_));
+    const auto id = net::headerValue(headers, interface_.requestId_);
+    const auto separator = id.rfind(*interface_.requestIdSeparator_);
+    return separator == std::string_view::npos ? std::string()
+                                               : executor_.contextOf(id.substr(0, separator));
+}
+
+std::optional<CallInfo> RequestReader::read(net::HttpRequest &request, std::string name)
+{
+    auto found = destinationOf(request);
+    if (!found)
+        return std::nullopt;
+    auto &destination = *found;
+    CallInfo call;
+    const auto &headers = request.headers_;
+    call.receivedAt_ = base::monotonicNow();
+    call.service_ = std::move(destination.service_);
+    call.class_ = std::move(destination.class_);
+    call.requestId_ = net::headerValue(headers, interface_.requestId_);
+    call.keyText_ = net::headerValue(headers, header::idempotencyKey);
+    call.keyCustomer_ = net::headerValue(headers, header::customer).substr(0, longestCustomer);
+    call.customer_ = customerOf(call.keyCustomer_);
+    call.deadline_ = deadlineOf(call, net::headerValue(headers, interface_.deadlineMs_));
+    const auto token = contextTokenOf(headers);
+    if (const auto *parent = contexts_.find(token); parent != nullptr) {
+        call.contextToken_ = token;
+        inheritFrom(call, *parent);
+    } else {
+        call.hasUnknownContext_ = !token.empty();
+        if (!call.requestId_.empty())
+            name = call.requestId_;
+        else if (!call.keyText_.empty())
+            name = call.keyText_;
+        call.priority_ = admission::Priority::ofRoot(call.class_.rank_, name);
+    }
+    if (interface_.hasRoutes())
+        addRouteTolerance(call, destination.maxAttempts_);
+    else
+        addTolerance(call);
+    request.target_ = std::move(destination.target_);
+    removeOwnFields(request.headers_, interface_);
+    if (!interface_.callerService_.empty())
+        request.headers_.push_back({interface_.callerService_, settings_.platform_->service_});
+    call.request_ = std::move(request);
+    return call;
+}
+
+void RequestReader::inheritFrom(CallInfo &call, const retry::RunningCall &parent) const
+{
+    call.customer_ = parent.customer_;
+    call.priority_ = admission::Priority::unpack(static_cast<int>(parent.priority_)).forChild();
+    call.deadline_ = std::min(call.deadline_, parent.deadline_);
+    call.depth_ = parent.depth_ + 1;
+}
+
+void RequestReader::addTolerance(CallInfo &call) const
+{
+    if (settings_.mode_ == settings::Mode::Baseline) {
+        call.isRetriedAtEachHop_ = true;
+        call.budget_ = baselineRetries;
+        call.retryRatio_ = 1;
+        return;
+    }
+    const auto found = config_->retryTolerances_.find(call.class_.name_);
+    if (found == config_->retryTolerances_.end())
+        return;
+    call.budget_ = found->second.budget_;
+    call.retryRatio_ = found->second.ratio_;
+}
+
+void RequestReader::addRouteTolerance(CallInfo &call, std::uint32_t maxAttempts) const
+{
+    call.budget_ = maxAttempts - std::min(maxAttempts, 1U);
+    call.retryRatio_ = settings_.platform_->retryBudgetRatio_ * shareOfRetryBudget;
+}
+
+} // namespace dock::details
