--- a/libs/follow/include/follow/FollowService.h
+++ b/libs/follow/include/follow/FollowService.h
@@ -36,9 +36,6 @@
     /** Another daemon has read a newer record: reads again at once, on another connection. */
     void catchUp();
 
-    /** Whether every key has been read at least once. */
-    bool isComplete() const;
-
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/libs/follow/src/FollowService.cpp
+++ b/libs/follow/src/FollowService.cpp
@@ -92,9 +92,4 @@
     impl_->tell(BehindOthers{});
 }
 
-bool FollowService::isComplete() const
-{
-    return impl_->core_.isComplete();
-}
-
 } // namespace follow
