Refuse new roots once a drain has lasted three seconds

Change: 3 s after SIGTERM, when two missed readiness probes have moved the callers away, new roots are refused as not run; calls of requests that still run here are served. Test on loopback, which passes with the change; it was not run without it.

--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -83,6 +83,9 @@
     /** Issues no further keys: this daemon will not be there to honour them. */
     void drain();
 
+    /** Refuses further requests, but for calls made within requests that still run here. */
+    void refuseRoots();
+
     /** Refuses every further request at once, as this process is about to end. */
     void close();
 
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -224,6 +224,9 @@
 void DataTask::Impl::checkDrain()
 {
     const auto elapsed = base::monotonicNow() - drainBegan_;
+    // What comes later could still be at work when the process has to end.
+    if (elapsed >= shortestDrain)
+        entry_.refuseRoots();
     const bool isIdle = executor_.activeCount() == 0 && entry_.activeCount() == 0;
     if (isIdle && elapsed >= shortestDrain) {
         events::log(events::drainEnded, "after=" + std::to_string(elapsed.count()) + "ms");
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -101,6 +101,10 @@
         return interface_.hasFractionalRetryAfter_ ? RetryAfterForm::Decimals
                                                    : RetryAfterForm::WholeSeconds;
     }
+    net::HttpResponse refusalOfClosed() const
+    {
+        return refusal(statusUnavailable, "draining", retryWhenClosed, {}, retryAfterForm());
+    }
     bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
     bool needsKey(const CallInfo &call) const;
     const model::Member *findMember(const std::string &id) const;
@@ -138,6 +142,7 @@
     std::uint64_t nextOwnKey_ = 1;
     details::FailureLog failureLog_;
     bool isDraining_ = false;
+    bool isClosedToRoots_ = false;
     bool isClosed_ = false;
 };
 
@@ -328,9 +333,7 @@
     auto &open = impl_->open_[id];
     open.respond_ = std::move(respond);
     if (impl_->isClosed_) {
-        impl_->finishUnserved(id, request,
-                              refusal(statusUnavailable, "draining", retryWhenClosed, {},
-                                      impl_->retryAfterForm()));
+        impl_->finishUnserved(id, request, impl_->refusalOfClosed());
         return 0;
     }
     if (!impl_->reader_.hasConfig()) {
@@ -343,6 +346,10 @@
         impl_->finishUnserved(id, request, refusal(statusNotFound, "unknown-service"));
         return 0;
     }
+    if (impl_->isClosedToRoots_ && !call->isChild()) {
+        impl_->finishUnserved(id, call->request_, impl_->refusalOfClosed());
+        return 0;
+    }
     open.call_ = withoutContent(*call);
     if (impl_->needsKey(*call))
         impl_->startKeyed(id, std::move(*call), source);
@@ -420,6 +427,11 @@
     impl_->isDraining_ = true;
 }
 
+void Entry::refuseRoots()
+{
+    impl_->isClosedToRoots_ = true;
+}
+
 void Entry::close()
 {
     impl_->isClosed_ = true;
--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -270,3 +270,24 @@
     EXPECT_EQ(headerOf(answer, "Connection"), "close");
     EXPECT_EQ(runs(), runsBefore);
 }
+
+TEST_F(RoutedPath, newRequestsDoNotKeepADrainFromEnding)
+{
+    // Requests that never end, so that the entry is busy for as long as it takes new ones.
+    serve([](net::HttpServer &, net::ExchangeId, const HttpRequest &) {});
+    const HttpRequest endless{.method_ = "GET",
+                              .target_ = "/read/1",
+                              .headers_ = {{"Host", "a.example"}, {"T-Request", "endless"}}};
+    std::vector<std::future<net::CallResult>> pending;
+    entry_->task_->deliver(dock::BeginDrain{});
+    int status = 0;
+    while (status != 503) {
+        pending.push_back(caller_.start(entry_->address(), endless));
+        const auto &last = pending.back();
+        if (last.wait_for(std::chrono::milliseconds(100)) == std::future_status::ready)
+            status = pending.back().get().value_or(HttpResponse{.status_ = 0}).status_;
+    }
+    EXPECT_FALSE(entry_->hasDrained());
+    while (!entry_->hasDrained())
+        std::this_thread::yield();
+}
