Serve and call HTTP/1.1 on own connections, parsed by Boost.Beast

Ruled out: http-parser (not maintained); keeping both libraries with fewer calls (suspend and poll are inside them).

Change: ServerConnection and ClientConnection over the reactor, parser from Boost.Beast, which the product's Boost package brings. A caller that hangs up is noticed at once, an answer to another request is passed over instead of losing the call, the connection idle longest makes room for a new one.

Tests: net_tests HttpServerBytes, HttpClientBytes; all of ctest passes.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .PHONY: deps build test demo asan tsan format format-check tidy
 
 PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy libace-dev libnghttp2-dev \
-  libboost-dev libyaml-cpp-dev libcurl4-openssl-dev libmicrohttpd-dev libcxxopts-dev \
+  libboost-dev libyaml-cpp-dev libcxxopts-dev \
   libeasyloggingpp-dev libexpected-dev libgtest-dev librapidcheck-dev libmsgpack-cxx-dev \
   libxxhash-dev nlohmann-json3-dev libssl-dev pkg-config
 
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -17,7 +17,7 @@
 using CallId = std::uint64_t;
 
 /**
- * HTTP/1.1 client of one reactor with kept-alive connections, by libcurl's multi interface.
+ * HTTP/1.1 client of one reactor with kept-alive connections.
  *
  * An answer that ends before its stated length or is not to the request sent is a Failure of kind
  * Lost, never an answer.
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -24,11 +24,14 @@
     model::Address listen_;
     std::size_t maxBodyBytes_ = 16 * 1024 * 1024;
     std::uint32_t maxConnections_ = 4096;
-    base::Millis idleTimeout_ = base::Millis(60000); ///< for slow senders and idle connections
+    base::Millis idleTimeout_ =
+            base::Millis(60000); ///< without a step of a caller whose turn it is
 };
 
 /**
- * HTTP/1.1 server of one reactor, by libmicrohttpd in external epoll mode.
+ * HTTP/1.1 server of one reactor.
+ *
+ * When the connections are used up, the one that was idle longest is closed for a new one.
  *
  * Every accepted request is answered by exactly one call of respond(), unless its caller hangs up
  * first. All members are for the reactor's thread.
--- a/libs/net/include/net/Reactor.h
+++ b/libs/net/include/net/Reactor.h
@@ -54,6 +54,9 @@
     /** Ends watching a socket; to be called before it is closed. */
     void unwatch(int socket);
 
+    /** Closes a socket and ends watching it. */
+    void closeWatched(int socket);
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/libs/net/src/PeerClient.cpp
+++ b/libs/net/src/PeerClient.cpp
@@ -5,14 +5,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include <arpa/inet.h>
 #include <net/Reactor.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "details/Http2Connection.h"
-#include "details/Silence.h"
+#include "details/Socket.h"
 
 namespace net {
 
@@ -27,26 +23,6 @@
     TimerId timer_ = 0;
 };
 
-int openSocket(const model::Address &to, bool &isConnecting)
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (socket < 0)
-        return -1;
-    const int isOn = 1;
-    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof(isOn));
-    details::closeWhenSilent(socket);
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(to.port_);
-    inet_pton(AF_INET, to.host_.c_str(), &address.sin_addr);
-    const auto status = ::connect(socket, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-    isConnecting = status != 0 && errno == EINPROGRESS;
-    if (status == 0 || isConnecting)
-        return socket;
-    ::close(socket);
-    return -1;
-}
-
 HttpResponse responseOf(Http2Stream &&message)
 {
     HttpResponse response;
@@ -194,11 +170,10 @@
 {
     if (const auto found = connections_.find(to); found != connections_.end())
         return found->second.get();
-    bool isConnecting = false;
-    const int socket = openSocket(to, isConnecting);
-    if (socket < 0)
+    const auto opened = details::openConnection(to);
+    if (opened.socket_ < 0)
         return nullptr;
-    auto connection = std::make_unique<Connection>(*this, to, socket, isConnecting);
+    auto connection = std::make_unique<Connection>(*this, to, opened.socket_, opened.isConnecting_);
     return connections_.emplace(to, std::move(connection)).first->second.get();
 }
 
--- a/libs/net/src/Reactor.cpp
+++ b/libs/net/src/Reactor.cpp
@@ -262,4 +262,11 @@
         ::epoll_ctl(impl_->epoll_, EPOLL_CTL_DEL, socket, nullptr);
 }
 
+// The kernel drops a closed socket from the epoll set by itself.
+void Reactor::closeWatched(int socket)
+{
+    impl_->watches_.erase(socket);
+    ::close(socket);
+}
+
 } // namespace net
--- /dev/null
+++ b/libs/net/src/details/ClientConnection.cpp
@@ -0,0 +1,252 @@
+#include "details/ClientConnection.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include <base/Clock.h>
+#include <net/HttpClientOptions.h>
+#include <net/Reactor.h>
+#include <sys/socket.h>
+
+namespace net::details {
+
+namespace {
+
+constexpr std::size_t readChunkBytes = 64 * 1024;
+constexpr int firstFinalStatus = 200;
+constexpr int lastSuccess = 299;
+
+/** Part of each second of a stated idle timeout in which a connection is used again. */
+constexpr std::int64_t usableMillisPerSecond = 800;
+
+bool hasBody(const HttpRequest &request)
+{
+    return !request.body_.empty() || request.method_ == "POST" || request.method_ == "PUT"
+           || request.method_ == "PATCH";
+}
+
+std::string headOf(const HttpRequest &request, const model::Address &to)
+{
+    std::string head;
+    head.reserve(512);
+    head += request.method_;
+    head += ' ';
+    head += request.target_;
+    head += " HTTP/1.1\r\n";
+    bool hasHost = false;
+    for (const auto &[name, value] : request.headers_) {
+        if (equalsIgnoringCase(name, "content-length")
+            || equalsIgnoringCase(name, "transfer-encoding"))
+            continue;
+        hasHost = hasHost || equalsIgnoringCase(name, "host");
+        head += name;
+        head += ": ";
+        head += value;
+        head += "\r\n";
+    }
+    if (!hasHost)
+        head += "Host: " + to.text() + "\r\n";
+    if (hasBody(request))
+        head += "Content-Length: " + std::to_string(request.body_.size()) + "\r\n";
+    head += "\r\n";
+    return head;
+}
+
+/** Seconds of idleness after which the server closes the connection, by the field Keep-Alive. */
+std::optional<std::int64_t> statedIdleSeconds(const Headers &headers)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto text = headerValue(headers, "keep-alive");
+    const auto begin = text.find(parameter);
+    if (begin == std::string_view::npos)
+        return std::nullopt;
+    const auto digits = text.substr(begin + parameter.size());
+    std::int64_t seconds = 0;
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return seconds;
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(Reactor &reactor, const model::Address &to,
+                                   const OpenSocket &socket, const HttpClientOptions &options,
+                                   ClientConnectionOwner &owner)
+    : reactor_(reactor)
+    , to_(to)
+    , socket_(socket.socket_)
+    , options_(options)
+    , owner_(owner)
+    , parser_(options.maxBodyBytes_)
+    , state_(socket.isConnecting_ ? State::Connecting : State::Idle)
+{
+    reactor_.watch(socket_, *this, socket.isConnecting_ ? READ_MASK | WRITE_MASK : READ_MASK);
+}
+
+ClientConnection::~ClientConnection()
+{
+    if (state_ != State::Closed)
+        reactor_.closeWatched(socket_);
+}
+
+bool ClientConnection::send(HttpRequest &request)
+{
+    expectedEcho_ = options_.echoedField_.empty()
+                            ? std::string()
+                            : std::string(headerValue(request.headers_, options_.echoedField_));
+    isToHead_ = request.method_ == "HEAD";
+    hadForeignAnswer_ = false;
+    parser_.begin(isToHead_);
+    auto head = headOf(request, to_);
+    output_ = Output(std::move(head), std::move(request.body_));
+    if (state_ == State::Connecting)
+        return true;
+    state_ = State::Awaiting;
+    if (write())
+        return true;
+    if (output_.written() > 0) {
+        // Reported when the socket is read: the answer may be there already.
+        return true;
+    }
+    request.body_ = output_.takeBody();
+    closeConnection();
+    return false;
+}
+
+void ClientConnection::connected()
+{
+    if (hasConnectFailed(socket_)) {
+        fail(FailureKind::NotSent, "cannot connect");
+        return;
+    }
+    state_ = State::Awaiting;
+    if (!write() && output_.written() == 0)
+        fail(FailureKind::NotSent, "the connection broke before the request was sent");
+}
+
+/** Writes what is left of the request; false if the connection is broken. */
+bool ClientConnection::write()
+{
+    const auto progress = output_.writeTo(socket_);
+    const bool isBlocked = progress == Output::Progress::Blocked;
+    reactor_.watch(socket_, *this, isBlocked ? READ_MASK | WRITE_MASK : READ_MASK);
+    return progress != Output::Progress::Failed;
+}
+
+int ClientConnection::handle_output(ACE_HANDLE)
+{
+    if (state_ == State::Connecting)
+        connected();
+    else if (state_ == State::Awaiting)
+        write();
+    return 0;
+}
+
+int ClientConnection::handle_input(ACE_HANDLE)
+{
+    if (state_ == State::Connecting) {
+        connected();
+        return 0;
+    }
+    static thread_local std::array<char, readChunkBytes> buffer;
+    const auto count = ::recv(socket_, buffer.data(), buffer.size(), 0);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR))
+        return 0;
+    if (state_ == State::Idle) {
+        // Closed by the server, or bytes that belong to no request.
+        closeConnection();
+    } else if (count < 0) {
+        fail(FailureKind::Lost, "the connection was reset");
+    } else if (count == 0) {
+        ended();
+    } else if (unparsed_.empty()) {
+        read({buffer.data(), static_cast<std::size_t>(count)});
+    } else {
+        unparsed_.append(buffer.data(), static_cast<std::size_t>(count));
+        read(std::exchange(unparsed_, {}));
+    }
+    return 0;
+}
+
+bool ClientConnection::isOwnAnswer() const
+{
+    const auto &response = parser_.response();
+    if (expectedEcho_.empty() || response.status_ < firstFinalStatus)
+        return true;
+    const auto echo = headerValue(response.headers_, options_.echoedField_);
+    // Refusals need not repeat the field.
+    return echo == expectedEcho_ || (echo.empty() && response.status_ > lastSuccess);
+}
+
+void ClientConnection::read(std::string_view bytes)
+{
+    while (true) {
+        switch (parser_.feed(bytes)) {
+        case ParseState::Malformed:
+            fail(FailureKind::Lost, "the answer is malformed");
+            return;
+        case ParseState::TooLarge:
+            fail(FailureKind::Lost, "the answer is larger than the limit");
+            return;
+        case ParseState::Incomplete:
+            unparsed_ = bytes;
+            return;
+        case ParseState::Complete:
+            break;
+        }
+        if (parser_.response().status_ >= firstFinalStatus && isOwnAnswer()) {
+            answered(!bytes.empty());
+            return;
+        }
+        // An interim answer, or a late one to an earlier request: the own one follows.
+        hadForeignAnswer_ = hadForeignAnswer_ || !isOwnAnswer();
+        parser_.begin(isToHead_);
+    }
+}
+
+void ClientConnection::answered(bool hasSurplus)
+{
+    auto response = parser_.take();
+    // A request that is not written to its end would run into the next one.
+    const bool isReusable =
+            parser_.keepsAlive() && !hasSurplus && !hadForeignAnswer_ && output_.isDone();
+    auto usableFor = options_.maxIdle_;
+    if (const auto seconds = statedIdleSeconds(response.headers_))
+        usableFor = std::min(usableFor, base::Millis(*seconds * usableMillisPerSecond));
+    usableUntil_ = base::monotonicNow() + usableFor;
+    unparsed_.clear();
+    state_ = State::Idle;
+    auto &owner = owner_;
+    if (!isReusable)
+        closeConnection();
+    owner.callEnded(*this, std::move(response));
+}
+
+void ClientConnection::ended()
+{
+    if (parser_.end() == ParseState::Complete && isOwnAnswer())
+        answered(true);
+    else
+        fail(FailureKind::Lost, "the connection was closed before a whole answer");
+}
+
+void ClientConnection::fail(FailureKind kind, const char *detail)
+{
+    closeConnection();
+    owner_.callEnded(*this, tl::unexpected<Failure>(Failure{kind, detail}));
+}
+
+void ClientConnection::closeConnection()
+{
+    if (state_ == State::Closed)
+        return;
+    state_ = State::Closed;
+    reactor_.closeWatched(socket_);
+    owner_.connectionClosed(*this);
+}
+
+} // namespace net::details
--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "details/Socket.h"
+
 namespace net::details {
 
 namespace {
@@ -125,10 +127,7 @@
 int Http2Connection::handle_output(ACE_HANDLE)
 {
     if (isConnecting_) {
-        int status = 0;
-        socklen_t size = sizeof(status);
-        ::getsockopt(socket_, SOL_SOCKET, SO_ERROR, &status, &size);
-        if (status != 0) {
+        if (hasConnectFailed(socket_)) {
             closeConnection();
             return 0;
         }
--- /dev/null
+++ b/libs/net/src/details/MessageParser.cpp
@@ -0,0 +1,229 @@
+#include "details/MessageParser.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace net::details {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using BoostView = boost::beast::string_view;
+
+/** Header fields of one message; what callers of these systems send is far below. */
+constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
+
+std::string_view viewOf(BoostView text)
+{
+    return {text.data(), text.size()};
+}
+
+/** Collects header fields and body of either kind of message. */
+template<bool isRequest, typename Message>
+class Collector : public http::basic_parser<isRequest>
+{
+public:
+    explicit Collector(std::size_t maxBodyBytes)
+    {
+        this->eager(true);
+        this->header_limit(maxHeaderBytes);
+        this->body_limit(maxBodyBytes);
+    }
+
+    Message message_;
+    bool expectsContinue_ = false;
+
+protected:
+    void on_request_impl(http::verb, BoostView method, BoostView target, int, error_code &) override
+    {
+        if constexpr (isRequest) {
+            message_.method_ = viewOf(method);
+            message_.target_ = viewOf(target);
+        }
+    }
+
+    void on_response_impl(int status, BoostView, int, error_code &) override
+    {
+        if constexpr (!isRequest)
+            message_.status_ = status;
+    }
+
+    void on_field_impl(http::field name, BoostView text, BoostView value, error_code &) override
+    {
+        if (name == http::field::expect)
+            expectsContinue_ = equalsIgnoringCase(viewOf(value), "100-continue");
+        message_.headers_.push_back({std::string(viewOf(text)), std::string(viewOf(value))});
+    }
+
+    void on_header_impl(error_code &) override {}
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code &) override
+    {
+        if (length)
+            message_.body_.reserve(std::min<std::uint64_t>(*length, largestReserve));
+    }
+
+    std::size_t on_body_impl(BoostView body, error_code &) override
+    {
+        message_.body_.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, BoostView, error_code &) override {}
+
+    std::size_t on_chunk_body_impl(std::uint64_t, BoostView body, error_code &) override
+    {
+        message_.body_.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_finish_impl(error_code &) override {}
+
+private:
+    /** A stated length costs no more memory than this before its bytes have come. */
+    static constexpr std::uint64_t largestReserve = 256 * 1024;
+};
+
+using RequestCollector = Collector<true, HttpRequest>;
+using ResponseCollector = Collector<false, HttpResponse>;
+
+template<typename AnyCollector>
+ParseState feedTo(AnyCollector &collector, std::string_view &bytes)
+{
+    while (!bytes.empty() && !collector.is_done()) {
+        error_code error;
+        const auto used =
+                collector.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+        bytes.remove_prefix(used);
+        if (error == http::error::need_more)
+            break;
+        if (error)
+            return error == http::error::body_limit ? ParseState::TooLarge : ParseState::Malformed;
+        if (used == 0)
+            break;
+    }
+    return collector.is_done() ? ParseState::Complete : ParseState::Incomplete;
+}
+
+} // namespace
+
+struct RequestParser::Impl
+{
+    explicit Impl(std::size_t maxBodyBytes)
+        : maxBodyBytes_(maxBodyBytes)
+        , collector_(std::in_place, maxBodyBytes)
+    {}
+
+    const std::size_t maxBodyBytes_;
+    std::optional<RequestCollector> collector_;
+};
+
+RequestParser::RequestParser(std::size_t maxBodyBytes)
+    : impl_(std::make_unique<Impl>(maxBodyBytes))
+{}
+
+RequestParser::~RequestParser() = default;
+
+ParseState RequestParser::feed(std::string_view &bytes)
+{
+    return feedTo(*impl_->collector_, bytes);
+}
+
+bool RequestParser::hasBegun() const
+{
+    return impl_->collector_->got_some();
+}
+
+bool RequestParser::takeExpectation()
+{
+    auto &collector = *impl_->collector_;
+    return collector.is_header_done() && !collector.is_done()
+           && std::exchange(collector.expectsContinue_, false);
+}
+
+bool RequestParser::keepsAlive() const
+{
+    return impl_->collector_->keep_alive();
+}
+
+HttpRequest RequestParser::take()
+{
+    auto request = std::move(impl_->collector_->message_);
+    impl_->collector_.emplace(impl_->maxBodyBytes_);
+    return request;
+}
+
+struct ResponseParser::Impl
+{
+    explicit Impl(std::size_t maxBodyBytes)
+        : maxBodyBytes_(maxBodyBytes)
+        , collector_(std::in_place, maxBodyBytes)
+    {}
+
+    const std::size_t maxBodyBytes_;
+    std::optional<ResponseCollector> collector_;
+};
+
+ResponseParser::ResponseParser(std::size_t maxBodyBytes)
+    : impl_(std::make_unique<Impl>(maxBodyBytes))
+{}
+
+ResponseParser::~ResponseParser() = default;
+
+void ResponseParser::begin(bool isToHead)
+{
+    impl_->collector_.emplace(impl_->maxBodyBytes_);
+    impl_->collector_->skip(isToHead);
+}
+
+ParseState ResponseParser::feed(std::string_view &bytes)
+{
+    return feedTo(*impl_->collector_, bytes);
+}
+
+ParseState ResponseParser::end()
+{
+    auto &collector = *impl_->collector_;
+    if (!collector.is_header_done() || !collector.need_eof())
+        return ParseState::Malformed;
+    error_code error;
+    collector.put_eof(error);
+    return !error && collector.is_done() ? ParseState::Complete : ParseState::Malformed;
+}
+
+bool ResponseParser::hasHeaders() const
+{
+    return impl_->collector_->is_header_done();
+}
+
+bool ResponseParser::hasBegun() const
+{
+    return impl_->collector_->got_some();
+}
+
+bool ResponseParser::keepsAlive() const
+{
+    return impl_->collector_->keep_alive();
+}
+
+const HttpResponse &ResponseParser::response() const
+{
+    return impl_->collector_->message_;
+}
+
+HttpResponse ResponseParser::take()
+{
+    return std::move(impl_->collector_->message_);
+}
+
+std::string_view reasonPhrase(int status)
+{
+    return viewOf(http::obsolete_reason(static_cast<http::status>(status)));
+}
+
+} // namespace net::details
--- /dev/null
+++ b/libs/net/src/details/ServerConnection.cpp
@@ -0,0 +1,256 @@
+#include "details/ServerConnection.h"
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include <net/Reactor.h>
+#include <sys/socket.h>
+
+namespace net::details {
+
+namespace {
+
+constexpr std::size_t readChunkBytes = 64 * 1024;
+
+/** What a caller may send ahead while its request is served. */
+constexpr std::size_t mostSentAhead = 64 * 1024;
+
+/** Time in which a caller may read the answer to a request that is not read to its end. */
+constexpr base::Millis lingerTime(1000);
+
+constexpr int statusBadRequest = 400;
+constexpr int statusTooLarge = 413;
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
+constexpr std::string_view interimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/** Fields that the connection states itself. */
+bool isManagedHere(const std::string &name)
+{
+    return equalsIgnoringCase(name, "Content-Length")
+           || equalsIgnoringCase(name, "Transfer-Encoding")
+           || equalsIgnoringCase(name, "Connection") || equalsIgnoringCase(name, "Keep-Alive");
+}
+
+std::string headOf(const HttpResponse &response, bool closesAfter)
+{
+    std::string head;
+    head.reserve(512);
+    head += "HTTP/1.1 ";
+    head += std::to_string(response.status_);
+    head += ' ';
+    head += reasonPhrase(response.status_);
+    head += "\r\n";
+    for (const auto &[name, value] : response.headers_) {
+        if (isManagedHere(name))
+            continue;
+        head += name;
+        head += ": ";
+        head += value;
+        head += "\r\n";
+    }
+    if (response.status_ != statusNoContent && response.status_ != statusNotModified) {
+        head += "Content-Length: ";
+        head += std::to_string(response.body_.size());
+        head += "\r\n";
+    }
+    if (closesAfter)
+        head += "Connection: close\r\n";
+    head += "\r\n";
+    return head;
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(Reactor &reactor, int socket, std::size_t maxBodyBytes,
+                                   ServerConnectionOwner &owner)
+    : reactor_(reactor)
+    , socket_(socket)
+    , owner_(owner)
+    , parser_(maxBodyBytes)
+{
+    reactor_.watch(socket_, *this, READ_MASK);
+}
+
+ServerConnection::~ServerConnection()
+{
+    if (state_ != State::Closed)
+        reactor_.closeWatched(socket_);
+}
+
+bool ServerConnection::isIdle() const
+{
+    return state_ == State::Reading && unparsed_.empty() && !parser_.hasBegun();
+}
+
+int ServerConnection::handle_input(ACE_HANDLE)
+{
+    static thread_local std::array<char, readChunkBytes> buffer;
+    const auto count = ::recv(socket_, buffer.data(), buffer.size(), 0);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR))
+        return 0;
+    if (count <= 0) {
+        closeConnection();
+        return 0;
+    }
+    const std::string_view bytes(buffer.data(), static_cast<std::size_t>(count));
+    switch (state_) {
+    case State::Reading:
+        if (unparsed_.empty()) {
+            parse(bytes);
+        } else {
+            unparsed_ += bytes;
+            readOn();
+        }
+        break;
+    case State::Serving:
+    case State::Writing:
+        unparsed_ += bytes;
+        watch();
+        break;
+    case State::Lingering:
+    case State::Closed:
+        break;
+    }
+    return 0;
+}
+
+int ServerConnection::handle_output(ACE_HANDLE)
+{
+    write();
+    return 0;
+}
+
+void ServerConnection::readOn()
+{
+    const auto bytes = std::exchange(unparsed_, {});
+    parse(bytes);
+}
+
+void ServerConnection::parse(std::string_view bytes)
+{
+    const auto parsed = parser_.feed(bytes);
+    unparsed_.append(bytes);
+    owner_.activityChanged(*this);
+    switch (parsed) {
+    case ParseState::Malformed:
+        refuse(statusBadRequest);
+        return;
+    case ParseState::TooLarge:
+        refuse(statusTooLarge);
+        return;
+    case ParseState::Incomplete:
+        if (parser_.takeExpectation()) {
+            output_ = Output(std::string(interimAnswer), {});
+            output_.writeTo(socket_);
+        }
+        return;
+    case ParseState::Complete:
+        break;
+    }
+    closesAfterAnswer_ = !parser_.keepsAlive();
+    auto request = parser_.take();
+    isToHead_ = request.method_ == "HEAD";
+    state_ = State::Serving;
+    owner_.activityChanged(*this);
+    owner_.requestArrived(*this, std::move(request));
+}
+
+// The rest of the request is not read, so the connection cannot be used for another one.
+void ServerConnection::refuse(int status)
+{
+    state_ = State::Serving;
+    isRefusing_ = true;
+    unparsed_.clear();
+    respond({.status_ = status, .body_ = std::string(reasonPhrase(status)) + "\n"}, true);
+}
+
+void ServerConnection::respond(HttpResponse response, bool closesAfter)
+{
+    if (state_ != State::Serving)
+        return;
+    closesAfterAnswer_ = closesAfterAnswer_ || closesAfter;
+    auto head = headOf(response, closesAfterAnswer_);
+    output_ = Output(std::move(head), isToHead_ ? std::string() : std::move(response.body_));
+    state_ = State::Writing;
+    owner_.activityChanged(*this);
+    write();
+}
+
+void ServerConnection::write()
+{
+    if (state_ != State::Writing)
+        return;
+    const auto before = output_.written();
+    switch (output_.writeTo(socket_)) {
+    case Output::Progress::Failed:
+        closeConnection();
+        return;
+    case Output::Progress::Blocked:
+        if (output_.written() > before)
+            owner_.activityChanged(*this);
+        watch();
+        return;
+    case Output::Progress::Done:
+        written();
+        return;
+    }
+}
+
+void ServerConnection::written()
+{
+    output_ = {};
+    if (isRefusing_) {
+        linger();
+        return;
+    }
+    if (closesAfterAnswer_) {
+        closeConnection();
+        return;
+    }
+    state_ = State::Reading;
+    watch();
+    owner_.activityChanged(*this);
+    if (unparsed_.empty())
+        return;
+    // Posted, as the answer may have been given while the request before was handed on.
+    reactor_.post([this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired() && state_ == State::Reading)
+            readOn();
+    });
+}
+
+// A socket closed with unread bytes is reset, and the caller could lose the answer.
+void ServerConnection::linger()
+{
+    ::shutdown(socket_, SHUT_WR);
+    state_ = State::Lingering;
+    watch();
+    reactor_.schedule(lingerTime, [this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired())
+            closeConnection();
+    });
+}
+
+void ServerConnection::watch()
+{
+    ACE_Reactor_Mask mask = NULL_MASK;
+    if (state_ == State::Reading || state_ == State::Lingering || unparsed_.size() < mostSentAhead)
+        mask |= READ_MASK;
+    if (state_ == State::Writing)
+        mask |= WRITE_MASK;
+    reactor_.watch(socket_, *this, mask);
+}
+
+void ServerConnection::closeConnection()
+{
+    if (state_ == State::Closed)
+        return;
+    state_ = State::Closed;
+    reactor_.closeWatched(socket_);
+    owner_.connectionClosed(*this);
+}
+
+} // namespace net::details
--- /dev/null
+++ b/libs/net/tests/HttpClientTest.cpp
@@ -0,0 +1,196 @@
+#include <net/HttpClient.h>
+
+#include <optional>
+
+#include <gtest/gtest.h>
+#include <net/Reactor.h>
+
+#include "RawSocket.h"
+
+using base::Millis;
+using net::CallResult;
+using net::FailureKind;
+using net::HttpRequest;
+
+namespace {
+
+constexpr Millis callTimeout(5000);
+
+/** A client that checks the field "id", and a server that sends plain bytes. */
+class HttpClientBytes : public testing::Test
+{
+protected:
+    void start(HttpRequest request = {.headers_ = {{"id", "a"}}})
+    {
+        result_.reset();
+        client_.send(listener_.address(), std::move(request), callTimeout,
+                     [this](CallResult result) { result_ = std::move(result); });
+    }
+
+    CallResult result()
+    {
+        while (!result_)
+            reactor_.runFor(Millis(1));
+        return *result_;
+    }
+
+    /** A connection on which one call was answered whole. */
+    RawSocket usedConnection()
+    {
+        start();
+        auto server = listener_.accept(reactor_);
+        server.receiveUntil(reactor_, "\r\n\r\n");
+        server.send("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_TRUE(result());
+        return server;
+    }
+
+    net::Reactor reactor_;
+    RawListener listener_;
+    net::HttpClient client_{reactor_, {.echoedField_ = "id"}};
+    std::optional<CallResult> result_;
+};
+
+} // namespace
+
+TEST_F(HttpClientBytes, usesAConnectionAgain)
+{
+    const auto server = usedConnection();
+    start();
+    EXPECT_NE(server.receiveUntil(reactor_, "\r\n\r\n").find("GET / HTTP/1.1\r\n"),
+              std::string::npos);
+    server.send("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_EQ(result()->body_, "ok");
+}
+
+TEST_F(HttpClientBytes, skipsALateAnswerToAnEarlierRequest)
+{
+    start();
+    const auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nid: z\r\nContent-Length: 5\r\n\r\nalien"
+                "HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 3\r\n\r\nown");
+    EXPECT_EQ(result()->body_, "own");
+    EXPECT_TRUE(server.isClosed(reactor_));
+}
+
+TEST_F(HttpClientBytes, neverTakesAnotherRequestsAnswerForItsOwn)
+{
+    start();
+    auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nid: z\r\nContent-Length: 5\r\n\r\nalien");
+    server.close();
+    ASSERT_FALSE(result());
+    EXPECT_EQ(result().error().kind_, FailureKind::Lost);
+}
+
+TEST_F(HttpClientBytes, passesOverInterimAnswers)
+{
+    start();
+    const auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 3\r\n\r\nown");
+    EXPECT_EQ(result()->body_, "own");
+}
+
+TEST_F(HttpClientBytes, anAnswerWithoutLengthEndsWithItsConnection)
+{
+    start();
+    auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nid: a\r\n\r\npart one");
+    reactor_.runFor(Millis(20));
+    EXPECT_FALSE(result_);
+    server.send(", part two");
+    server.close();
+    EXPECT_EQ(result()->body_, "part one, part two");
+}
+
+TEST_F(HttpClientBytes, anAnswerWithoutLengthThatIsResetIsLost)
+{
+    start();
+    auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nid: a\r\n\r\npart one");
+    reactor_.runFor(Millis(20));
+    server.reset();
+    ASSERT_FALSE(result());
+    EXPECT_EQ(result().error().kind_, FailureKind::Lost);
+}
+
+TEST_F(HttpClientBytes, aCutAnswerIsLost)
+{
+    for (const auto *part :
+         {"HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 5\r\n\r\nfour",
+          "HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc",
+          "HTTP/1.1 200 OK\r\nid: a", "garbage\r\n\r\n"}) {
+        start();
+        auto server = listener_.accept(reactor_);
+        server.receiveUntil(reactor_, "\r\n\r\n");
+        server.send(part);
+        server.close();
+        ASSERT_FALSE(result()) << part;
+        EXPECT_EQ(result().error().kind_, FailureKind::Lost);
+    }
+}
+
+TEST_F(HttpClientBytes, surplusBytesEndTheConnection)
+{
+    start();
+    const auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200");
+    EXPECT_EQ(result()->body_, "ok");
+    EXPECT_TRUE(server.isClosed(reactor_));
+}
+
+TEST_F(HttpClientBytes, bytesOnAnIdleConnectionEndIt)
+{
+    const auto server = usedConnection();
+    server.send("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 5\r\n\r\nalien");
+    EXPECT_TRUE(server.isClosed(reactor_));
+    start();
+    const auto second = listener_.accept(reactor_);
+    second.receiveUntil(reactor_, "\r\n\r\n");
+    second.send("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 3\r\n\r\nown");
+    EXPECT_EQ(result()->body_, "own");
+}
+
+TEST_F(HttpClientBytes, anAnswerBeforeTheWholeBodyWasReadEndsTheConnection)
+{
+    constexpr std::size_t size = 32 * 1024 * 1024;
+    start({.method_ = "POST", .headers_ = {{"id", "a"}}, .body_ = std::string(size, 'x')});
+    const auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno");
+    EXPECT_EQ(result()->status_, 503);
+    EXPECT_LT(server.receiveUntil(reactor_, "nothing like this").size(), size);
+}
+
+TEST_F(HttpClientBytes, aConnectionClosedByTheServerIsNotUsed)
+{
+    auto server = usedConnection();
+    server.close();
+    reactor_.runFor(Millis(20));
+    start();
+    const auto second = listener_.accept(reactor_);
+    second.receiveUntil(reactor_, "\r\n\r\n");
+    second.send("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 3\r\n\r\nown");
+    EXPECT_EQ(result()->body_, "own");
+}
+
+TEST_F(HttpClientBytes, aStatedIdleTimeoutIsKept)
+{
+    start();
+    const auto first = listener_.accept(reactor_);
+    first.receiveUntil(reactor_, "\r\n\r\n");
+    first.send("HTTP/1.1 200 OK\r\nid: a\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(result());
+    start();
+    const auto second = listener_.accept(reactor_);
+    second.receiveUntil(reactor_, "\r\n\r\n");
+    second.send("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 3\r\n\r\nown");
+    EXPECT_EQ(result()->body_, "own");
+}
--- /dev/null
+++ b/libs/net/tests/HttpServerTest.cpp
@@ -0,0 +1,204 @@
+#include <net/HttpServer.h>
+
+#include <gtest/gtest.h>
+#include <net/Reactor.h>
+
+#include "RawSocket.h"
+
+using base::Millis;
+using net::HttpRequest;
+
+namespace {
+
+/** A server whose answers repeat method, target and body, and a caller that sends plain bytes. */
+class HttpServerBytes : public testing::Test
+{
+protected:
+    void serve(net::HttpServerOptions options = {})
+    {
+        options.listen_ = {"127.0.0.1", 0};
+        server_ = std::move(*net::HttpServer::start(
+                reactor_, options,
+                [this](net::ExchangeId id, HttpRequest request) {
+                    ++requests_;
+                    if (isHolding_) {
+                        held_ = id;
+                        return;
+                    }
+                    server_->respond(
+                            id, {.body_ = request.method_ + request.target_ + request.body_ + "|"});
+                },
+                [this](net::ExchangeId id) { hungUp_ = id; }));
+        address_ = {"127.0.0.1", server_->port()};
+    }
+
+    void turn(Millis time) { reactor_.runFor(time); }
+
+    net::Reactor reactor_;
+    std::unique_ptr<net::HttpServer> server_;
+    model::Address address_;
+    int requests_ = 0;
+    bool isHolding_ = false;
+    net::ExchangeId held_ = 0;
+    net::ExchangeId hungUp_ = 0;
+};
+
+} // namespace
+
+TEST_F(HttpServerBytes, readsABodySentInChunksAndPieces)
+{
+    serve();
+    const auto caller = RawSocket::connectTo(address_);
+    for (const auto *piece : {"POST /a?b HTTP/1.1\r\nTransfer-", "Encoding: chunked\r\n\r\n3\r\nab",
+                              "c\r\n2;x=y\r\nde\r\n0\r", "\n\r\n"}) {
+        caller.send(piece);
+        turn(Millis(5));
+    }
+    const auto answer = caller.receiveUntil(reactor_, "|");
+    EXPECT_NE(answer.find("HTTP/1.1 200 OK\r\n"), std::string::npos);
+    EXPECT_NE(answer.find("POST/a?babcde|"), std::string::npos);
+}
+
+TEST_F(HttpServerBytes, answersRequestsSentAheadInTheirOrder)
+{
+    serve();
+    const auto caller = RawSocket::connectTo(address_);
+    caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\n\r\n");
+    const auto answers = caller.receiveUntil(reactor_, "/3|");
+    EXPECT_LT(answers.find("/1|"), answers.find("/2|"));
+    EXPECT_LT(answers.find("/2|"), answers.find("/3|"));
+}
+
+TEST_F(HttpServerBytes, asksForABodyThatWaitsForAnInterimAnswer)
+{
+    serve();
+    const auto caller = RawSocket::connectTo(address_);
+    caller.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    EXPECT_EQ(caller.receiveUntil(reactor_, "\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+    caller.send("ok");
+    EXPECT_NE(caller.receiveUntil(reactor_, "|").find("POST/ok|"), std::string::npos);
+}
+
+TEST_F(HttpServerBytes, refusesWhatIsNoRequestAndCloses)
+{
+    serve();
+    const auto caller = RawSocket::connectTo(address_);
+    caller.send("this is no request\r\n\r\n");
+    EXPECT_TRUE(caller.receiveUntil(reactor_, "\r\n\r\n").starts_with("HTTP/1.1 400 "));
+    EXPECT_TRUE(caller.isClosed(reactor_));
+    EXPECT_EQ(requests_, 0);
+}
+
+TEST_F(HttpServerBytes, refusesABodyOverTheLimitAndCloses)
+{
+    serve({.maxBodyBytes_ = 10});
+    const auto caller = RawSocket::connectTo(address_);
+    caller.send("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+    EXPECT_TRUE(caller.receiveUntil(reactor_, "\r\n\r\n").starts_with("HTTP/1.1 413 "));
+    caller.send("01234567890");
+    EXPECT_TRUE(caller.isClosed(reactor_));
+    EXPECT_EQ(requests_, 0);
+}
+
+TEST_F(HttpServerBytes, closesWhenTheCallerAsksForIt)
+{
+    serve();
+    const auto caller = RawSocket::connectTo(address_);
+    caller.send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    EXPECT_NE(caller.receiveUntil(reactor_, "|").find("Connection: close\r\n"), std::string::npos);
+    EXPECT_TRUE(caller.isClosed(reactor_));
+}
+
+TEST_F(HttpServerBytes, closesAfterAnswersWhenToldSo)
+{
+    serve();
+    server_->closeAfterAnswers();
+    const auto caller = RawSocket::connectTo(address_);
+    caller.send("GET / HTTP/1.1\r\n\r\n");
+    EXPECT_NE(caller.receiveUntil(reactor_, "|").find("Connection: close\r\n"), std::string::npos);
+    EXPECT_TRUE(caller.isClosed(reactor_));
+}
+
+TEST_F(HttpServerBytes, answersHeadWithoutABody)
+{
+    serve();
+    const auto caller = RawSocket::connectTo(address_);
+    caller.send("HEAD / HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n\r\n");
+    const auto answers = caller.receiveUntil(reactor_, "/next|");
+    EXPECT_NE(answers.find("Content-Length: 6\r\n"), std::string::npos);
+    EXPECT_EQ(answers.find("HEAD/|"), std::string::npos);
+}
+
+TEST_F(HttpServerBytes, tellsOfACallerThatLeavesWhileItsRequestIsServed)
+{
+    serve();
+    isHolding_ = true;
+    auto caller = RawSocket::connectTo(address_);
+    caller.send("GET / HTTP/1.1\r\n\r\n");
+    while (held_ == 0)
+        turn(Millis(1));
+    caller.close();
+    while (hungUp_ == 0)
+        turn(Millis(1));
+    EXPECT_EQ(hungUp_, held_);
+    server_->respond(held_, {});
+}
+
+TEST_F(HttpServerBytes, deliversALargeAnswerToASlowReader)
+{
+    constexpr std::size_t size = 8 * 1024 * 1024;
+    serve();
+    isHolding_ = true;
+    const auto caller = RawSocket::connectTo(address_);
+    caller.send("GET / HTTP/1.1\r\n\r\n");
+    while (held_ == 0)
+        turn(Millis(1));
+    server_->respond(held_, {.body_ = std::string(size, 'x') + "end"});
+    turn(Millis(50));
+    EXPECT_GT(caller.receiveUntil(reactor_, "end").size(), size);
+}
+
+TEST_F(HttpServerBytes, closesTheConnectionIdleLongestWhenAnotherNeedsItsPlace)
+{
+    serve({.maxConnections_ = 2});
+    const auto first = RawSocket::connectTo(address_);
+    first.send("GET /1 HTTP/1.1\r\n\r\n");
+    first.receiveUntil(reactor_, "/1|");
+    const auto second = RawSocket::connectTo(address_);
+    second.send("GET /2 HTTP/1.1\r\n\r\n");
+    second.receiveUntil(reactor_, "/2|");
+    const auto third = RawSocket::connectTo(address_);
+    third.send("GET /3 HTTP/1.1\r\n\r\n");
+    EXPECT_NE(third.receiveUntil(reactor_, "/3|").find("/3|"), std::string::npos);
+    EXPECT_TRUE(first.isClosed(reactor_));
+    second.send("GET /4 HTTP/1.1\r\n\r\n");
+    EXPECT_NE(second.receiveUntil(reactor_, "/4|").find("/4|"), std::string::npos);
+}
+
+TEST_F(HttpServerBytes, aRequestInProgressKeepsItsConnection)
+{
+    serve({.maxConnections_ = 1});
+    isHolding_ = true;
+    const auto first = RawSocket::connectTo(address_);
+    first.send("GET /1 HTTP/1.1\r\n\r\n");
+    while (held_ == 0)
+        turn(Millis(1));
+    isHolding_ = false;
+    const auto second = RawSocket::connectTo(address_);
+    second.send("GET /2 HTTP/1.1\r\n\r\n");
+    turn(Millis(50));
+    EXPECT_EQ(hungUp_, 0U);
+    server_->respond(held_, {.body_ = "held|"});
+    EXPECT_NE(first.receiveUntil(reactor_, "held|").find("held|"), std::string::npos);
+    EXPECT_NE(second.receiveUntil(reactor_, "/2|").find("/2|"), std::string::npos);
+}
+
+TEST_F(HttpServerBytes, closesAConnectionWhoseCallerDoesNotGetOn)
+{
+    serve({.idleTimeout_ = Millis(100)});
+    const auto caller = RawSocket::connectTo(address_);
+    caller.send("GET / HTTP/1.1\r\nX: ");
+    turn(Millis(1500));
+    EXPECT_TRUE(caller.isClosed(reactor_));
+    EXPECT_EQ(requests_, 0);
+}
