Repeat refused calls below the first hop; a ratio of their own

A route with two attempts has one extra attempt, half of which, rounded down, is handed on: no call below the root was ever repeated, also after cut or garbled answers.

Change: refusals by backend servers, which ran nothing, are repeated up to three times, paid for by a ratio of their class (half of the platform's), best priorities first while they are short. A chain has 16 extra attempts for runs, each call those of its route; their ratio is a tenth of the platform's, as up to four routes repeat one another's calls.

--- a/libs/admission/src/details/LevelController.h
+++ b/libs/admission/include/admission/LevelController.h
@@ -5,24 +5,27 @@
 #include <admission/Level.h>
 #include <admission/Priority.h>
 
-namespace admission::details {
+namespace admission {
 
 /**
- * Keeps the level reported to callers: down to what the instance can start while it is
- * overloaded, and back up in growing steps when it is not.
+ * Keeps the level at which something that is short is given out, best priorities first: down to
+ * what was given out lately while it is short, and back up in growing steps when it is not.
  */
 class LevelController
 {
 public:
     Level level() const { return level_; }
 
+    /** A request asked for it. */
     void noteArrived(const Priority &priority);
+
+    /** A request got it. */
     void noteStarted();
 
     /** A request was refused because better ones take all capacity. */
     void noteShed(const Priority &priority);
 
-    /** Ends a window; isLate: requests waited too long before they started or expired. */
+    /** Ends a window; isLate: there was less than was asked for. */
     void closeWindow(bool isLate);
 
 private:
@@ -38,4 +41,4 @@
     static constexpr int largestStep = Priority::bucketCount;
 };
 
-} // namespace admission::details
+} // namespace admission
--- a/libs/admission/src/details/LevelController.cpp
+++ b/libs/admission/src/LevelController.cpp
@@ -1,8 +1,8 @@
-#include <details/LevelController.h>
+#include <admission/LevelController.h>
 
 #include <algorithm>
 
-namespace admission::details {
+namespace admission {
 
 namespace {
 
@@ -56,4 +56,4 @@
         count *= windowDecay;
 }
 
-} // namespace admission::details
+} // namespace admission
--- a/libs/admission/src/details/State.h
+++ b/libs/admission/src/details/State.h
@@ -10,10 +10,10 @@
 #include <admission/Command.h>
 #include <admission/Event.h>
 #include <admission/Level.h>
+#include <admission/LevelController.h>
 #include <admission/Options.h>
 #include <details/ConcurrencyLimit.h>
 #include <details/Customers.h>
-#include <details/LevelController.h>
 #include <details/ServiceTimes.h>
 #include <details/WaitQueue.h>
 
--- a/libs/dock/include/dock/CallInfo.h
+++ b/libs/dock/include/dock/CallInfo.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +37,8 @@
     std::uint32_t budget_ = 0;        ///< extra attempts that its class allows a root request
     bool isRetriedAtEachHop_ = false; ///< baseline mode: no budget of the whole chain
     double retryRatio_ = 0;
+    double refusedRatio_ = 0; ///< of attempts that repeat one refused by a backend server
+    std::uint32_t mostRepeats_ = std::numeric_limits<std::uint32_t>::max(); ///< of this call
     std::string contextToken_; ///< of the running call that made this call, or empty
     bool hasUnknownContext_ = false;
 
@@ -49,7 +52,7 @@
 /** The call without the header fields and body of its request. */
 CallInfo withoutContent(const CallInfo &call);
 
-/** Where the call's budget of retries comes from. */
-retry::Origin originOf(const CallInfo &call);
+/** Tells the retry decision of a call that starts under the id. */
+retry::CallStarted callStarted(retry::CallId id, const CallInfo &call);
 
 } // namespace dock
--- a/libs/dock/src/CallInfo.cpp
+++ b/libs/dock/src/CallInfo.cpp
@@ -32,6 +32,9 @@
             .hasUnknownContext_ = call.hasUnknownContext_};
 }
 
+namespace {
+
+/** Where the call's budget of retries comes from. */
 retry::Origin originOf(const CallInfo &call)
 {
     if (call.isRetriedAtEachHop_)
@@ -46,4 +49,20 @@
     return retry::RootCall{call.budget_};
 }
 
+} // namespace
+
+retry::CallStarted callStarted(retry::CallId id, const CallInfo &call)
+{
+    return {.call_ = id,
+            .origin_ = originOf(call),
+            .customer_ = call.customer_,
+            .requestClass_ = call.class_.name_,
+            .ratio_ = call.retryRatio_,
+            .refusedRatio_ = call.refusedRatio_,
+            .mostRepeats_ = call.mostRepeats_,
+            .priority_ = call.priority_,
+            .idempotent_ = call.class_.idempotent_,
+            .deadline_ = call.deadline_};
+}
+
 } // namespace dock
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -43,6 +43,9 @@
 /** Further instances that a request on a route is sent to as long as none ran or refused it. */
 constexpr std::uint32_t freeRouteAttempts = 3;
 
+/** Further instances that a request on a route is sent to after refusals by backend servers. */
+constexpr std::uint32_t repeatedRefusals = 3;
+
 std::uint64_t randomSeed()
 {
     std::uint64_t seed = 0;
@@ -161,6 +164,7 @@
         result.initialTokens_ = savedRouteRetries;
         result.maxTokens_ = savedRouteRetries;
         result.freeUnreached_ = freeRouteAttempts;
+        result.mostRefused_ = repeatedRefusals;
     }
     if (settings.mode_ == settings::Mode::Baseline) {
         // Three retries at each hop without regard to load, as many a client library does.
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -34,13 +34,9 @@
 retry::CallId IdempotentCalls::start(CallInfo call, Done done)
 {
     const auto id = nextId_++;
-    const retry::CallStarted event{.call_ = id,
-                                   .origin_ = originOf(call),
-                                   .customer_ = call.customer_,
-                                   .requestClass_ = call.class_.name_,
-                                   .ratio_ = call.retryRatio_,
-                                   .idempotent_ = true,
-                                   .deadline_ = call.deadline_};
+    auto event = callStarted(id, call);
+    // An issued key can name a class that is idempotent in this daemon's configuration only.
+    event.idempotent_ = true;
     calls_[id] = {.info_ = std::move(call), .done_ = std::move(done)};
     // Posted, so that done never runs before the caller knows the call's id.
     reactor_.post([this, event, alive = isAlive_] {
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -120,14 +120,9 @@
         record.waiter_ = order.waiter_;
         record.info_ = waiting->second.info_;
         const auto &info = record.info_;
-        perform(retry_.handle(retry::CallStarted{.call_ = order.record_,
-                                                 .origin_ = originOf(info),
-                                                 .customer_ = info.customer_,
-                                                 .requestClass_ = info.class_.name_,
-                                                 .ratio_ = info.retryRatio_,
-                                                 .idempotent_ = false,
-                                                 .deadline_ = info.deadline_},
-                              now));
+        auto event = callStarted(order.record_, info);
+        event.idempotent_ = false;
+        perform(retry_.handle(event, now));
         return;
     }
     const auto found = records_.find(order.record_);
--- a/libs/dock/src/details/RequestReader.cpp
+++ b/libs/dock/src/details/RequestReader.cpp
@@ -18,10 +18,16 @@
 constexpr std::uint32_t baselineRetries = 3;
 
 /**
- * Part of a service's retry budget that the calls of one route use. A run that is repeated repeats
- * its calls, so the services of a chain of four routes above one another share its budget.
+ * Parts of a service's retry budget that the calls of one route use. A run that is repeated repeats
+ * its calls, so with four routes above one another the deepest service sees the first part four
+ * times. A refused attempt ran nothing, and is seen by its own service only. What is left over is
+ * for the windows in which calls are counted here and by the platform.
  */
-constexpr double shareOfRetryBudget = 0.2;
+constexpr double shareForRepeatedRuns = 0.1;
+constexpr double shareForRefusals = 0.5;
+
+/** Further attempts in the whole chain of a request on a route, whatever its depth. */
+constexpr std::uint32_t chainBudgetOfRoutes = 16;
 
 /** Customer of requests that state none, or one that the configuration does not name. */
 const std::string defaultCustomer = "default";
@@ -222,8 +228,11 @@
 
 void RequestReader::addRouteTolerance(CallInfo &call, std::uint32_t maxAttempts) const
 {
-    call.budget_ = maxAttempts - std::min(maxAttempts, 1U);
-    call.retryRatio_ = settings_.platform_->retryBudgetRatio_ * shareOfRetryBudget;
+    const auto ratio = settings_.platform_->retryBudgetRatio_;
+    call.budget_ = chainBudgetOfRoutes;
+    call.mostRepeats_ = maxAttempts - std::min(maxAttempts, 1U);
+    call.retryRatio_ = ratio * shareForRepeatedRuns;
+    call.refusedRatio_ = ratio * shareForRefusals;
 }
 
 } // namespace dock::details
--- a/libs/retry/include/retry/Command.h
+++ b/libs/retry/include/retry/Command.h
@@ -28,6 +28,7 @@
     MayHaveRun,       ///< lost, and not idempotent
     BudgetSpent,      ///< no extra attempt left for the whole chain
     RatioSpent,       ///< too many retries of this customer and class
+    RefusalsRepeated, ///< too many refusals of this customer and class to repeat them all
     CalleeOverloaded, ///< several instances refused it as overloaded
     DeadlineNear,     ///< another attempt could not end in time
     TooDeep,          ///< the call chain is too deep; no attempt was made
--- a/libs/retry/include/retry/Event.h
+++ b/libs/retry/include/retry/Event.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <variant>
 
+#include <admission/Priority.h>
 #include <base/Millis.h>
 
 namespace retry {
@@ -44,6 +46,14 @@
     std::string customer_;
     std::string requestClass_;
     double ratio_ = 0; ///< model::RetryTolerance::ratio_
+
+    /** The same for attempts that repeat one refused by a backend server. */
+    double refusedRatio_ = 0;
+
+    /** Further attempts of this call, whatever the budget of the chain. */
+    std::uint32_t mostRepeats_ = std::numeric_limits<std::uint32_t>::max();
+
+    admission::Priority priority_; ///< better ones get what is left of refusedRatio_
     bool idempotent_ = false;
     base::Millis deadline_;
 
--- a/libs/retry/include/retry/RetrySettings.h
+++ b/libs/retry/include/retry/RetrySettings.h
@@ -21,6 +21,12 @@
      */
     std::uint32_t freeUnreached_ = 0;
 
+    /**
+     * Further attempts of a call after refusals by backend servers, which did no work: paid for by
+     * CallStarted::refusedRatio_ instead of the budget of the chain. 0: paid for like all others.
+     */
+    std::uint32_t mostRefused_ = 0;
+
     bool operator==(const RetrySettings &) const = default;
 };
 
