--- a/libs/dock/include/dock/InstanceSelector.h
+++ b/libs/dock/include/dock/InstanceSelector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -7,6 +8,7 @@
 #include <admission/AnswerLevels.h>
 #include <admission/EntryLevels.h>
 #include <admission/Priority.h>
+#include <admission/ReturnTimes.h>
 #include <base/Millis.h>
 #include <dock/CallInfo.h>
 #include <model/Member.h>
@@ -39,7 +41,7 @@
     using Names = std::vector<std::string>;
 
     /** The routing decision must outlive the selector. */
-    InstanceSelector(routing::Core &routing, ParentLevel onParentLevel);
+    InstanceSelector(routing::Core &routing, std::uint64_t seed, ParentLevel onParentLevel);
 
     /**
      * Picks an instance: one that was not tried, if there is one; never one of those to avoid.
@@ -52,12 +54,15 @@
     void observe(const CallInfo &call, const admission::AnswerLevels &levels, base::Millis now);
 
     /** Forgets what has expired. */
-    void prune(base::Millis now) { levels_.prune(now); }
+    void prune(base::Millis now);
 
 private:
+    once::NotRun overloaded(const CallInfo &call, base::Millis now);
+
     routing::Core &routing_;
     ParentLevel onParentLevel_;
     admission::EntryLevels levels_;
+    admission::ReturnTimes returnTimes_;
 };
 
 } // namespace dock
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -76,7 +76,7 @@
                       contexts, randomSeed())
         , recorder_(settings.traceFile_)
         , sender_(reactor, client, executor, routing_, settings.id_)
-        , selector_(routing_,
+        , selector_(routing_, randomSeed(),
                     [this](const CallInfo &call, admission::Level level) {
                         executor_.observeLevel(call.contextToken_, call.service_, level);
                     })
--- a/libs/dock/src/InstanceSelector.cpp
+++ b/libs/dock/src/InstanceSelector.cpp
@@ -6,26 +6,26 @@
 
 namespace {
 
-constexpr base::Millis retryWhenShedFurtherDown(1000);
-
 admission::CallScope scopeOf(const CallInfo &call)
 {
     return {call.service_, call.class_.name_, call.customer_};
 }
 
-once::NotRun notRunOf(const routing::NoChoice &none)
-{
-    const bool isShed = none.reason_ == routing::NoChoiceReason::AllShed;
-    return {isShed ? once::Reason::Overloaded : once::Reason::NoInstance, none.retryAfter_};
-}
-
 } // namespace
 
-InstanceSelector::InstanceSelector(routing::Core &routing, ParentLevel onParentLevel)
+InstanceSelector::InstanceSelector(routing::Core &routing, std::uint64_t seed,
+                                   ParentLevel onParentLevel)
     : routing_(routing)
     , onParentLevel_(std::move(onParentLevel))
+    , returnTimes_(seed)
 {}
 
+once::NotRun InstanceSelector::overloaded(const CallInfo &call, base::Millis now)
+{
+    const auto scope = admission::scopeKey(call.class_.name_, call.customer_);
+    return {once::Reason::Overloaded, returnTimes_.refused(scope, now)};
+}
+
 tl::expected<Selected, once::NotRun> InstanceSelector::select(const CallInfo &call,
                                                               const Names &avoid,
                                                               const Names &tried, base::Millis now)
@@ -33,7 +33,7 @@
     const auto scope = scopeOf(call);
     // Refused before any work, as a service further down would refuse it after some.
     if (!levels_.admits(scope, call.priority_, now))
-        return tl::unexpected(once::NotRun{once::Reason::Overloaded, retryWhenShedFurtherDown});
+        return tl::unexpected(overloaded(call, now));
     const auto routed = levels_.routed(scope, call.priority_, now);
     if (!tried.empty()) {
         auto excluded = avoid;
@@ -43,14 +43,23 @@
     }
     const auto choice = routing_.choose(call.service_, routed, avoid, now);
     if (!choice) {
+        const auto &none = choice.error();
+        if (none.reason_ != routing::NoChoiceReason::AllShed)
+            return tl::unexpected(once::NotRun{once::Reason::NoInstance, none.retryAfter_});
         // Without this the parent's roots would go on although none of their calls is sent.
-        if (call.isChild() && choice.error().reason_ == routing::NoChoiceReason::AllShed)
+        if (call.isChild())
             onParentLevel_(call, routing_.level(call.service_, now));
-        return tl::unexpected(notRunOf(choice.error()));
+        return tl::unexpected(overloaded(call, now));
     }
     return Selected{*choice->member_, routed};
 }
 
+void InstanceSelector::prune(base::Millis now)
+{
+    levels_.prune(now);
+    returnTimes_.prune(now);
+}
+
 void InstanceSelector::observe(const CallInfo &call, const admission::AnswerLevels &levels,
                                base::Millis now)
 {
