Send fewer calls to an instance that fails more of them than the best

Cause: a backend server that fails or refuses a part of its requests (srv_grey) while its probes are good gets the full share of its data centre, as only failures in a row ejected an instance and refusals reset the count. With 45 % failures a request of five calls is complete for 5 in 100.

Change: routing keeps the share of failures of the last calls of each instance; one that is 15 in 100 worse than the best of its service is passed over for a part of its calls that grows with the difference, but for a tenth. Failures that all instances share move nothing.

--- a/libs/dock/src/AttemptSender.cpp
+++ b/libs/dock/src/AttemptSender.cpp
@@ -27,16 +27,30 @@
     return routing::FailureKind::Lost;
 }
 
+/** Status from which on an answer says that the backend server failed. */
+constexpr int firstServerError = 500;
+
 routing::AnswerKind answerKindOf(const once::Outcome &outcome)
 {
+    using routing::AnswerKind;
     return std::visit(base::Overloaded{
-                              [](const once::Complete &) { return routing::AnswerKind::Complete; },
+                              [](const once::Complete &whole) {
+                                  return whole.answer_->status_ >= firstServerError
+                                                 ? AnswerKind::Failed
+                                                 : AnswerKind::Complete;
+                              },
                               [](const once::NotRun &why) {
+                                  if (why.reason_ == once::Reason::BackendRefused)
+                                      return AnswerKind::Failed;
                                   return why.reason_ == once::Reason::Overloaded
-                                                 ? routing::AnswerKind::Shed
-                                                 : routing::AnswerKind::Refused;
+                                                 ? AnswerKind::Shed
+                                                 : AnswerKind::Refused;
+                              },
+                              [](const once::Unknown &why) {
+                                  return why.reason_ == once::Reason::AnswerLost
+                                                 ? AnswerKind::Failed
+                                                 : AnswerKind::Unknown;
                               },
-                              [](const once::Unknown &) { return routing::AnswerKind::Unknown; },
                       },
                       outcome);
 }
--- a/libs/routing/include/routing/Event.h
+++ b/libs/routing/include/routing/Event.h
@@ -31,6 +31,7 @@
 /** What an instance answered, as far as routing is concerned. */
 enum class AnswerKind : std::uint8_t {
     Complete, ///< an answer of the backend server
+    Failed,   ///< its backend server refused or failed it, or gave no whole answer
     Shed,     ///< not run, for overload
     Refused,  ///< not run, for another reason: leaving, deadline, limit of the customer
     Unknown,  ///< the instance's daemon does not know whether the backend server ran it
--- a/libs/routing/include/routing/Options.h
+++ b/libs/routing/include/routing/Options.h
@@ -28,6 +28,10 @@
     /** Shorter than the 5 s in which the system has to be back to normal after a surge. */
     base::Millis longestEjection_ = base::Millis(4000);
 
+    /** An instance that fails by this much more of its calls than the best one gets fewer. */
+    double outlierMargin_ = 0.15;
+    double leastOutlierShare_ = 0.1; ///< of its calls, so that its recovery is noticed
+
     base::Millis drainMemory_ = base::Millis(10000); ///< "leaving" on an answer holds this long
     base::Millis hintExpiry_ = base::Millis(5000);   ///< of health and load reports
 
--- a/libs/routing/src/details/Instance.cpp
+++ b/libs/routing/src/details/Instance.cpp
@@ -14,6 +14,8 @@
 // An instance found full is used again once a fifth of its slots is free.
 constexpr double fullUntil = 0.8;
 constexpr int mostDoublings = 10;
+// Weight of one call in the share of failures, which so covers about the last 32.
+constexpr double failureWeight = 1.0 / 32;
 
 } // namespace
 
@@ -38,6 +40,7 @@
     ejectedUntil_ = base::Millis();
     failuresInRow_ = 0;
     ejections_ = 0;
+    failureShare_ = 0.0;
 }
 
 void Instance::noteSent(const admission::Priority &priority, const Options &options,
@@ -71,6 +74,8 @@
     failuresInRow_ = 0;
     if (answer.kind_ == AnswerKind::Complete)
         ejections_ = std::max(0, ejections_ - 1);
+    if (answer.kind_ == AnswerKind::Complete || answer.kind_ == AnswerKind::Failed)
+        noteQuality(answer.kind_ == AnswerKind::Failed);
     if (answer.isLeaving_)
         leavingUntil_ = now + options.drainMemory_;
     level_ = answer.level_;
@@ -86,8 +91,15 @@
 void Instance::noteFailed(FailureKind kind)
 {
     noteEnded();
-    if (kind != FailureKind::Cancelled)
-        ++failuresInRow_;
+    if (kind == FailureKind::Cancelled)
+        return;
+    ++failuresInRow_;
+    noteQuality(true);
+}
+
+void Instance::noteQuality(bool hasFailed)
+{
+    failureShare_ += failureWeight * ((hasFailed ? 1.0 : 0.0) - failureShare_);
 }
 
 void Instance::noteReported(const Reported &report, const Options &options, base::Millis now)
--- a/libs/routing/src/details/Instance.h
+++ b/libs/routing/src/details/Instance.h
@@ -47,6 +47,9 @@
     bool isDraining(base::Millis now) const;
     bool isFull() const { return isFull_; }
 
+    /** Part of its last calls that failed, from 0 to 1. */
+    double failureShare() const { return failureShare_; }
+
     /** Level from answers, or Level::all() when it is time to try again. */
     admission::Level level(base::Millis now) const;
     base::Millis levelUntil() const { return levelUntil_; }
@@ -57,6 +60,7 @@
 private:
     double warmth(const Options &options, base::Millis now) const;
     void noteEnded();
+    void noteQuality(bool hasFailed);
     void noteFull(const Options &options, base::Millis now);
 
     std::shared_ptr<const model::Member> member_;
@@ -70,6 +74,7 @@
     base::Millis ejectedUntil_;
     base::Millis hintUntil_;
     double hintWeight_ = 1.0;
+    double failureShare_ = 0.0;
     int failuresInRow_ = 0;
     int ejections_ = 0;
 };
--- a/libs/routing/src/details/Pool.cpp
+++ b/libs/routing/src/details/Pool.cpp
@@ -1,6 +1,7 @@
 #include <details/Pool.h>
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -18,6 +19,10 @@
     return member.region_ == options.region_ ? Tier::OwnRegion : Tier::Elsewhere;
 }
 
+/** How much sooner an instance loses calls than it loses in quality: 45 % failures leave a tenth.
+ */
+constexpr double outlierExponent = 4;
+
 /** Which instances a pass over the tiers may pick; later passes include those of earlier ones. */
 enum class Pass : std::uint8_t {
     Free,
@@ -31,10 +36,12 @@
 {
 public:
     Search(const Options &options, const admission::Priority &priority,
-           std::span<const std::string> excluded, base::Random &random, base::Millis now)
+           std::span<const std::string> excluded, double leastFailureShare, base::Random &random,
+           base::Millis now)
         : options_(options)
         , priority_(priority)
         , excluded_(excluded)
+        , leastFailureShare_(leastFailureShare)
         , random_(random)
         , now_(now)
     {}
@@ -53,11 +60,13 @@
     };
 
     bool isCandidate(const Instance &instance, Pass pass);
+    bool isSparedAsOutlier(const Instance &instance);
     std::size_t draw();
 
     const Options &options_;
     const admission::Priority &priority_;
     std::span<const std::string> excluded_;
+    double leastFailureShare_; ///< of the instances of the service
     base::Random &random_;
     base::Millis now_;
     std::array<Candidate, Pool::largestSubset> candidates_;
@@ -84,11 +93,21 @@
         shedUntil_ = std::min(shedUntil_, instance.levelUntil());
         return false;
     }
-    if (pass == Pass::Free && instance.isFull())
+    if (pass == Pass::Free && (instance.isFull() || isSparedAsOutlier(instance)))
         return false;
     return pass == Pass::AlsoEjected || !instance.isEjected(now_);
 }
 
+// Failures that all instances share say nothing about one of them: a service further down fails.
+bool Search::isSparedAsOutlier(const Instance &instance)
+{
+    if (instance.failureShare() - leastFailureShare_ <= options_.outlierMargin_)
+        return false;
+    const double quality = (1.0 - instance.failureShare()) / (1.0 - leastFailureShare_);
+    const double share = std::max(options_.leastOutlierShare_, std::pow(quality, outlierExponent));
+    return random_.unit() >= share;
+}
+
 // Takes one candidate out at random, by weight, and returns its place behind the others.
 std::size_t Search::draw()
 {
@@ -151,7 +170,12 @@
                                             std::span<const std::string> excluded,
                                             base::Random &random, base::Millis now) const
 {
-    Search search(options, priority, excluded, random, now);
+    double leastFailureShare = 1.0;
+    for (const Instances &tier : tiers_) {
+        for (const auto &instance : tier)
+            leastFailureShare = std::min(leastFailureShare, instance->failureShare());
+    }
+    Search search(options, priority, excluded, leastFailureShare, random, now);
     for (const Pass pass : {Pass::Free, Pass::AlsoFull, Pass::AlsoInProgress, Pass::AlsoEjected}) {
         for (const Instances &tier : tiers_) {
             if (const Instance *instance = search.pick(tier, pass))
