Leave slots free where a nearly full backend server is slow

The limit moves on trial only when service times double.

Change: admission::SpareSlots compares, while requests wait, service times with all slots and with 94 of 100, and keeps what serves more.

--- a/libs/admission/src/details/ConcurrencyLimit.cpp
+++ b/libs/admission/src/details/ConcurrencyLimit.cpp
@@ -32,12 +32,14 @@
     slots_ = slots;
     limit_ = std::min<double>(limit_, slots);
     trial_ = Trial::None;
+    spare_.setSlots(slots);
 }
 
 void ConcurrencyLimit::closeWindow(const Window &window)
 {
     if (slots_ == 0)
         return;
+    spare_.closeWindow(window.served_, window.wasBound_);
     round_.count_ += window.served_.count_;
     round_.measuredMillis_ += window.served_.measuredMillis_;
     round_.baselineMillis_ += window.served_.baselineMillis_;
--- a/libs/admission/src/details/ConcurrencyLimit.h
+++ b/libs/admission/src/details/ConcurrencyLimit.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 #include <details/ServiceTimes.h>
+#include <details/SpareSlots.h>
 
 namespace admission::details {
 
@@ -19,7 +21,10 @@
 public:
     void setSlots(std::uint32_t slots);
 
-    std::uint32_t value() const { return static_cast<std::uint32_t>(limit_); }
+    std::uint32_t value() const
+    {
+        return std::min(static_cast<std::uint32_t>(limit_), spare_.usable());
+    }
 
     /** What was measured in one window. */
     struct Window
@@ -53,6 +58,7 @@
     void grow();
 
     std::uint32_t slots_ = 0;
+    SpareSlots spare_;
     double limit_ = 0.0;
     double slowdown_ = 0.0; ///< service time over its baseline in the last round
     ServedWork round_;
--- a/libs/admission/tests/OverloadTest.cpp
+++ b/libs/admission/tests/OverloadTest.cpp
@@ -100,6 +100,30 @@
     EXPECT_GE(model.completed(protectedRank, 20, 60) / 40.0, 0.5 * 500.0);
 }
 
+// The deep services of both users work 1.3 times as long from 95 % of their slots on.
+TEST(Overload, slotsStayFreeWhereANearlyFullServerIsSlow)
+{
+    constexpr std::uint32_t slots = 74;
+    const auto knee = [](std::size_t running, Millis) {
+        return static_cast<double>(running) >= 0.95 * slots ? 1.3 : 1.0;
+    };
+    QueueingModel model({.slots_ = slots, .meanServiceMillis_ = 40.0, .slowdown_ = knee});
+    model.add({protectedRank, "", 0.5 * model.capacity(), Millis(1), Millis(5000)});
+    model.add({protectedRank, "", 2.0 * model.capacity(), Millis(5000), Millis(30000)});
+    model.run(Millis(30000));
+    // All slots would be served at 0.77 of the capacity, 69 of them at 0.93.
+    EXPECT_GE(model.completed(protectedRank, 10, 30) / 20.0, 0.9 * model.capacity());
+}
+
+TEST(Overload, allSlotsAreUsedWhereAFullServerIsNotSlow)
+{
+    QueueingModel model({.slots_ = 74, .meanServiceMillis_ = 40.0});
+    model.add({protectedRank, "", 0.5 * model.capacity(), Millis(1), Millis(5000)});
+    model.add({protectedRank, "", 2.0 * model.capacity(), Millis(5000), Millis(30000)});
+    model.run(Millis(30000));
+    EXPECT_GE(model.completed(protectedRank, 10, 30) / 20.0, 0.95 * model.capacity());
+}
+
 TEST(Overload, limitStaysWhenWhatTheInstanceWaitsForIsSlow)
 {
     const auto slowService = [](std::size_t, Millis now) {
