Keep the backend server of a restarting daemon in use for longer

After all daemons were killed, no instance is known for 1.8 s, as a join is tried again only each second; a restarted one gets its full share after 10 s.

A tick each 50 ms while no request waits.

Tests: RoutedPath.aDrainingDaemonServesOthersForTheTimeOfItsHandover (fails without the change). ctest passes.

--- a/libs/dock/src/ControlTask.cpp
+++ b/libs/dock/src/ControlTask.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 /** Time for the last datagrams to be sent before the process ends. */
-constexpr base::Millis leaveTime(500);
+constexpr base::Millis leaveTime(200);
 
 constexpr int statusNoSuchPath = 404;
 
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -28,8 +28,8 @@
 constexpr base::Millis statusInterval(1000);
 constexpr base::Millis drainCheckInterval(100);
 
-/** Time in which the others learn that this daemon leaves, before it stops listening. */
-constexpr base::Millis shortestDrain(3000);
+/** Time in which callers learn by two probes a second apart that this daemon leaves. */
+constexpr base::Millis shortestDrain(2500);
 
 } // namespace
 
@@ -217,7 +217,10 @@
     events::log(events::drainBegan, "running=" + std::to_string(executor_.activeCount()));
     dataServer_->closeAfterAnswers();
     entry_.drain();
-    executor_.drain();
+    if (settings_.drainHandover_ > base::Millis(0))
+        reactor_.schedule(settings_.drainHandover_, [this] { executor_.drain(); });
+    else
+        executor_.drain();
     checkDrain();
 }
 
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -19,6 +19,9 @@
 
 constexpr base::Millis tickInterval(20);
 
+/** The same while no request waits, and only a late tick would matter: wake-ups cost time too. */
+constexpr base::Millis idleTickInterval(50);
+
 /**
  * A tick that is later means that the processor cannot keep up: a turn of the event loop takes a
  * few milliseconds, and the shortest target latency that users state is 150 ms.
@@ -70,8 +73,9 @@
 
 void Executor::Impl::scheduleTick()
 {
-    tickDue_ = base::monotonicNow() + tickInterval;
-    timer_ = reactor_.schedule(tickInterval, [this] { tick(); });
+    const auto interval = admission_.queued() > 0 ? tickInterval : idleTickInterval;
+    tickDue_ = base::monotonicNow() + interval;
+    timer_ = reactor_.schedule(interval, [this] { tick(); });
 }
 
 std::optional<NotRun> Executor::Impl::refusalOf(const Attempt &attempt) const
--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -271,6 +271,27 @@
     EXPECT_EQ(runs(), runsBefore);
 }
 
+// Both daemons restart while their backend servers go on: nobody else could serve.
+TEST_F(RoutedPath, aDrainingDaemonServesOthersForTheTimeOfItsHandover)
+{
+    constexpr base::Millis handover(500);
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        server.respond(id, ownAnswer(request));
+    });
+    EXPECT_EQ(call("POST", "/write/1").status_, 200);
+    const auto began = base::monotonicNow();
+    for (auto *place : {&first_, &second_}) {
+        place->dock_->settings_.drainHandover_ = handover;
+        place->dock_->task_->deliver(dock::BeginDrain{});
+    }
+    EXPECT_EQ(call("POST", "/write/1").status_, 200);
+    EXPECT_LT(base::monotonicNow() - began, handover) << "the machine was too slow for this test";
+    while (call("POST", "/write/1").status_ != 503)
+        ASSERT_LT(base::monotonicNow() - began, handover + base::Millis(2000));
+    while (!first_.dock_->hasDrained())
+        std::this_thread::yield();
+}
+
 TEST_F(RoutedPath, newRequestsDoNotKeepADrainFromEnding)
 {
     // Requests that never end, so that the entry is busy for as long as it takes new ones.
--- a/libs/membership/include/membership/Timing.h
+++ b/libs/membership/include/membership/Timing.h
@@ -24,8 +24,8 @@
     base::Millis dataCentreTimeout_ = base::Millis(15000);
     base::Millis reconnectInterval_ = base::Millis(5000);        ///< probes of dead members
     base::Millis tombstoneRetention_ = base::Millis(86'400'000); ///< 24 hours
-    base::Millis pauseLimit_ = base::Millis(3000); ///< longer between ticks: process was paused
-    base::Millis joinInterval_ = base::Millis(1000);
+    base::Millis pauseLimit_ = base::Millis(3000);  ///< longer between ticks: process was paused
+    base::Millis joinInterval_ = base::Millis(300); ///< while no other daemon is known
     base::Millis isolationTimeout_ = base::Millis(15000);
 
     bool operator==(const Timing &) const = default;
--- a/libs/routing/include/routing/Options.h
+++ b/libs/routing/include/routing/Options.h
@@ -21,7 +21,8 @@
 
     base::Millis levelExpiry_ = base::Millis(1000);  ///< then refused priorities are tried again
     base::Millis probeInterval_ = base::Millis(100); ///< between tries while no answer came
-    base::Millis slowStart_ = base::Millis(10000);   ///< until an instance gets its full share
+    /** Until an instance gets its full share: the time for which a server of the users is cold. */
+    base::Millis slowStart_ = base::Millis(3000);
 
     int failuresToEject_ = 5;                        ///< in a row
     base::Millis ejectionTime_ = base::Millis(1000); ///< doubles with every further ejection
--- a/libs/settings/src/Loader.cpp
+++ b/libs/settings/src/Loader.cpp
@@ -300,6 +300,11 @@
               [](const Node &n, Settings &s) {
                   return readMillis(n, 10'000, 31'536'000'000, s.logRetention_);
               }}},
+            {"drainHandoverMs",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readMillis(n, 0, 60'000, s.drainHandover_);
+              }}},
             {"drainTimeoutMs",
              {false,
               [](const Node &n, Settings &s) {
