--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -95,6 +95,9 @@
     /** Requests that wait for an answer. */
     std::size_t activeCount() const;
 
+    /** Those of them that were not made by the backend server beside the daemon. */
+    std::size_t openRoots() const;
+
     /** What this daemon has counted of its callers' requests. */
     const Recorder &recorder() const;
 
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -29,7 +29,7 @@
 constexpr base::Millis drainCheckInterval(100);
 
 /** Time in which callers learn by two probes a second apart that this daemon leaves. */
-constexpr base::Millis shortestDrain(2500);
+constexpr base::Millis shortestDrain(2200);
 
 } // namespace
 
@@ -82,6 +82,7 @@
     std::unique_ptr<net::PeerServer> peerServer_;
     base::Millis drainBegan_;
     bool isDraining_ = false;
+    bool isExecutorDraining_ = false;
 };
 
 base::Result<void> DataTask::Impl::listen()
@@ -217,10 +218,6 @@
     events::log(events::drainBegan, "running=" + std::to_string(executor_.activeCount()));
     dataServer_->closeAfterAnswers();
     entry_.drain();
-    if (settings_.drainHandover_ > base::Millis(0))
-        reactor_.schedule(settings_.drainHandover_, [this] { executor_.drain(); });
-    else
-        executor_.drain();
     checkDrain();
 }
 
@@ -230,7 +227,12 @@
     // What comes later could still be at work when the process has to end.
     if (elapsed >= shortestDrain)
         entry_.refuseRoots();
-    const bool isIdle = executor_.activeCount() == 0 && entry_.activeCount() == 0;
+    // The backend server serves others while this daemon waits for the requests of its callers.
+    const bool hasHandedOver = elapsed >= settings_.drainHandover_
+                               || (elapsed >= shortestDrain && entry_.openRoots() == 0);
+    if (hasHandedOver && !std::exchange(isExecutorDraining_, true))
+        executor_.drain();
+    const bool isIdle = hasHandedOver && executor_.activeCount() == 0 && entry_.activeCount() == 0;
     if (isIdle && elapsed >= shortestDrain) {
         events::log(events::drainEnded, "after=" + std::to_string(elapsed.count()) + "ms");
         entry_.close();
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -1,5 +1,6 @@
 #include <dock/Entry.h>
 
+#include <algorithm>
 #include <unordered_map>
 
 #include <base/Clock.h>
@@ -451,6 +452,13 @@
     return impl_->open_.size();
 }
 
+std::size_t Entry::openRoots() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(impl_->open_.begin(), impl_->open_.end(),
+                          [](const auto &entry) { return !entry.second.call_.isChild(); }));
+}
+
 const Recorder &Entry::recorder() const
 {
     return impl_->recorder_;
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -44,7 +44,7 @@
     base::Millis logRetention_ = base::Millis(3'600'000);
     base::Millis drainTimeout_ = base::Millis(30'000);
 
-    /** Time in which a draining daemon still takes work for its backend server. */
+    /** Longest time in which a draining daemon still takes work for its backend server. */
     base::Millis drainHandover_;
 
     bool operator==(const Settings &) const = default;
