--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -1,7 +1,9 @@
 #include "DaemonCommand.h"
 
 #include <csignal>
+#include <filesystem>
 #include <iostream>
+#include <optional>
 
 #include <cxxopts.hpp>
 #include <dock/Daemon.h>
@@ -21,6 +23,9 @@
 /** How often a second signal is looked for while the daemon drains, in nanoseconds. */
 constexpr long drainPollNanos = 50'000'000;
 
+/** How often the settings file is looked at for a change that no signal told of, in seconds. */
+constexpr time_t settingsCheckSeconds = 5;
+
 sigset_t endSignals()
 {
     sigset_t signals;
@@ -63,13 +68,29 @@
     events::log(events::settingsRead, *loaded == settings ? "unchanged" : "changed");
 }
 
-/** Waits for a signal to end, and reads the settings again on each SIGHUP. */
+/** When the file was changed last, or nothing if it cannot be looked at. */
+std::optional<std::filesystem::file_time_type> changeTime(const std::string &file)
+{
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(file, error);
+    return error ? std::nullopt : std::optional(time);
+}
+
+/** Waits for a signal to end; reads the settings again on SIGHUP and when their file has changed. */
 void waitForEnd(const settings::Settings &settings, const std::string &file,
                 const sigset_t &signals)
 {
-    int signal = 0;
-    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
-        reload(settings, file);
+    const timespec checkTime = {settingsCheckSeconds, 0};
+    auto known = changeTime(file);
+    while (true) {
+        const auto signal = sigtimedwait(&signals, nullptr, &checkTime);
+        if (signal > 0 && signal != SIGHUP)
+            return;
+        const auto now = changeTime(file);
+        if (signal == SIGHUP || (now && now != known))
+            reload(settings, file);
+        known = now ? now : known;
+    }
 }
 
 int serve(const settings::Settings &settings, const std::string &file)
