Shorten the queue of large backend servers

Cause: requests that wait in a queue of four a slot wait for 160 ms at saleroom; five calls one after the other then take longer than the route of their parent allows, and what ran before is wasted (deadline-passed is the most frequent reason below admitted requests).

Change: 40 waiting requests for a medium server, one a slot for a larger one. Ruled out: one a slot for all, which refuses in bursts of normal load (Surge).

--- a/libs/admission/include/admission/Options.h
+++ b/libs/admission/include/admission/Options.h
@@ -9,7 +9,7 @@
 /** Parameters of the admission decision. */
 struct Options
 {
-    std::size_t queuePerSlot_ = 4;              ///< waiting requests for each slot
+    std::size_t queuePerSlot_ = 4;              ///< waiting requests for each of a few slots
     base::Millis window_ = base::Millis(100);   ///< measurements are judged once a window
     base::Millis lateAfter_ = base::Millis(20); ///< queueing delay that means overload, unless
     ///< requests take longer than that to run
--- a/libs/admission/src/details/State.cpp
+++ b/libs/admission/src/details/State.cpp
@@ -12,6 +12,8 @@
 constexpr base::Millis longestRetryAfter = base::Millis(5000);
 constexpr base::Millis customerShedMemory = base::Millis(1000);
 constexpr std::size_t shortestQueue = 16;
+// Beyond this a queue is as long as the slots are many: bursts grow less than the slots.
+constexpr std::size_t queueOfMediumServer = 40;
 constexpr std::size_t fewestWithHeadroom = 5;
 constexpr int idleWindowsClosed = 64;
 
@@ -239,7 +241,10 @@
 
 std::size_t State::capacity() const
 {
-    return slots_ == 0 ? 0 : std::max(shortestQueue, options_.queuePerSlot_ * slots_);
+    if (slots_ == 0)
+        return 0;
+    const std::size_t most = std::max<std::size_t>(queueOfMediumServer, slots_);
+    return std::max(shortestQueue, std::min(options_.queuePerSlot_ * slots_, most));
 }
 
 std::size_t State::limitOf(int rank) const
