--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -76,8 +76,7 @@
     return error ? std::nullopt : std::optional(time);
 }
 
-/** Waits for a signal to end; reads the settings again on SIGHUP and when their file has changed.
- */
+/** Waits for a signal to end; reads the settings on SIGHUP and when their file has changed. */
 void waitForEnd(const settings::Settings &settings, const std::string &file,
                 const sigset_t &signals)
 {
