--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -165,6 +165,39 @@
     EXPECT_EQ(runs(), 2);
 }
 
+// A route with two attempts has one extra attempt, half of which, rounded down, is handed on.
+TEST_F(RoutedPath, aRefusedCallOfARunningRequestGoesToAnotherInstance)
+{
+    std::atomic<int> refusals = 0;
+    std::future<net::CallResult> inner;
+    serve([&](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        const std::string requestId(net::headerValue(request.headers_, "t-request"));
+        if (requestId.find('.') != std::string::npos) {
+            if (refusals++ == 0)
+                server.respond(id, {.status_ = 503, .headers_ = {{"T-Not-Executed", "1"}}});
+            else
+                server.respond(id, ownAnswer(request));
+            return;
+        }
+        auto &place =
+                net::headerValue(request.headers_, "t-expected") == "i-first" ? first_ : second_;
+        inner = caller_.start(
+                place.dock_->address(),
+                {.method_ = "GET",
+                 .target_ = "/read/1",
+                 .headers_ = {{"Host", "a.example"}, {"T-Request", requestId + ".1"}}});
+    });
+    auto outer = caller_.start(entry_->address(),
+                               {.method_ = "GET",
+                                .target_ = "/read/1",
+                                .headers_ = {{"Host", "a.example"}, {"T-Request", "root"}}},
+                               base::Millis(1000));
+    while (refusals < 2)
+        std::this_thread::yield();
+    EXPECT_EQ(inner.get()->status_, 200);
+    EXPECT_FALSE(outer.get());
+}
+
 TEST_F(RoutedPath, anInstanceThatIsNotTheOneExpectedHasNotRunTheRequest)
 {
     serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &) {
