Remember a deregistration that comes before the first heartbeat

The new process did not know the instance, and forgot that it had left.

Change: the tracker keeps up to 16 deregistrations of instances that it has not heard of; heartbeats of these incarnations are refused as of one that has left. Ruled out: to take the sender for the backend server, as a foreign one would then keep the real one out.

Test: Tracker.aHeartbeatAfterADeregistrationThatCameFirstIsOfOneThatHasLeft.

--- a/libs/heartbeat/include/heartbeat/Tracker.h
+++ b/libs/heartbeat/include/heartbeat/Tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -35,11 +36,15 @@
 private:
     bool isSameIncarnation(const std::string &id, std::optional<std::int64_t> startedAt) const;
     bool isEarlierIncarnation(std::optional<std::int64_t> startedAt) const;
+    bool hasLeftUnheard(const Heartbeat &message) const;
 
     const std::string service_;
     const model::Address address_;
     std::optional<Heartbeat> last_;
     bool hasLeft_ = false;
+
+    /** Deregistrations without a heartbeat before them: a daemon may start between the two. */
+    std::deque<Deregistration> leftUnheard_;
 };
 
 } // namespace heartbeat
--- a/libs/heartbeat/src/Tracker.cpp
+++ b/libs/heartbeat/src/Tracker.cpp
@@ -1,7 +1,16 @@
 #include <heartbeat/Tracker.h>
 
+#include <algorithm>
+
 namespace heartbeat {
 
+namespace {
+
+/** One backend server is beside a daemon; others send nothing here but by mistake. */
+constexpr std::size_t mostLeftUnheard = 16;
+
+} // namespace
+
 std::string_view verdictText(Verdict verdict)
 {
     switch (verdict) {
@@ -34,10 +43,21 @@
     return last_ && last_->startedAt_ && startedAt && *startedAt < *last_->startedAt_;
 }
 
+bool Tracker::hasLeftUnheard(const Heartbeat &message) const
+{
+    return std::any_of(leftUnheard_.begin(), leftUnheard_.end(), [&](const Deregistration &left) {
+        return left.instanceId_ == message.instanceId_
+               && (!left.startedAt_ || !message.startedAt_
+                   || *left.startedAt_ == *message.startedAt_);
+    });
+}
+
 Verdict Tracker::take(const Heartbeat &message)
 {
     if (message.service_ != service_ || message.address_ != address_)
         return Verdict::Foreign;
+    if (hasLeftUnheard(message))
+        return Verdict::Left;
     if (isEarlierIncarnation(message.startedAt_))
         return Verdict::Late;
     if (isSameIncarnation(message.instanceId_, message.startedAt_)) {
@@ -53,8 +73,12 @@
 
 Verdict Tracker::take(const Deregistration &message)
 {
-    if (!last_ || message.instanceId_ != last_->instanceId_)
+    if (!last_ || message.instanceId_ != last_->instanceId_) {
+        leftUnheard_.push_back(message);
+        if (leftUnheard_.size() > mostLeftUnheard)
+            leftUnheard_.pop_front();
         return Verdict::Foreign;
+    }
     if (!isSameIncarnation(message.instanceId_, message.startedAt_))
         return Verdict::Late;
     hasLeft_ = true;
--- a/libs/heartbeat/tests/TrackerTest.cpp
+++ b/libs/heartbeat/tests/TrackerTest.cpp
@@ -37,6 +37,15 @@
     EXPECT_EQ(subject.take(beat(3)), Verdict::Accepted);
 }
 
+// The daemon restarts, is told that its backend server leaves, and then gets a delayed heartbeat.
+TEST(Tracker, aHeartbeatAfterADeregistrationThatCameFirstIsOfOneThatHasLeft)
+{
+    auto subject = tracker();
+    subject.take(Deregistration{"i-1", 1000});
+    EXPECT_EQ(subject.take(beat(7)), Verdict::Left);
+    EXPECT_EQ(subject.take(beat(1, 2000)), Verdict::Accepted);
+}
+
 TEST(Tracker, aLaterIncarnationUnderTheSameIdStartsItsSequenceAnew)
 {
     auto subject = tracker();
