Share the state of both message parsers; remove two queries without a caller

Found by reading the change once more: RequestParser and ResponseParser kept the same state in two structs, ResponseParser::hasHeaders() and hasBegun() had no caller, and Http2Connection closed sockets in two steps where Reactor::closeWatched() does it. Behaviour stays as it is.

--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -6,7 +6,6 @@
 
 #include <net/Reactor.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "details/Socket.h"
 
@@ -46,10 +45,8 @@
 Http2Connection::~Http2Connection()
 {
     *isAlive_ = false;
-    if (!isClosed_) {
-        reactor_.unwatch(socket_);
-        ::close(socket_);
-    }
+    if (!isClosed_)
+        reactor_.closeWatched(socket_);
     nghttp2_session_del(session_);
 }
 
@@ -216,8 +213,7 @@
     if (isClosed_)
         return;
     isClosed_ = true;
-    reactor_.unwatch(socket_);
-    ::close(socket_);
+    reactor_.closeWatched(socket_);
     connectionClosed();
 }
 
--- a/libs/net/src/details/MessageParser.cpp
+++ b/libs/net/src/details/MessageParser.cpp
@@ -110,17 +110,24 @@
     return collector.is_done() ? ParseState::Complete : ParseState::Incomplete;
 }
 
-} // namespace
-
-struct RequestParser::Impl
+/** What a parser keeps: the limit, and the collector of the message being read. */
+template<typename AnyCollector>
+struct ParserState
 {
-    explicit Impl(std::size_t maxBodyBytes)
+    explicit ParserState(std::size_t maxBodyBytes)
         : maxBodyBytes_(maxBodyBytes)
         , collector_(std::in_place, maxBodyBytes)
     {}
 
     const std::size_t maxBodyBytes_;
-    std::optional<RequestCollector> collector_;
+    std::optional<AnyCollector> collector_;
+};
+
+} // namespace
+
+struct RequestParser::Impl : ParserState<RequestCollector>
+{
+    using ParserState::ParserState;
 };
 
 RequestParser::RequestParser(std::size_t maxBodyBytes)
@@ -158,15 +165,9 @@
     return request;
 }
 
-struct ResponseParser::Impl
+struct ResponseParser::Impl : ParserState<ResponseCollector>
 {
-    explicit Impl(std::size_t maxBodyBytes)
-        : maxBodyBytes_(maxBodyBytes)
-        , collector_(std::in_place, maxBodyBytes)
-    {}
-
-    const std::size_t maxBodyBytes_;
-    std::optional<ResponseCollector> collector_;
+    using ParserState::ParserState;
 };
 
 ResponseParser::ResponseParser(std::size_t maxBodyBytes)
@@ -196,16 +197,6 @@
     return !error && collector.is_done() ? ParseState::Complete : ParseState::Malformed;
 }
 
-bool ResponseParser::hasHeaders() const
-{
-    return impl_->collector_->is_header_done();
-}
-
-bool ResponseParser::hasBegun() const
-{
-    return impl_->collector_->got_some();
-}
-
 bool ResponseParser::keepsAlive() const
 {
     return impl_->collector_->keep_alive();
--- a/libs/net/src/details/MessageParser.h
+++ b/libs/net/src/details/MessageParser.h
@@ -65,12 +65,6 @@
     /** The connection has ended, which completes an answer that states no length. */
     ParseState end();
 
-    /** Whether status and header fields were read. */
-    bool hasHeaders() const;
-
-    /** Whether any byte was read since begin(). */
-    bool hasBegun() const;
-
     /** Whether the sender keeps the connection open after this answer. */
     bool keepsAlive() const;
 
