Bound the memory of all messages, and end endless ones at once

An answer that never ends was noticed at its deadline only.

Change: one budget for all messages of the data task, shared by the rule of dynamic thresholds; a bound in every parser; requests without room are refused with 503, answers without room end as lost, streams of other daemons with REFUSED_STREAM. A lost answer is told with 502 on the users' platform and a late one with 504; the product's own interface keeps 504 for both. A late write is now told as still running instead of lost.

--- a/libs/dock/include/dock/CallInterface.h
+++ b/libs/dock/include/dock/CallInterface.h
@@ -36,6 +36,7 @@
     std::string notExecuted_;      ///< in answers: the backend server has not run the request
     std::string signature_;        ///< in answers: stands in every success of a backend server
     bool hasFractionalRetryAfter_ = false; ///< seconds may have decimals
+    int lostAnswerStatus_ = 504; ///< of a request whose answer was lost before its time was over
 
     bool hasRoutes() const { return addressing_ == Addressing::Routes; }
 
--- a/libs/dock/include/dock/Executor.h
+++ b/libs/dock/include/dock/Executor.h
@@ -14,8 +14,9 @@
 #include <once/Incarnation.h>
 
 namespace net {
+class ByteBudget;
 class Reactor;
-}
+} // namespace net
 namespace retry {
 class ContextTable;
 }
@@ -43,12 +44,12 @@
     using ContextFunction = std::function<void(const std::string &token)>;
 
     /**
-     * The context table holds the calls that run here; it and the interface must outlive the
-     * executor. A running call
+     * The context table holds the calls that run here, the budget pays for the messages to and
+     * from the backend server; they and the interface must outlive the executor. A running call
      * that is cancelled is told of as cancelled first, then as ended.
      */
     Executor(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
-             retry::ContextTable &contexts, const CallInterface &interface,
+             retry::ContextTable &contexts, net::ByteBudget &budget, const CallInterface &interface,
              BackendChanged onBackendChanged, ContextFunction onContextEnded,
              ContextFunction onContextCancelled);
     ~Executor();
--- a/libs/dock/include/dock/Messages.h
+++ b/libs/dock/include/dock/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -61,6 +62,16 @@
     BackendServer backend_;
 };
 
+/** What the messages of the data task take of its memory. */
+struct MessageMemory
+{
+    std::size_t limit_ = 0;
+    std::size_t held_ = 0;
+    std::uint64_t refused_ = 0; ///< messages without room since the start
+
+    bool operator==(const MessageMemory &) const = default;
+};
+
 /** What the data task is doing; sent once a second. */
 struct DataStatus
 {
@@ -70,6 +81,7 @@
     std::uint32_t limit_ = 0;      ///< requests that may run at once
     admission::Level level_;
     std::map<std::string, std::uint64_t> failures_; ///< calls not run or unknown, by reason
+    MessageMemory memory_;
     std::shared_ptr<const metrics::Snapshot> metrics_;
 };
 
--- a/libs/dock/src/CallerAnswer.cpp
+++ b/libs/dock/src/CallerAnswer.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 
 #include <base/Overloaded.h>
+#include <dock/CallInterface.h>
 
 namespace dock {
 
@@ -24,10 +25,11 @@
     return response;
 }
 
-net::HttpResponse unknown(once::Reason reason)
+net::HttpResponse unknown(once::Reason reason, const AnswerForm &form)
 {
     const std::string text(once::reasonText(reason));
-    net::HttpResponse response{.status_ = statusUnknown,
+    const bool isLost = reason == once::Reason::AnswerLost;
+    net::HttpResponse response{.status_ = isLost ? form.lostAnswerStatus_ : statusTimedOut,
                                .body_ = "unknown: the request may have run (" + text + ")\n"};
     addField(response, "Fuchsiadock-Outcome", "unknown");
     addField(response, "Fuchsiadock-Reason", text);
@@ -63,6 +65,13 @@
 
 } // namespace
 
+AnswerForm answerFormOf(const CallInterface &interface)
+{
+    return {.retryAfter_ = interface.hasFractionalRetryAfter_ ? RetryAfterForm::Decimals
+                                                              : RetryAfterForm::WholeSeconds,
+            .lostAnswerStatus_ = interface.lostAnswerStatus_};
+}
+
 net::HttpResponse refusal(int status, std::string_view reason, base::Millis retryAfter,
                           const std::string &nextKey, RetryAfterForm form)
 {
@@ -76,17 +85,17 @@
     return response;
 }
 
-net::HttpResponse callerAnswer(const once::Outcome &outcome, RetryAfterForm form,
+net::HttpResponse callerAnswer(const once::Outcome &outcome, const AnswerForm &form,
                                const std::string &nextKey)
 {
     auto response = std::visit(
             base::Overloaded{
                     [](const once::Complete &whole) { return complete(*whole.answer_); },
-                    [form](const once::NotRun &why) {
+                    [&form](const once::NotRun &why) {
                         return refusal(statusOf(why.reason_), once::reasonText(why.reason_),
-                                       why.retryAfter_, {}, form);
+                                       why.retryAfter_, {}, form.retryAfter_);
                     },
-                    [](const once::Unknown &why) { return unknown(why.reason_); },
+                    [&form](const once::Unknown &why) { return unknown(why.reason_, form); },
             },
             outcome);
     if (!nextKey.empty())
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -14,6 +14,7 @@
 #include <dock/Recorder.h>
 #include <events/Catalogue.h>
 #include <events/Log.h>
+#include <net/ByteBudget.h>
 #include <net/HttpServer.h>
 #include <net/PeerClient.h>
 #include <net/PeerServer.h>
@@ -28,6 +29,9 @@
 constexpr base::Millis statusInterval(1000);
 constexpr base::Millis drainCheckInterval(100);
 
+/** Messages without end are broken off within this time, which makes room again. */
+constexpr base::Millis retryWithoutRoom(1000);
+
 /** Time in which callers learn by two probes a second apart that this daemon leaves. */
 constexpr base::Millis shortestDrain(2200);
 
@@ -45,9 +49,10 @@
         , interface_(std::move(interface))
         , outbox_(std::move(outbox))
         , contexts_(base::randomSecret())
-        , client_(reactor_, settings.maxBodyBytes_)
+        , budget_(settings.messageBytes())
+        , client_(reactor_, settings.maxBodyBytes_, &budget_)
         , executor_(
-                  reactor_, settings, self, contexts_, interface_,
+                  reactor_, settings, self, contexts_, budget_, interface_,
                   [this](const BackendServer &backend) { outbox_(BackendStateChanged{backend}); },
                   [this](const std::string &token) { contextEnded(token); },
                   [this](const std::string &token) { contextCancelled(token); })
@@ -65,6 +70,8 @@
     void handle(const ToData &message);
     void beginDrain();
     void checkDrain();
+    net::HttpResponse refusalWithoutRoom() const;
+    void reportMemory();
     void sendStatus();
 
     const settings::Settings &settings_;
@@ -72,6 +79,7 @@
     Outbox outbox_;
     net::Reactor reactor_;
     retry::ContextTable contexts_;
+    net::ByteBudget budget_;
     net::PeerClient client_;
     Executor executor_;
     Entry entry_;
@@ -83,6 +91,7 @@
     base::Millis drainBegan_;
     bool isDraining_ = false;
     bool isExecutorDraining_ = false;
+    std::uint64_t reportedRefusals_ = 0; ///< of the budget, by the log
 };
 
 base::Result<void> DataTask::Impl::listen()
@@ -95,7 +104,9 @@
     };
     net::HttpServerOptions options{.listen_ = settings_.dataAddress_,
                                    .maxBodyBytes_ = settings_.maxBodyBytes_,
-                                   .maxConnections_ = settings_.maxConnections_};
+                                   .maxConnections_ = settings_.maxConnections_,
+                                   .budget_ = &budget_,
+                                   .withoutRoom_ = refusalWithoutRoom()};
     auto dataServer = net::HttpServer::start(
             reactor_, options,
             [this](net::ExchangeId id, net::HttpRequest request) {
@@ -248,15 +259,35 @@
     reactor_.schedule(drainCheckInterval, [this] { checkDrain(); });
 }
 
+net::HttpResponse DataTask::Impl::refusalWithoutRoom() const
+{
+    return refusal(statusUnavailable, "no-memory", retryWithoutRoom, {},
+                   answerFormOf(interface_).retryAfter_);
+}
+
+/** Logs once a second what the budget refused, however often that was. */
+void DataTask::Impl::reportMemory()
+{
+    if (budget_.refused() == reportedRefusals_)
+        return;
+    events::log(events::memoryShort,
+                "messagesWithoutRoom=" + std::to_string(budget_.refused() - reportedRefusals_)
+                        + " held=" + std::to_string(budget_.held())
+                        + " limit=" + std::to_string(budget_.limit()));
+    reportedRefusals_ = budget_.refused();
+}
+
 void DataTask::Impl::sendStatus()
 {
     entry_.prune();
+    reportMemory();
     outbox_(DataStatus{.backend_ = executor_.backend(),
                        .openRequests_ = entry_.activeCount(),
                        .activeRuns_ = executor_.activeCount(),
                        .limit_ = executor_.limit(),
                        .level_ = executor_.level(),
                        .failures_ = entry_.recorder().failures(),
+                       .memory_ = {budget_.limit(), budget_.held(), budget_.refused()},
                        .metrics_ = entry_.recorder().snapshot()});
     reactor_.schedule(statusInterval, [this] { sendStatus(); });
 }
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -63,6 +63,7 @@
          const CallInterface &interface)
         : settings_(settings)
         , interface_(interface)
+        , answerForm_(answerFormOf(interface))
         , self_(std::move(self))
         , client_(client)
         , executor_(executor)
@@ -81,7 +82,7 @@
                     [this](const CallInfo &call, admission::Level level) {
                         executor_.observeLevel(call.contextToken_, call.service_, level);
                     })
-        , idempotent_(reactor, retryIdempotent_, selector_, sender_)
+        , idempotent_(reactor, retryIdempotent_, selector_, sender_, interface.hasRoutes())
         , keyed_(reactor, *home_, retryKeyed_, selector_, sender_,
                  [this](const std::string &id) { return findMember(id); })
         , reader_(settings, interface, executor, contexts, randomSeed())
@@ -100,14 +101,9 @@
     static once::HomeSettings homeSettings(const settings::Settings &settings);
     static retry::RetrySettings retrySettings(const settings::Settings &settings,
                                               const CallInterface &interface);
-    RetryAfterForm retryAfterForm() const
-    {
-        return interface_.hasFractionalRetryAfter_ ? RetryAfterForm::Decimals
-                                                   : RetryAfterForm::WholeSeconds;
-    }
     net::HttpResponse refusalOfClosed() const
     {
-        return refusal(statusUnavailable, "draining", retryWhenClosed, {}, retryAfterForm());
+        return refusal(statusUnavailable, "draining", retryWhenClosed, {}, answerForm_.retryAfter_);
     }
     bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
     bool needsKey(const CallInfo &call) const;
@@ -125,6 +121,7 @@
 
     const settings::Settings &settings_;
     const CallInterface &interface_;
+    const AnswerForm answerForm_;
     once::Incarnation self_;
     net::PeerClient &client_;
     Executor &executor_;
@@ -300,8 +297,7 @@
     const auto &call = found->second.call_;
     recorder_.finished(call, outcome, report, base::monotonicNow());
     failureLog_.note(call, outcome, report, base::monotonicNow());
-    finish(id, callerAnswer(outcome, retryAfterForm(),
-                            needsKey(call) ? freshKey(call) : std::string()));
+    finish(id, callerAnswer(outcome, answerForm_, needsKey(call) ? freshKey(call) : std::string()));
 }
 
 void Entry::Impl::finish(EntryId id, net::HttpResponse response)
@@ -328,7 +324,7 @@
     const auto key = net::headerValue(request.headers_, header::idempotencyKey);
     const auto context = net::headerValue(request.headers_, header::context);
     if (!interface_.hasRoutes() && once::mayHaveRun(key, !context.empty()))
-        refused = callerAnswer(once::homeGaveNoAnswer(), retryAfterForm());
+        refused = callerAnswer(once::homeGaveNoAnswer(), answerForm_);
     finish(id, std::move(refused));
 }
 
--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -15,10 +15,10 @@
 using once::Reason;
 
 Executor::Executor(net::Reactor &reactor, const settings::Settings &settings,
-                   once::Incarnation self, retry::ContextTable &contexts,
+                   once::Incarnation self, retry::ContextTable &contexts, net::ByteBudget &budget,
                    const CallInterface &interface, BackendChanged onBackendChanged,
                    ContextFunction onContextEnded, ContextFunction onContextCancelled)
-    : impl_(std::make_unique<Impl>(reactor, settings, std::move(self), contexts, interface))
+    : impl_(std::make_unique<Impl>(reactor, settings, std::move(self), contexts, budget, interface))
 {
     impl_->onBackendChanged_ = std::move(onBackendChanged);
     impl_->onContextEnded_ = std::move(onContextEnded);
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -118,7 +118,8 @@
         }
         auto &record = records_[order.record_];
         record.waiter_ = order.waiter_;
-        record.info_ = waiting->second.info_;
+        // The first of those who wait under the key brings the request; nobody else needs it.
+        record.info_ = std::move(waiting->second.info_);
         const auto &info = record.info_;
         auto event = callStarted(order.record_, info);
         event.idempotent_ = false;
--- a/libs/dock/src/StatusReport.cpp
+++ b/libs/dock/src/StatusReport.cpp
@@ -140,6 +140,13 @@
                              static_cast<double>(gossip_.bytesSent_)));
     values.push_back(counter("gossip_received_bytes_total", "membership bytes received",
                              static_cast<double>(gossip_.bytesReceived_)));
+    values.push_back(gauge("message_bytes", "bytes of all messages held",
+                           static_cast<double>(data_.memory_.held_)));
+    values.push_back(gauge("message_bytes_limit", "bytes that all messages may take",
+                           static_cast<double>(data_.memory_.limit_)));
+    values.push_back(counter("messages_without_room_total",
+                             "requests refused and answers broken off for want of memory",
+                             static_cast<double>(data_.memory_.refused_)));
     for (const auto &[reason, count] : data_.failures_) {
         auto value = counter("not_complete_total", "calls not run or unknown, by reason",
                              static_cast<double>(count));
--- a/libs/dock/src/details/BackendExchange.cpp
+++ b/libs/dock/src/details/BackendExchange.cpp
@@ -30,7 +30,7 @@
     case net::FailureKind::NotSent:
         return {once::NotRun{once::Reason::BackendUnavailable, {}}, admission::Outcome::Failed};
     case net::FailureKind::TimedOut:
-        return {once::Unknown{once::Reason::AnswerLost}, admission::Outcome::Cancelled};
+        return {once::Unknown{once::Reason::StillRunning}, admission::Outcome::Cancelled};
     case net::FailureKind::Lost:
         break;
     }
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -216,9 +216,8 @@
         return;
     }
     auto &run = runs_.at(id);
-    // The body of a request without a record is not needed any more.
-    auto content = run.attempt_.subKey_ ? run.attempt_.request_ : std::move(run.attempt_.request_);
-    auto request = details::backendRequest(std::move(content), timeLeft, run.context_,
+    // It is sent once whatever comes of it, so its content is not needed any more.
+    auto request = details::backendRequest(std::move(run.attempt_.request_), timeLeft, run.context_,
                                            backend_.instanceId_, interface_);
     run.call_ = client_.send(
             backend_.address_, std::move(request), timeLeft,
@@ -260,8 +259,8 @@
                                [&](const NotRun &why) -> once::ExecutorEvent {
                                    return once::Refused{subKey, why};
                                },
-                               [&](const once::Unknown &) -> once::ExecutorEvent {
-                                   return once::BackendLost{subKey};
+                               [&](const once::Unknown &why) -> once::ExecutorEvent {
+                                   return once::BackendLost{subKey, why.reason_};
                                },
                        },
                        outcome);
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -53,14 +53,15 @@
     };
 
     Impl(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
-         retry::ContextTable &contexts, const CallInterface &interface)
+         retry::ContextTable &contexts, net::ByteBudget &budget, const CallInterface &interface)
         : reactor_(reactor)
         , settings_(settings)
         , contexts_(contexts)
         , interface_(interface)
         , client_(reactor, {.maxBodyBytes_ = settings.maxBodyBytes_,
                             .maxIdle_ = longestIdle,
-                            .echoedField_ = interface.requestId_})
+                            .echoedField_ = interface.requestId_,
+                            .budget_ = &budget})
     {
         createRecord(std::move(self));
     }
--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -13,6 +13,7 @@
 
 inline constexpr Event settingsRead = {105, Severity::Info, "settings-read"};
 inline constexpr Event settingsRefused = {106, Severity::Error, "settings-refused"};
+inline constexpr Event memoryShort = {107, Severity::Warning, "memory-short"};
 
 // 2xx: the backend server beside the daemon
 inline constexpr Event backendAnnounced = {200, Severity::Info, "backend-announced"};
--- a/libs/net/include/net/HttpClientOptions.h
+++ b/libs/net/include/net/HttpClientOptions.h
@@ -7,6 +7,8 @@
 
 namespace net {
 
+class ByteBudget;
+
 /** Limits of an HTTP client and what it expects of answers. */
 struct HttpClientOptions
 {
@@ -22,6 +24,9 @@
      * connection is closed. Empty: not checked.
      */
     std::string echoedField_;
+
+    /** Pays for the messages of all calls and must outlive the client; none: without a bound. */
+    ByteBudget *budget_ = nullptr;
 };
 
 } // namespace net
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -13,6 +13,7 @@
 
 namespace net {
 
+class ByteBudget;
 class Reactor;
 
 /** Names one request that waits for its answer; never reused within a process. */
@@ -26,6 +27,12 @@
     std::uint32_t maxConnections_ = 4096;
     base::Millis idleTimeout_ =
             base::Millis(60000); ///< without a step of a caller whose turn it is
+
+    /** Pays for all messages and must outlive the server; none: without a bound. */
+    ByteBudget *budget_ = nullptr;
+
+    /** Answers a request for which the budget has no room. */
+    HttpResponse withoutRoom_ = {.status_ = 503, .headers_ = {{"Retry-After", "1"}}};
 };
 
 /**
--- a/libs/net/include/net/PeerClient.h
+++ b/libs/net/include/net/PeerClient.h
@@ -11,6 +11,7 @@
 
 namespace net {
 
+class ByteBudget;
 class Reactor;
 
 /**
@@ -21,7 +22,9 @@
 class PeerClient
 {
 public:
-    explicit PeerClient(Reactor &reactor, std::size_t maxBodyBytes = 16 * 1024 * 1024);
+    /** The budget pays for all messages and must outlive the client; none: without a bound. */
+    explicit PeerClient(Reactor &reactor, std::size_t maxBodyBytes = 16 * 1024 * 1024,
+                        ByteBudget *budget = nullptr);
     ~PeerClient();
     PeerClient(const PeerClient &) = delete;
     PeerClient &operator=(const PeerClient &) = delete;
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <base/Clock.h>
+#include <net/ByteBudget.h>
 #include <net/Reactor.h>
 
 #include "details/ClientConnection.h"
@@ -49,8 +50,11 @@
     void callEnded(ClientConnection &connection, CallResult result) override;
     void connectionClosed(ClientConnection &connection) override;
 
+    ByteBudget &budget() { return options_.budget_ != nullptr ? *options_.budget_ : unbounded_; }
+
     Reactor &reactor_;
     const HttpClientOptions options_;
+    ByteBudget unbounded_; ///< of a client without a budget of its task
     std::unordered_map<CallId, Call> calls_;
     std::unordered_map<ClientConnection *, std::unique_ptr<ClientConnection>> connections_;
     std::map<model::Address, IdleConnections> idle_;
@@ -102,7 +106,8 @@
     const auto socket = details::openConnection(to);
     if (socket.socket_ < 0)
         return nullptr;
-    auto connection = std::make_unique<ClientConnection>(reactor_, to, socket, options_, *this);
+    auto connection =
+            std::make_unique<ClientConnection>(reactor_, to, socket, options_, budget(), *this);
     auto *key = connection.get();
     connections_.emplace(key, std::move(connection));
     return key;
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <ace/INET_Addr.h>
 #include <ace/SOCK_Acceptor.h>
 #include <base/Clock.h>
+#include <net/ByteBudget.h>
 #include <net/Reactor.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -52,8 +53,11 @@
     void activityChanged(ServerConnection &connection) override;
     void connectionClosed(ServerConnection &connection) override;
 
+    ByteBudget &budget() { return options_.budget_ != nullptr ? *options_.budget_ : unbounded_; }
+
     Reactor &reactor_;
     HttpServerOptions options_;
+    ByteBudget unbounded_; ///< of a server without a budget of its task
     ACE_SOCK_Acceptor acceptor_;
     RequestHandler onRequest_;
     HangUpHandler onHangUp_;
@@ -93,8 +97,9 @@
             pauseAccepting();
         return errno == ECONNABORTED || errno == EINTR;
     }
-    auto connection =
-            std::make_unique<ServerConnection>(reactor_, socket, options_.maxBodyBytes_, *this);
+    auto connection = std::make_unique<ServerConnection>(
+            reactor_, socket,
+            details::ServerLimits{options_.maxBodyBytes_, budget(), options_.withoutRoom_}, *this);
     auto *key = connection.get();
     key->record_ = {.list_ = &waiting_,
                     .place_ = waiting_.insert(waiting_.end(), key),
--- a/libs/net/src/PeerClient.cpp
+++ b/libs/net/src/PeerClient.cpp
@@ -43,9 +43,9 @@
 {
     class Connection;
 
-    Impl(Reactor &reactor, std::size_t maxBodyBytes)
+    Impl(Reactor &reactor, std::size_t maxBodyBytes, ByteBudget *budget)
         : reactor_(reactor)
-        , maxBodyBytes_(maxBodyBytes)
+        , limits_{maxBodyBytes, budget != nullptr ? *budget : unbounded_}
     {}
 
     Connection *connectionTo(const model::Address &to);
@@ -53,7 +53,8 @@
     void closed(Connection *connection);
 
     Reactor &reactor_;
-    std::size_t maxBodyBytes_;
+    ByteBudget unbounded_; ///< of a client without a budget of its task
+    const details::Http2Limits limits_;
     std::map<model::Address, std::unique_ptr<Connection>> connections_;
     std::unordered_map<CallId, Call> calls_;
     std::unordered_map<CallId, Connection *> placed_;
@@ -64,7 +65,7 @@
 {
 public:
     Connection(Impl &client, model::Address to, int socket, bool isConnecting)
-        : Http2Connection(client.reactor_, socket, client.maxBodyBytes_)
+        : Http2Connection(client.reactor_, socket, client.limits_)
         , client_(client)
         , to_(std::move(to))
     {
@@ -114,7 +115,7 @@
         return;
     }
     if (hasBody)
-        stream(streamId).outgoing_ = std::move(request.body_);
+        sendBody(streamId, std::move(request.body_));
     callOf_[streamId] = id;
     streamOf_[id] = streamId;
     flushSoon();
@@ -199,8 +200,8 @@
     reactor_.post([last] {});
 }
 
-PeerClient::PeerClient(Reactor &reactor, std::size_t maxBodyBytes)
-    : impl_(std::make_unique<Impl>(reactor, maxBodyBytes))
+PeerClient::PeerClient(Reactor &reactor, std::size_t maxBodyBytes, ByteBudget *budget)
+    : impl_(std::make_unique<Impl>(reactor, maxBodyBytes, budget))
 {}
 
 PeerClient::~PeerClient()
--- a/libs/net/src/PeerServer.cpp
+++ b/libs/net/src/PeerServer.cpp
@@ -2,6 +2,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -61,7 +62,8 @@
 
     Reactor &reactor_;
     ACE_SOCK_Acceptor acceptor_;
-    std::size_t maxBodyBytes_ = 0;
+    ByteBudget unbounded_; ///< of a server without a budget of its task
+    std::optional<details::Http2Limits> limits_;
     std::uint32_t maxConnections_ = 0;
     HttpServer::RequestHandler onRequest_;
     HttpServer::HangUpHandler onHangUp_;
@@ -74,7 +76,7 @@
 {
 public:
     Connection(Impl &server, int socket)
-        : Http2Connection(server.reactor_, socket, server.maxBodyBytes_)
+        : Http2Connection(server.reactor_, socket, *server.limits_)
         , server_(server)
     {
         startServer();
@@ -132,7 +134,7 @@
     }
     const bool hasBody = !response.body_.empty();
     if (hasBody)
-        stream(streamId).outgoing_ = std::move(response.body_);
+        sendBody(streamId, std::move(response.body_));
     const auto provider = bodyProvider();
     nghttp2_submit_response(session(), streamId, fields.data(), fields.size(),
                             hasBody ? &provider : nullptr);
@@ -178,7 +180,9 @@
                                                             HttpServer::HangUpHandler onHangUp)
 {
     auto impl = std::make_unique<Impl>(reactor);
-    impl->maxBodyBytes_ = options.maxBodyBytes_;
+    impl->limits_.emplace(details::Http2Limits{options.maxBodyBytes_, options.budget_ != nullptr
+                                                                              ? *options.budget_
+                                                                              : impl->unbounded_});
     impl->maxConnections_ = options.maxConnections_;
     impl->onRequest_ = std::move(onRequest);
     impl->onHangUp_ = std::move(onHangUp);
--- a/libs/net/src/details/ClientConnection.cpp
+++ b/libs/net/src/details/ClientConnection.cpp
@@ -18,6 +18,12 @@
 
 constexpr std::size_t readChunkBytes = 64 * 1024;
 constexpr int firstFinalStatus = 200;
+
+/** Interim answers to one request; servers send one or two. */
+constexpr int mostInterimAnswers = 16;
+
+/** Answers to earlier requests in place of the own one; a server sends one twice at most. */
+constexpr int mostForeignAnswers = 4;
 constexpr int lastSuccess = 299;
 
 /** Part of each second of a stated idle timeout in which a connection is used again. */
@@ -75,11 +81,12 @@
 
 ClientConnection::ClientConnection(Reactor &reactor, const model::Address &to,
                                    const OpenSocket &socket, const HttpClientOptions &options,
-                                   ClientConnectionOwner &owner)
+                                   ByteBudget &budget, ClientConnectionOwner &owner)
     : reactor_(reactor)
     , to_(to)
     , socket_(socket.socket_)
     , options_(options)
+    , budget_(budget)
     , owner_(owner)
     , parser_(options.maxBodyBytes_)
     , state_(socket.isConnecting_ ? State::Connecting : State::Idle)
@@ -99,9 +106,12 @@
                             ? std::string()
                             : std::string(headerValue(request.headers_, options_.echoedField_));
     isToHead_ = request.method_ == "HEAD";
-    hadForeignAnswer_ = false;
+    interimAnswers_ = 0;
+    foreignAnswers_ = 0;
     parser_.begin(isToHead_);
     auto head = headOf(request, to_);
+    held_.release();
+    held_.take(budget_, head.size() + request.body_.size());
     output_ = Output(std::move(head), std::move(request.body_));
     if (state_ == State::Connecting)
         return true;
@@ -163,6 +173,8 @@
         fail(FailureKind::Lost, "the connection was reset");
     } else if (count == 0) {
         ended();
+    } else if (!held_.grow(budget_, static_cast<std::size_t>(count))) {
+        fail(FailureKind::Lost, "no memory is left for the answer");
     } else if (unparsed_.empty()) {
         read({buffer.data(), static_cast<std::size_t>(count)});
     } else {
@@ -202,23 +214,37 @@
             answered(!bytes.empty());
             return;
         }
-        // An interim answer, or a late one to an earlier request: the own one follows.
-        hadForeignAnswer_ = hadForeignAnswer_ || !isOwnAnswer();
-        parser_.begin(isToHead_);
+        if (!skipAnswer()) {
+            fail(FailureKind::Lost, "other answers come in place of the own one");
+            return;
+        }
     }
 }
 
+/** Passes over an interim answer, or a late one to an earlier request; false if there are too many.
+ */
+bool ClientConnection::skipAnswer()
+{
+    if (isOwnAnswer())
+        ++interimAnswers_;
+    else
+        ++foreignAnswers_;
+    parser_.begin(isToHead_);
+    return interimAnswers_ <= mostInterimAnswers && foreignAnswers_ <= mostForeignAnswers;
+}
+
 void ClientConnection::answered(bool hasSurplus)
 {
     auto response = parser_.take();
     // A request that is not written to its end would run into the next one.
     const bool isReusable =
-            parser_.keepsAlive() && !hasSurplus && !hadForeignAnswer_ && output_.isDone();
+            parser_.keepsAlive() && !hasSurplus && foreignAnswers_ == 0 && output_.isDone();
     auto usableFor = options_.maxIdle_;
     if (const auto seconds = statedIdleSeconds(response.headers_))
         usableFor = std::min(usableFor, base::Millis(*seconds * usableMillisPerSecond));
     usableUntil_ = base::monotonicNow() + usableFor;
     unparsed_.clear();
+    held_.release();
     state_ = State::Idle;
     auto &owner = owner_;
     if (!isReusable)
@@ -245,6 +271,7 @@
     if (state_ == State::Closed)
         return;
     state_ = State::Closed;
+    held_.release();
     reactor_.closeWatched(socket_);
     owner_.connectionClosed(*this);
 }
--- a/libs/net/src/details/ClientConnection.h
+++ b/libs/net/src/details/ClientConnection.h
@@ -9,6 +9,7 @@
 #include <base/Millis.h>
 #include <model/Address.h>
 #include <net/CallResult.h>
+#include <net/HeldBytes.h>
 #include <net/HttpRequest.h>
 
 #include "details/MessageParser.h"
@@ -42,7 +43,8 @@
 {
 public:
     ClientConnection(Reactor &reactor, const model::Address &to, const OpenSocket &socket,
-                     const HttpClientOptions &options, ClientConnectionOwner &owner);
+                     const HttpClientOptions &options, ByteBudget &budget,
+                     ClientConnectionOwner &owner);
     ~ClientConnection() override;
 
     /**
@@ -83,6 +85,7 @@
     bool write();
     void read(std::string_view bytes);
     bool isOwnAnswer() const;
+    bool skipAnswer();
     void answered(bool hasSurplus);
     void ended();
     void fail(FailureKind kind, const char *detail);
@@ -91,15 +94,18 @@
     const model::Address to_;
     const int socket_;
     const HttpClientOptions &options_;
+    ByteBudget &budget_;
     ClientConnectionOwner &owner_;
     ResponseParser parser_;
     std::string unparsed_; ///< received, and not yet taken by the parser
     Output output_;
+    HeldBytes held_;           ///< by the request and what has come of its answer
     std::string expectedEcho_; ///< value of the field that the answer has to repeat
     State state_;
     base::Millis usableUntil_;
     bool isToHead_ = false;
-    bool hadForeignAnswer_ = false;
+    int interimAnswers_ = 0; ///< before the answer to the request sent last
+    int foreignAnswers_ = 0; ///< likewise, to other requests
 };
 
 } // namespace net::details
--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -7,6 +7,7 @@
 #include <net/Reactor.h>
 #include <sys/socket.h>
 
+#include "details/Body.h"
 #include "details/Socket.h"
 
 namespace net::details {
@@ -19,6 +20,13 @@
 constexpr std::int32_t streamWindowBytes = 1024 * 1024;
 constexpr std::int32_t connectionWindowBytes = 16 * 1024 * 1024;
 
+/** Header fields of one message, with what HTTP/2 counts for each besides its name and value. */
+constexpr std::size_t maxHeaderBytes = 64 * 1024;
+constexpr std::size_t bytesPerField = 32;
+
+/** Larger buffers are given back when all was written: there is a connection to every daemon. */
+constexpr std::size_t largestKeptOutput = 16 * 1024;
+
 /** An instance that accepts no connection in this time is taken for unreachable. */
 constexpr base::Millis connectTimeout(500);
 
@@ -36,10 +44,10 @@
             value.size(), NGHTTP2_NV_FLAG_NONE};
 }
 
-Http2Connection::Http2Connection(Reactor &reactor, int socket, std::size_t maxBodyBytes)
+Http2Connection::Http2Connection(Reactor &reactor, int socket, const Http2Limits &limits)
     : reactor_(reactor)
     , socket_(socket)
-    , maxBodyBytes_(maxBodyBytes)
+    , limits_(limits)
 {}
 
 Http2Connection::~Http2Connection()
@@ -83,6 +91,7 @@
 void Http2Connection::start(bool isConnecting, bool isServer)
 {
     isConnecting_ = isConnecting;
+    isServer_ = isServer;
     if (isServer)
         nghttp2_session_server_new(&session_, callbacks(), this);
     else
@@ -150,6 +159,8 @@
 bool Http2Connection::fillOutput()
 {
     if (outputOffset_ == output_.size()) {
+        if (output_.capacity() > largestKeptOutput)
+            output_ = {};
         output_.clear();
         outputOffset_ = 0;
     }
@@ -224,6 +235,37 @@
     return provider;
 }
 
+void Http2Connection::sendBody(std::int32_t id, std::string body)
+{
+    auto &message = stream(id);
+    message.held_.take(limits_.budget_, body.size());
+    message.outgoing_ = std::move(body);
+}
+
+// A request that was refused with this code was not handled, so its sender may send it again.
+void Http2Connection::reject(std::int32_t id)
+{
+    auto &message = stream(id);
+    message.isRejected_ = true;
+    message.headers_.clear();
+    message.body_ = {};
+    message.held_.release();
+    nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id,
+                              isServer_ ? NGHTTP2_REFUSED_STREAM : NGHTTP2_CANCEL);
+}
+
+bool Http2Connection::takeField(Http2Stream &message, std::size_t size)
+{
+    message.headerBytes_ += size;
+    return message.headerBytes_ <= maxHeaderBytes && message.held_.grow(limits_.budget_, size);
+}
+
+bool Http2Connection::takeData(Http2Stream &message, std::size_t size)
+{
+    return message.body_.size() + size <= limits_.maxBodyBytes_
+           && message.held_.grow(limits_.budget_, size);
+}
+
 int Http2Connection::onHeader(nghttp2_session *, const nghttp2_frame *frame,
                               const std::uint8_t *name, std::size_t nameSize,
                               const std::uint8_t *value, std::size_t valueSize, std::uint8_t,
@@ -231,26 +273,31 @@
 {
     if (frame->hd.type != NGHTTP2_HEADERS)
         return 0;
-    self(user)
-            .stream(frame->hd.stream_id)
-            .headers_.push_back({std::string(reinterpret_cast<const char *>(name), nameSize),
-                                 std::string(reinterpret_cast<const char *>(value), valueSize)});
+    auto &connection = self(user);
+    auto &message = connection.stream(frame->hd.stream_id);
+    if (message.isRejected_)
+        return 0;
+    if (!connection.takeField(message, nameSize + valueSize + bytesPerField)) {
+        connection.reject(frame->hd.stream_id);
+        return 0;
+    }
+    message.headers_.push_back({std::string(reinterpret_cast<const char *>(name), nameSize),
+                                std::string(reinterpret_cast<const char *>(value), valueSize)});
     return 0;
 }
 
-int Http2Connection::onData(nghttp2_session *session, std::uint8_t, std::int32_t id,
+int Http2Connection::onData(nghttp2_session *, std::uint8_t, std::int32_t id,
                             const std::uint8_t *data, std::size_t size, void *user)
 {
     auto &connection = self(user);
     auto &message = connection.stream(id);
-    if (message.isOverLimit_)
+    if (message.isRejected_)
         return 0;
-    if (message.body_.size() + size > connection.maxBodyBytes_) {
-        message.isOverLimit_ = true;
-        nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+    if (!connection.takeData(message, size)) {
+        connection.reject(id);
         return 0;
     }
-    message.body_.append(reinterpret_cast<const char *>(data), size);
+    appendBody(message.body_, {reinterpret_cast<const char *>(data), size});
     return 0;
 }
 
@@ -262,10 +309,12 @@
         return 0;
     auto &connection = self(user);
     const auto id = frame->hd.stream_id;
-    if (const auto found = connection.streams_.find(id); found != connection.streams_.end()) {
-        Http2Stream message = std::exchange(found->second, Http2Stream());
-        connection.messageArrived(id, std::move(message));
-    }
+    const auto found = connection.streams_.find(id);
+    if (found == connection.streams_.end() || found->second.isRejected_)
+        return 0;
+    Http2Stream message = std::exchange(found->second, Http2Stream());
+    found->second.held_ = std::move(message.held_);
+    connection.messageArrived(id, std::move(message));
     return 0;
 }
 
--- a/libs/net/src/details/Http2Connection.h
+++ b/libs/net/src/details/Http2Connection.h
@@ -7,6 +7,7 @@
 
 #include <ace/Event_Handler.h>
 #include <net/Header.h>
+#include <net/HeldBytes.h>
 #include <nghttp2/nghttp2.h>
 
 namespace net {
@@ -20,9 +21,18 @@
 {
     Headers headers_; ///< received, with the pseudo header fields
     std::string body_;
-    bool isOverLimit_ = false;
+    std::size_t headerBytes_ = 0;
+    bool isRejected_ = false; ///< it was reset as it is too large; what still comes is dropped
     std::string outgoing_;
     std::size_t outgoingOffset_ = 0;
+    HeldBytes held_; ///< by both messages until the stream is closed
+};
+
+/** Bounds of the messages on a connection. */
+struct Http2Limits
+{
+    std::size_t maxBodyBytes_;
+    ByteBudget &budget_;
 };
 
 /**
@@ -33,7 +43,7 @@
 class Http2Connection : public ACE_Event_Handler
 {
 public:
-    Http2Connection(Reactor &reactor, int socket, std::size_t maxBodyBytes);
+    Http2Connection(Reactor &reactor, int socket, const Http2Limits &limits);
     ~Http2Connection() override;
 
     int handle_input(ACE_HANDLE) override;
@@ -65,12 +75,18 @@
     Http2Stream &stream(std::int32_t id) { return streams_[id]; }
     nghttp2_data_provider bodyProvider();
 
+    /** Keeps the body of a message until it is sent. */
+    void sendBody(std::int32_t stream, std::string body);
+
 private:
     void start(bool isConnecting, bool isServer);
     void flush();
     bool fillOutput();
     bool writeOutput();
     void watchWrites(bool isWanted);
+    void reject(std::int32_t id);
+    bool takeField(Http2Stream &message, std::size_t size);
+    bool takeData(Http2Stream &message, std::size_t size);
 
     static nghttp2_session_callbacks *callbacks();
     static int onHeader(nghttp2_session *, const nghttp2_frame *, const std::uint8_t *, std::size_t,
@@ -84,7 +100,8 @@
 
     Reactor &reactor_;
     int socket_;
-    std::size_t maxBodyBytes_;
+    const Http2Limits limits_;
+    bool isServer_ = false;
     nghttp2_session *session_ = nullptr;
     std::unordered_map<std::int32_t, Http2Stream> streams_;
     std::string output_;
--- a/libs/net/src/details/MessageParser.cpp
+++ b/libs/net/src/details/MessageParser.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include "details/Body.h"
+
 namespace net::details {
 
 namespace {
@@ -18,6 +20,9 @@
 /** Header fields of one message; what callers of these systems send is far below. */
 constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
 
+/** Header fields of one message; usual ones have 10 to 30. */
+constexpr std::size_t maxFields = 256;
+
 std::string_view viewOf(BoostView text)
 {
     return {text.data(), text.size()};
@@ -53,14 +58,22 @@
             message_.status_ = status;
     }
 
-    void on_field_impl(http::field name, BoostView text, BoostView value, error_code &) override
+    void on_field_impl(http::field name, BoostView text, BoostView value,
+                       error_code &error) override
     {
+        // Trailers say nothing that could be relied on before the body, and are not passed on.
+        if (isHeaderDone_)
+            return;
+        if (message_.headers_.size() >= maxFields) {
+            error = http::error::header_limit;
+            return;
+        }
         if (name == http::field::expect)
             expectsContinue_ = equalsIgnoringCase(viewOf(value), "100-continue");
         message_.headers_.push_back({std::string(viewOf(text)), std::string(viewOf(value))});
     }
 
-    void on_header_impl(error_code &) override {}
+    void on_header_impl(error_code &) override { isHeaderDone_ = true; }
 
     void on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code &) override
     {
@@ -70,7 +83,7 @@
 
     std::size_t on_body_impl(BoostView body, error_code &) override
     {
-        message_.body_.append(body.data(), body.size());
+        appendBody(message_.body_, viewOf(body));
         return body.size();
     }
 
@@ -78,13 +91,15 @@
 
     std::size_t on_chunk_body_impl(std::uint64_t, BoostView body, error_code &) override
     {
-        message_.body_.append(body.data(), body.size());
+        appendBody(message_.body_, viewOf(body));
         return body.size();
     }
 
     void on_finish_impl(error_code &) override {}
 
 private:
+    bool isHeaderDone_ = false;
+
     /** A stated length costs no more memory than this before its bytes have come. */
     static constexpr std::uint64_t largestReserve = 256 * 1024;
 };
@@ -107,7 +122,10 @@
         if (used == 0)
             break;
     }
-    return collector.is_done() ? ParseState::Complete : ParseState::Incomplete;
+    if (collector.is_done())
+        return ParseState::Complete;
+    // Left over are lines without an end: of the head, of a chunk's extension or of trailers.
+    return bytes.size() > maxHeaderBytes ? ParseState::Malformed : ParseState::Incomplete;
 }
 
 /** What a parser keeps: the limit, and the collector of the message being read. */
--- a/libs/net/src/details/ServerConnection.cpp
+++ b/libs/net/src/details/ServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "details/ServerConnection.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -13,8 +14,14 @@
 
 constexpr std::size_t readChunkBytes = 64 * 1024;
 
-/** What a caller may send ahead while its request is served. */
-constexpr std::size_t mostSentAhead = 64 * 1024;
+/**
+ * What a caller may send ahead while its request is served. All connections together can hold so
+ * much without asking the budget.
+ */
+constexpr std::size_t mostSentAhead = 4 * 1024;
+
+/** What is read and dropped of a request that is not read to its end. */
+constexpr std::size_t mostDropped = 256 * 1024;
 
 /** Time in which a caller may read the answer to a request that is not read to its end. */
 constexpr base::Millis lingerTime(1000);
@@ -62,14 +69,20 @@
     return head;
 }
 
+HttpResponse plainAnswer(int status)
+{
+    return {.status_ = status, .body_ = std::string(reasonPhrase(status)) + "\n"};
+}
+
 } // namespace
 
-ServerConnection::ServerConnection(Reactor &reactor, int socket, std::size_t maxBodyBytes,
+ServerConnection::ServerConnection(Reactor &reactor, int socket, const ServerLimits &limits,
                                    ServerConnectionOwner &owner)
     : reactor_(reactor)
     , socket_(socket)
+    , limits_(limits)
     , owner_(owner)
-    , parser_(maxBodyBytes)
+    , parser_(limits.maxBodyBytes_)
 {
     reactor_.watch(socket_, *this, READ_MASK);
 }
@@ -88,7 +101,12 @@
 int ServerConnection::handle_input(ACE_HANDLE)
 {
     static thread_local std::array<char, readChunkBytes> buffer;
-    const auto count = ::recv(socket_, buffer.data(), buffer.size(), 0);
+    const bool isBusy = state_ == State::Serving || state_ == State::Writing;
+    const auto most =
+            isBusy ? mostSentAhead - std::min(mostSentAhead, unparsed_.size()) : buffer.size();
+    if (most == 0)
+        return 0;
+    const auto count = ::recv(socket_, buffer.data(), most, 0);
     if (count < 0 && (errno == EAGAIN || errno == EINTR))
         return 0;
     if (count <= 0) {
@@ -98,7 +116,9 @@
     const std::string_view bytes(buffer.data(), static_cast<std::size_t>(count));
     switch (state_) {
     case State::Reading:
-        if (unparsed_.empty()) {
+        if (!held_.grow(limits_.budget_, bytes.size())) {
+            refuse(limits_.withoutRoom_);
+        } else if (unparsed_.empty()) {
             parse(bytes);
         } else {
             unparsed_ += bytes;
@@ -107,10 +127,15 @@
         break;
     case State::Serving:
     case State::Writing:
+        held_.take(limits_.budget_, bytes.size());
         unparsed_ += bytes;
         watch();
         break;
     case State::Lingering:
+        dropped_ += bytes.size();
+        if (dropped_ >= mostDropped)
+            watch();
+        break;
     case State::Closed:
         break;
     }
@@ -136,10 +161,10 @@
     owner_.activityChanged(*this);
     switch (parsed) {
     case ParseState::Malformed:
-        refuse(statusBadRequest);
+        refuse(plainAnswer(statusBadRequest));
         return;
     case ParseState::TooLarge:
-        refuse(statusTooLarge);
+        refuse(plainAnswer(statusTooLarge));
         return;
     case ParseState::Incomplete:
         if (parser_.takeExpectation()) {
@@ -159,12 +184,13 @@
 }
 
 // The rest of the request is not read, so the connection cannot be used for another one.
-void ServerConnection::refuse(int status)
+void ServerConnection::refuse(HttpResponse answer)
 {
     state_ = State::Serving;
     isRefusing_ = true;
-    unparsed_.clear();
-    respond({.status_ = status, .body_ = std::string(reasonPhrase(status)) + "\n"}, true);
+    unparsed_ = {};
+    static_cast<void>(parser_.take()); // gives back what was read
+    respond(std::move(answer), true);
 }
 
 void ServerConnection::respond(HttpResponse response, bool closesAfter)
@@ -173,6 +199,7 @@
         return;
     closesAfterAnswer_ = closesAfterAnswer_ || closesAfter;
     auto head = headOf(response, closesAfterAnswer_);
+    held_.take(limits_.budget_, head.size() + response.body_.size());
     output_ = Output(std::move(head), isToHead_ ? std::string() : std::move(response.body_));
     state_ = State::Writing;
     owner_.activityChanged(*this);
@@ -202,6 +229,8 @@
 void ServerConnection::written()
 {
     output_ = {};
+    held_.release();
+    held_.take(limits_.budget_, unparsed_.size());
     if (isRefusing_) {
         linger();
         return;
@@ -237,7 +266,9 @@
 void ServerConnection::watch()
 {
     ACE_Reactor_Mask mask = NULL_MASK;
-    if (state_ == State::Reading || state_ == State::Lingering || unparsed_.size() < mostSentAhead)
+    const bool isBusy = state_ == State::Serving || state_ == State::Writing;
+    if (state_ == State::Reading || (isBusy && unparsed_.size() < mostSentAhead)
+        || (state_ == State::Lingering && dropped_ < mostDropped))
         mask |= READ_MASK;
     if (state_ == State::Writing)
         mask |= WRITE_MASK;
@@ -249,6 +280,7 @@
     if (state_ == State::Closed)
         return;
     state_ = State::Closed;
+    held_.release();
     reactor_.closeWatched(socket_);
     owner_.connectionClosed(*this);
 }
--- a/libs/net/src/details/ServerConnection.h
+++ b/libs/net/src/details/ServerConnection.h
@@ -8,6 +8,7 @@
 
 #include <ace/Event_Handler.h>
 #include <base/Millis.h>
+#include <net/HeldBytes.h>
 #include <net/HttpRequest.h>
 #include <net/HttpResponse.h>
 
@@ -22,6 +23,14 @@
 
 class ServerConnection;
 
+/** Bounds of the messages on a connection. */
+struct ServerLimits
+{
+    std::size_t maxBodyBytes_;
+    ByteBudget &budget_;
+    const HttpResponse &withoutRoom_; ///< answers a request for which the budget has no room
+};
+
 /** What a connection tells the server that accepted it. */
 class ServerConnectionOwner
 {
@@ -53,7 +62,7 @@
         std::uint64_t exchange_ = 0; ///< the request being served, or 0
     };
 
-    ServerConnection(Reactor &reactor, int socket, std::size_t maxBodyBytes,
+    ServerConnection(Reactor &reactor, int socket, const ServerLimits &limits,
                      ServerConnectionOwner &owner);
     ~ServerConnection() override;
 
@@ -85,7 +94,7 @@
 
     void readOn();
     void parse(std::string_view bytes);
-    void refuse(int status);
+    void refuse(HttpResponse answer);
     void linger();
     void write();
     void written();
@@ -93,10 +102,13 @@
 
     Reactor &reactor_;
     const int socket_;
+    const ServerLimits limits_;
     ServerConnectionOwner &owner_;
     RequestParser parser_;
     std::string unparsed_; ///< received, and not yet taken by the parser
     Output output_;
+    HeldBytes held_; ///< by the request until it is answered, and by the answer
+    std::size_t dropped_ = 0; ///< while lingering
     State state_ = State::Reading;
     bool isToHead_ = false;
     bool closesAfterAnswer_ = false;
--- a/libs/net/tests/RawSocket.cpp
+++ b/libs/net/tests/RawSocket.cpp
@@ -57,6 +57,18 @@
               static_cast<ssize_t>(bytes.size()));
 }
 
+void RawSocket::sendSome(std::string_view bytes) const
+{
+    static_cast<void>(::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+}
+
+std::string RawSocket::received() const
+{
+    std::array<char, 65536> buffer;
+    const auto count = ::recv(socket_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    return count > 0 ? std::string(buffer.data(), static_cast<std::size_t>(count)) : std::string();
+}
+
 std::string RawSocket::receiveUntil(net::Reactor &reactor, std::string_view text) const
 {
     std::string received;
--- a/libs/net/tests/RawSocket.h
+++ b/libs/net/tests/RawSocket.h
@@ -27,6 +27,12 @@
 
     void send(std::string_view bytes) const;
 
+    /** Sends as much as the connection takes at once; nothing if it is broken. */
+    void sendSome(std::string_view bytes) const;
+
+    /** What has come and was not received yet; does not wait. */
+    std::string received() const;
+
     /** Receives until the text has come or the other side has closed; returns all that came. */
     std::string receiveUntil(net::Reactor &reactor, std::string_view text) const;
 
--- a/libs/once/include/once/ExecutorEvent.h
+++ b/libs/once/include/once/ExecutorEvent.h
@@ -6,6 +6,7 @@
 #include <base/Millis.h>
 #include <once/HomeEvent.h>
 #include <once/Outcome.h>
+#include <once/Reason.h>
 #include <once/SubKey.h>
 
 namespace once {
@@ -72,6 +73,7 @@
 struct BackendLost
 {
     SubKey subKey_;
+    Reason reason_ = Reason::AnswerLost;
 
     bool operator==(const BackendLost &) const = default;
 };
--- a/libs/once/src/Executor.cpp
+++ b/libs/once/src/Executor.cpp
@@ -181,7 +181,7 @@
 {
     auto *record = table_.find(event.subKey_);
     if (record && std::holds_alternative<Sent>(record->state_))
-        decide(event.subKey_, *record, Unknown{Reason::AnswerLost}, out);
+        decide(event.subKey_, *record, Unknown{event.reason_}, out);
 }
 
 void Executor::Impl::decide(const SubKey &subKey, ExecutorRecord &record, const Outcome &outcome,
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -36,6 +36,7 @@
     std::string logLevel_ = "info";
     std::string traceFile_;
     Mode mode_ = Mode::Full;
+    std::size_t memoryBytes_ = std::size_t{512} * 1024 * 1024; ///< of the whole process
     std::size_t maxBodyBytes_ = 16 * 1024 * 1024;
     std::uint32_t maxConnections_ = 4096;
     std::uint32_t onceRecords_ = 20'000;
@@ -47,7 +48,17 @@
     /** Longest time in which a draining daemon still takes work for its backend server. */
     base::Millis drainHandover_;
 
+    /**
+     * Bytes of all messages that the data task may hold. A byte that is counted once may take three
+     * in memory, as a buffer that grows is copied and an attempt is a copy of its request; the rest
+     * is for the once-only record, connections and the program.
+     */
+    std::size_t messageBytes() const { return memoryBytes_ / memoryPerMessageByte; }
+
     bool operator==(const Settings &) const = default;
+
+private:
+    static constexpr std::size_t memoryPerMessageByte = 10;
 };
 
 } // namespace settings
--- a/libs/settings/src/Loader.cpp
+++ b/libs/settings/src/Loader.cpp
@@ -270,6 +270,11 @@
               [](const Node &n, Settings &s) {
                   return readMode(n, s.mode_);
               }}},
+            {"memoryMiB",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readMebibytes(n, 1'048'576, s.memoryBytes_);
+              }}},
             {"maxBodyMiB",
              {false,
               [](const Node &n, Settings &s) {
--- a/tools/bench/ChildProcess.h
+++ b/tools/bench/ChildProcess.h
@@ -27,6 +27,8 @@
     /** Waits for the end at most so long; true when it has ended. */
     bool waitFor(base::Millis time);
 
+    pid_t pid() const { return pid_; }
+
     /** Exit code after the end, or -1 when a signal ended it. */
     int exitCode() const { return exitCode_; }
 
--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -5,6 +5,8 @@
 #include <iostream>
 #include <optional>
 
+#include <malloc.h>
+
 #include <cxxopts.hpp>
 #include <dock/Daemon.h>
 #include <events/Catalogue.h>
@@ -20,6 +22,13 @@
 constexpr int exitFailed = 1;
 constexpr int exitUsage = 2;
 
+/**
+ * Blocks from this size on are mapped one by one and go back to the system when freed, so that
+ * large messages leave no gaps in the heap. Without it the allocator raises its own bound up to 32
+ * MiB.
+ */
+constexpr int mappedBlockBytes = 512 * 1024;
+
 /** How often a second signal is looked for while the daemon drains, in nanoseconds. */
 constexpr long drainPollNanos = 50'000'000;
 
@@ -95,6 +104,7 @@
 
 int serve(const settings::Settings &settings, const std::string &file)
 {
+    mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
     events::setUpLog(settings.logLevel_, settings.id_);
     // Blocked before any thread starts, so that only this thread receives them.
     const auto signals = endSignals();
