Try an idempotent request again when its backend server says that it failed

Change: a 5xx other than 504 to an idempotent request on a route counts as a failed attempt, paid for like a lost one, unless the service or one below it sheds load. A failure passed on therefore runs twice in RoutedPath.aFailureOfTheBackendServerIsPassedOnAsItIs, which expected one run.

--- a/libs/dock/include/dock/IdempotentCalls.h
+++ b/libs/dock/include/dock/IdempotentCalls.h
@@ -30,9 +30,12 @@
 public:
     using Done = std::function<void(const once::Outcome &, const CallReport &)>;
 
-    /** All that is passed in must outlive this object. */
+    /**
+     * All that is passed in must outlive this object. With repeatsFailures a request is also sent
+     * to another instance when a backend server answers that it failed.
+     */
     IdempotentCalls(net::Reactor &reactor, retry::Core &retry, InstanceSelector &selector,
-                    AttemptSender &sender);
+                    AttemptSender &sender, bool repeatsFailures);
     ~IdempotentCalls();
 
     /** Starts a call; done is called once, unless the call is cancelled before. */
@@ -53,6 +56,7 @@
         std::vector<std::string> tried_; ///< instances that failed
         CallReport report_;
         bool mayHaveRun_ = false;
+        std::optional<once::Complete> failure_; ///< whole answer of an attempt that failed
         once::NotRun lastRefusal_;
     };
 
@@ -62,11 +66,13 @@
     void attemptDone(retry::CallId id, const std::string &instance, SendResult result);
     void finish(retry::CallId id, const once::Outcome &outcome);
     once::Outcome failureOutcome(const Call &call) const;
+    bool isWorthRepeating(const once::Complete &whole, const admission::AnswerLevels &levels) const;
 
     net::Reactor &reactor_;
     retry::Core &retry_;
     InstanceSelector &selector_;
     AttemptSender &sender_;
+    const bool repeatsFailures_;
     std::map<retry::CallId, Call> calls_;
     retry::CallId nextId_ = 1;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -6,6 +6,13 @@
 
 namespace dock {
 
+namespace {
+
+constexpr int firstServerError = 500;
+constexpr int statusGatewayTimeout = 504;
+
+} // namespace
+
 retry::AttemptResult attemptResultOf(const once::NotRun &why)
 {
     if (why.reason_ == once::Reason::Overloaded || why.reason_ == once::Reason::CustomerLimit)
@@ -19,11 +26,13 @@
 }
 
 IdempotentCalls::IdempotentCalls(net::Reactor &reactor, retry::Core &retry,
-                                 InstanceSelector &selector, AttemptSender &sender)
+                                 InstanceSelector &selector, AttemptSender &sender,
+                                 bool repeatsFailures)
     : reactor_(reactor)
     , retry_(retry)
     , selector_(selector)
     , sender_(sender)
+    , repeatsFailures_(repeatsFailures)
 {}
 
 IdempotentCalls::~IdempotentCalls()
@@ -133,19 +142,39 @@
     } else if (std::holds_alternative<once::Unknown>(result->outcome_)) {
         event.result_ = retry::AttemptResult::Lost;
         call.mayHaveRun_ = true;
+    } else if (const auto &whole = std::get<once::Complete>(result->outcome_);
+               isWorthRepeating(whole, result->levels_)) {
+        event.result_ = retry::AttemptResult::Failed;
+        call.failure_ = whole;
     }
     const auto commands = retry_.handle(event, base::monotonicNow());
-    if (std::holds_alternative<once::Complete>(result->outcome_))
+    if (event.result_ == retry::AttemptResult::Answered)
         finish(id, result->outcome_);
     else
         perform(commands);
 }
 
+/**
+ * Whether another instance may do better than this answer. Not while the service or one that it
+ * calls sheds load: the failure is then likely a call refused further down, and would come again.
+ */
+bool IdempotentCalls::isWorthRepeating(const once::Complete &whole,
+                                       const admission::AnswerLevels &levels) const
+{
+    const auto status = whole.answer_->status_;
+    const auto all = admission::Level::all();
+    return repeatsFailures_ && status >= firstServerError && status != statusGatewayTimeout
+           && levels.own_ == all && levels.further_ == all;
+}
+
 once::Outcome IdempotentCalls::failureOutcome(const Call &call) const
 {
-    if (call.mayHaveRun_)
-        return once::Unknown{once::Reason::AnswerLost};
-    return call.lastRefusal_;
+    if (call.failure_)
+        return *call.failure_;
+    if (!call.mayHaveRun_)
+        return call.lastRefusal_;
+    const bool isLate = base::monotonicNow() >= call.info_.deadline_;
+    return once::Unknown{isLate ? once::Reason::StillRunning : once::Reason::AnswerLost};
 }
 
 void IdempotentCalls::finish(retry::CallId id, const once::Outcome &outcome)
--- a/libs/retry/include/retry/Event.h
+++ b/libs/retry/include/retry/Event.h
@@ -63,6 +63,7 @@
 /** How an attempt ended. */
 enum class AttemptResult : std::uint8_t {
     Answered,   ///< a whole answer, whatever it says
+    Failed,     ///< a whole answer that says that the request failed, worth another attempt
     NotSent,    ///< no byte reached the other side's application
     Overloaded, ///< refused by admission, did not run
     NotRun,     ///< did not run for another reason
--- a/libs/retry/src/Core.cpp
+++ b/libs/retry/src/Core.cpp
@@ -140,7 +140,9 @@
 std::optional<StopReason> Core::Impl::spend(Call &call, const AttemptEnded &event, base::Millis now,
                                             base::Millis finish)
 {
-    if (event.result_ == AttemptResult::Lost && !call.idempotent_)
+    const bool mayHaveRun =
+            event.result_ == AttemptResult::Lost || event.result_ == AttemptResult::Failed;
+    if (mayHaveRun && !call.idempotent_)
         return StopReason::MayHaveRun;
     if (call.overloaded_ >= settings_.maxOverloaded_)
         return StopReason::CalleeOverloaded;
