Bound repeats where they arrive instead of at each entry

Cause: each entry divided the platform's ratio by ten and kept a bucket of one repeat for each route. With 95 daemons most buckets never filled: 417 repeats of 428,000 arrivals, where a fifth is allowed.

Change: the executor counts first arrivals and repeats and refuses repeats beyond its share. A mark for repeats, and for calls made by repeated runs, goes with the attempt. Entries have no ratio of their own on routes. Refusals by backend servers and of repeats come with a time to return. The tests of repeated refusals keep their bounds and now spend from this budget.

--- a/libs/dock/include/dock/Attempt.h
+++ b/libs/dock/include/dock/Attempt.h
@@ -28,6 +28,7 @@
     base::Millis timeLeft_;              ///< until the caller's deadline
     std::uint32_t budget_ = 0;           ///< retries handed down for the calls below
     std::uint32_t depth_ = 0;            ///< calls between the root and this one
+    bool isRepeat_ = false;              ///< a backend server may have seen the request before
     std::optional<once::SubKey> subKey_; ///< set for non-idempotent classes
     std::uint64_t settledBelow_ = 0;     ///< see once::Delegate
     net::HttpRequest request_;           ///< target without the service name
--- a/libs/dock/include/dock/CallInfo.h
+++ b/libs/dock/include/dock/CallInfo.h
@@ -37,10 +37,10 @@
     std::uint32_t budget_ = 0;        ///< extra attempts that its class allows a root request
     bool isRetriedAtEachHop_ = false; ///< baseline mode: no budget of the whole chain
     double retryRatio_ = 0;
-    double refusedRatio_ = 0; ///< of attempts that repeat one refused by a backend server
     std::uint32_t mostRepeats_ = std::numeric_limits<std::uint32_t>::max(); ///< of this call
     std::string contextToken_; ///< of the running call that made this call, or empty
     bool hasUnknownContext_ = false;
+    bool isRepeat_ = false; ///< a backend server may have seen it, or the run that it belongs to
 
     /** Whether a backend server made the call within a request that still runs here. */
     bool isChild() const { return !contextToken_.empty(); }
--- a/libs/dock/include/dock/HeaderNames.h
+++ b/libs/dock/include/dock/HeaderNames.h
@@ -24,6 +24,7 @@
 inline const std::string timeLeftMicros = "fd-time-left-us";
 inline const std::string budget = "fd-budget";
 inline const std::string depth = "fd-depth";
+inline const std::string repeat = "fd-repeat"; ///< there if the attempt is a repeat
 inline const std::string subKey = "fd-sub-key";
 inline const std::string settledBelow = "fd-settled-below";
 inline const std::string level = "fd-level";
--- a/libs/dock/include/dock/InstanceSelector.h
+++ b/libs/dock/include/dock/InstanceSelector.h
@@ -53,6 +53,10 @@
     /** Learns from an answer to the call. */
     void observe(const CallInfo &call, const admission::AnswerLevels &levels, base::Millis now);
 
+    /** The outcome with a time to return, if it lacks one and another try may go better then. */
+    once::Outcome withReturnTime(const CallInfo &call, const once::Outcome &outcome,
+                                 base::Millis now);
+
     /** Forgets what has expired. */
     void prune(base::Millis now);
 
--- a/libs/dock/src/CallInfo.cpp
+++ b/libs/dock/src/CallInfo.cpp
@@ -12,6 +12,7 @@
             .timeLeft_ = call.deadline_ - now,
             .budget_ = handedDown,
             .depth_ = call.depth_,
+            .isRepeat_ = call.isRepeat_,
             .request_ = call.request_};
 }
 
@@ -58,9 +59,7 @@
             .customer_ = call.customer_,
             .requestClass_ = call.class_.name_,
             .ratio_ = call.retryRatio_,
-            .refusedRatio_ = call.refusedRatio_,
             .mostRepeats_ = call.mostRepeats_,
-            .priority_ = call.priority_,
             .idempotent_ = call.class_.idempotent_,
             .deadline_ = call.deadline_};
 }
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -35,12 +35,6 @@
 constexpr base::Millis retryWhenUnconfigured(1000);
 constexpr base::Millis retryWhenClosed(200); ///< another daemon can serve it at once
 
-/**
- * Retries of a route that one daemon saves up. Every daemon may spend its own within one window of
- * the budget, whose slack is about three for each daemon.
- */
-constexpr double savedRouteRetries = 1;
-
 /** Further instances that a request on a route is sent to as long as none ran or refused it. */
 constexpr std::uint32_t freeRouteAttempts = 3;
 
@@ -159,8 +153,7 @@
 {
     retry::RetrySettings result;
     if (interface.hasRoutes()) {
-        result.initialTokens_ = savedRouteRetries;
-        result.maxTokens_ = savedRouteRetries;
+        result.hasRatio_ = false;
         result.freeUnreached_ = freeRouteAttempts;
         result.mostRefused_ = repeatedRefusals;
     }
@@ -297,7 +290,8 @@
     const auto &call = found->second.call_;
     recorder_.finished(call, outcome, report, base::monotonicNow());
     failureLog_.note(call, outcome, report, base::monotonicNow());
-    finish(id, callerAnswer(outcome, answerForm_, needsKey(call) ? freshKey(call) : std::string()));
+    const auto told = selector_.withReturnTime(call, outcome, base::monotonicNow());
+    finish(id, callerAnswer(told, answerForm_, needsKey(call) ? freshKey(call) : std::string()));
 }
 
 void Entry::Impl::finish(EntryId id, net::HttpResponse response)
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -15,7 +15,8 @@
 
 retry::AttemptResult attemptResultOf(const once::NotRun &why)
 {
-    if (why.reason_ == once::Reason::Overloaded || why.reason_ == once::Reason::CustomerLimit)
+    if (why.reason_ == once::Reason::Overloaded || why.reason_ == once::Reason::CustomerLimit
+        || why.reason_ == once::Reason::RepeatLimit)
         return retry::AttemptResult::Overloaded;
     return retry::AttemptResult::NotRun;
 }
@@ -128,6 +129,7 @@
         event.result_ = isUnsent ? retry::AttemptResult::NotSent : retry::AttemptResult::Lost;
         event.reachedBackend_ = !isUnsent;
         call.mayHaveRun_ |= !isUnsent;
+        call.info_.isRepeat_ = call.info_.isRepeat_ || !isUnsent;
         call.lastRefusal_ = {once::Reason::NoInstance, {}};
         perform(retry_.handle(event, base::monotonicNow()));
         return;
@@ -147,6 +149,7 @@
         event.result_ = retry::AttemptResult::Failed;
         call.failure_ = whole;
     }
+    call.info_.isRepeat_ = call.info_.isRepeat_ || event.reachedBackend_;
     const auto commands = retry_.handle(event, base::monotonicNow());
     if (event.result_ == retry::AttemptResult::Answered)
         finish(id, result->outcome_);
--- a/libs/dock/src/InstanceSelector.cpp
+++ b/libs/dock/src/InstanceSelector.cpp
@@ -11,6 +11,13 @@
     return {call.service_, call.class_.name_, call.customer_};
 }
 
+/** Whether a request that was not run for that reason may be run at another time. */
+bool mayGoBetter(once::Reason reason)
+{
+    return reason == once::Reason::BackendRefused || reason == once::Reason::BackendUnavailable
+           || reason == once::Reason::NoInstance || reason == once::Reason::RepeatLimit;
+}
+
 } // namespace
 
 InstanceSelector::InstanceSelector(routing::Core &routing, std::uint64_t seed,
@@ -54,6 +61,15 @@
     return Selected{*choice->member_, routed};
 }
 
+once::Outcome InstanceSelector::withReturnTime(const CallInfo &call, const once::Outcome &outcome,
+                                               base::Millis now)
+{
+    const auto *notRun = std::get_if<once::NotRun>(&outcome);
+    if (notRun == nullptr || notRun->retryAfter_ > base::Millis(0) || !mayGoBetter(notRun->reason_))
+        return outcome;
+    return once::NotRun{notRun->reason_, overloaded(call, now).retryAfter_};
+}
+
 void InstanceSelector::prune(base::Millis now)
 {
     levels_.prune(now);
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -129,13 +129,15 @@
     const auto found = records_.find(order.record_);
     if (found == records_.end())
         return;
+    const bool hasReached = order.wasSent_ && hasReachedBackend(order.why_);
+    found->second.info_.isRepeat_ = found->second.info_.isRepeat_ || hasReached;
     const retry::AttemptEnded event{
             .call_ = order.record_,
             .attempt_ = found->second.attempt_.attempt_,
             .result_ = order.wasSent_ ? attemptResultOf(order.why_) : retry::AttemptResult::NotSent,
             .instance_ = order.last_ ? order.last_->id_ : std::string(),
             .budgetLeft_ = std::exchange(found->second.budgetLeft_, std::nullopt),
-            .reachedBackend_ = order.wasSent_ && hasReachedBackend(order.why_)};
+            .reachedBackend_ = hasReached};
     const auto commands = retry_.handle(event, now);
     for (const auto &command : commands) {
         if (std::holds_alternative<retry::GiveUp>(command)) {
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -28,6 +28,12 @@
  */
 constexpr base::Millis latestTick(30);
 
+/**
+ * Part of the platform's ratio of repeats that is used: the platform counts in windows that begin
+ * at any moment, and requests at another moment than they arrive here.
+ */
+constexpr double shareOfRepeats = 0.8;
+
 /** Silence of the backend server after which it counts as absent. */
 constexpr base::Millis announcementLease(5000);
 
@@ -48,6 +54,14 @@
 
 } // namespace
 
+std::optional<retry::ArrivalBudget>
+Executor::Impl::arrivalBudget(const settings::Settings &settings)
+{
+    if (!settings.platform_)
+        return std::nullopt;
+    return retry::ArrivalBudget(settings.platform_->retryBudgetRatio_ * shareOfRepeats);
+}
+
 void Executor::Impl::createRecord(once::Incarnation self)
 {
     once_.emplace(std::move(self), once::ExecutorSettings{.maxRecords_ = settings_.onceRecords_,
@@ -78,12 +92,15 @@
     timer_ = reactor_.schedule(interval, [this] { tick(); });
 }
 
-std::optional<NotRun> Executor::Impl::refusalOf(const Attempt &attempt) const
+std::optional<NotRun> Executor::Impl::refusalOf(const Attempt &attempt)
 {
-    if (isServing() && attempt.service_ == backend_.service_)
-        return std::nullopt;
-    const bool isLeaving = isDraining_ || backend_.serving_ == model::ServingState::Draining;
-    return NotRun{isLeaving ? Reason::Draining : Reason::NoInstance, {}};
+    if (!isServing() || attempt.service_ != backend_.service_) {
+        const bool isLeaving = isDraining_ || backend_.serving_ == model::ServingState::Draining;
+        return NotRun{isLeaving ? Reason::Draining : Reason::NoInstance, {}};
+    }
+    const bool isOverBudget = attempt.isRepeat_ && arrivals_
+                              && !arrivals_->spend(attempt.priority_, base::monotonicNow());
+    return isOverBudget ? std::optional(NotRun{Reason::RepeatLimit, {}}) : std::nullopt;
 }
 
 std::uint32_t Executor::Impl::admissionSlots() const
@@ -116,7 +133,8 @@
                             .customer_ = attempt.customer_,
                             .deadline_ = startBy,
                             .budget_ = retry::ChainBudget(attempt.budget_),
-                            .depth_ = attempt.depth_});
+                            .depth_ = attempt.depth_,
+                            .isRepeat_ = attempt.isRepeat_});
     if (!token)
         return std::nullopt;
     const auto id = nextRun_++;
@@ -216,6 +234,8 @@
         return;
     }
     auto &run = runs_.at(id);
+    if (arrivals_ && !run.attempt_.isRepeat_)
+        arrivals_->noteFirst(base::monotonicNow());
     // It is sent once whatever comes of it, so its content is not needed any more.
     auto request = details::backendRequest(std::move(run.attempt_.request_), timeLeft, run.context_,
                                            backend_.instanceId_, interface_);
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -13,6 +13,7 @@
 #include <net/HttpClient.h>
 #include <net/Reactor.h>
 #include <once/Executor.h>
+#include <retry/ArrivalBudget.h>
 #include <settings/Settings.h>
 
 namespace retry {
@@ -62,13 +63,15 @@
                             .maxIdle_ = longestIdle,
                             .echoedField_ = interface.requestId_,
                             .budget_ = &budget})
+        , arrivals_(arrivalBudget(settings))
     {
         createRecord(std::move(self));
     }
 
     bool isServing() const { return backend_.serving_ == model::ServingState::Ready; }
     bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
-    std::optional<once::NotRun> refusalOf(const Attempt &attempt) const;
+    static std::optional<retry::ArrivalBudget> arrivalBudget(const settings::Settings &settings);
+    std::optional<once::NotRun> refusalOf(const Attempt &attempt);
     std::uint32_t admissionSlots() const;
     RunId runOf(const once::SubKey &subKey) const;
 
@@ -97,6 +100,7 @@
     retry::ContextTable &contexts_;
     const CallInterface &interface_;
     net::HttpClient client_;
+    std::optional<retry::ArrivalBudget> arrivals_; ///< none: entries bound repeats themselves
     admission::Core admission_;
     admission::DownstreamLevels levels_;
     std::optional<once::Executor> once_;
--- a/libs/dock/src/details/RequestReader.cpp
+++ b/libs/dock/src/details/RequestReader.cpp
@@ -17,15 +17,6 @@
 constexpr std::uint64_t longestDeadlineMs = 600'000;
 constexpr std::uint32_t baselineRetries = 3;
 
-/**
- * Parts of a service's retry budget that the calls of one route use. A run that is repeated repeats
- * its calls, so with four routes above one another the deepest service sees the first part four
- * times. A refused attempt ran nothing, and is seen by its own service only. What is left over is
- * for the windows in which calls are counted here and by the platform.
- */
-constexpr double shareForRepeatedRuns = 0.1;
-constexpr double shareForRefusals = 0.5;
-
 /** Further attempts in the whole chain of a request on a route, whatever its depth. */
 constexpr std::uint32_t chainBudgetOfRoutes = 16;
 
@@ -209,6 +200,7 @@
     call.priority_ = admission::Priority::unpack(static_cast<int>(parent.priority_)).forChild();
     call.deadline_ = std::min(call.deadline_, parent.deadline_);
     call.depth_ = parent.depth_ + 1;
+    call.isRepeat_ = parent.isRepeat_;
 }
 
 void RequestReader::addTolerance(CallInfo &call) const
@@ -228,11 +220,8 @@
 
 void RequestReader::addRouteTolerance(CallInfo &call, std::uint32_t maxAttempts) const
 {
-    const auto ratio = settings_.platform_->retryBudgetRatio_;
     call.budget_ = chainBudgetOfRoutes;
     call.mostRepeats_ = maxAttempts - std::min(maxAttempts, 1U);
-    call.retryRatio_ = ratio * shareForRepeatedRuns;
-    call.refusedRatio_ = ratio * shareForRefusals;
 }
 
 } // namespace dock::details
--- a/libs/once/include/once/Reason.h
+++ b/libs/once/include/once/Reason.h
@@ -30,6 +30,7 @@
     StillRunning,        ///< the caller's deadline passed before the answer came
     TooManyWaiting,      ///< too many callers wait for the same answer
     CustomerLimit,       ///< the customer runs as many requests as it may
+    RepeatLimit,         ///< the service has had as many repeats as it may
 };
 
 /** Stable text of a reason for headers and logs, such as "no-instance". */
--- a/libs/once/src/Reason.cpp
+++ b/libs/once/src/Reason.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 23> texts = {
+constexpr std::array<std::string_view, 24> texts = {
         "none",
         "bad-key",
         "no-instance",
@@ -31,8 +31,9 @@
         "still-running",
         "too-many-waiting",
         "customer-limit",
+        "repeat-limit",
 };
-static_assert(texts.size() == static_cast<std::size_t>(Reason::CustomerLimit) + 1);
+static_assert(texts.size() == static_cast<std::size_t>(Reason::RepeatLimit) + 1);
 
 } // namespace
 
--- a/libs/retry/include/retry/Event.h
+++ b/libs/retry/include/retry/Event.h
@@ -6,7 +6,6 @@
 #include <string>
 #include <variant>
 
-#include <admission/Priority.h>
 #include <base/Millis.h>
 
 namespace retry {
@@ -47,13 +46,9 @@
     std::string requestClass_;
     double ratio_ = 0; ///< model::RetryTolerance::ratio_
 
-    /** The same for attempts that repeat one refused by a backend server. */
-    double refusedRatio_ = 0;
-
     /** Further attempts of this call, whatever the budget of the chain. */
     std::uint32_t mostRepeats_ = std::numeric_limits<std::uint32_t>::max();
 
-    admission::Priority priority_; ///< better ones get what is left of refusedRatio_
     bool idempotent_ = false;
     base::Millis deadline_;
 
--- a/libs/retry/include/retry/RetrySettings.h
+++ b/libs/retry/include/retry/RetrySettings.h
@@ -22,11 +22,14 @@
     std::uint32_t freeUnreached_ = 0;
 
     /**
-     * Further attempts of a call after refusals by backend servers, which did no work: paid for by
-     * CallStarted::refusedRatio_ instead of the budget of the chain. 0: paid for like all others.
+     * Further attempts of a call after refusals by backend servers, which did no work and are not
+     * paid for by the budget of the chain. 0: paid for like all others.
      */
     std::uint32_t mostRefused_ = 0;
 
+    /** False: retries have no ratio here, as the daemon beside the backend server bounds them. */
+    bool hasRatio_ = true;
+
     bool operator==(const RetrySettings &) const = default;
 };
 
--- a/libs/retry/src/Core.cpp
+++ b/libs/retry/src/Core.cpp
@@ -28,7 +28,6 @@
     std::uint32_t refused_ = 0;   ///< attempts that were repeated after a backend server refused
     std::uint32_t repeats_ = 0;   ///< the other ones
     std::uint32_t mostRepeats_ = 0;
-    admission::Priority priority_;
     base::Millis attemptStart_;
     std::vector<std::string> avoid_;
 };
@@ -54,8 +53,7 @@
     void on(const CallEnded &event, base::Millis now, std::vector<Command> &out);
 
     ChainBudget *budgetOf(Call &call);
-    std::optional<StopReason> spend(Call &call, const AttemptEnded &event, base::Millis now,
-                                    base::Millis finish);
+    std::optional<StopReason> spend(Call &call, const AttemptEnded &event, base::Millis finish);
     base::Millis backoff(std::uint32_t attempt);
     StartAttempt start(CallId id, Call &call, base::Millis delay, base::Millis now);
 
@@ -78,7 +76,6 @@
     call.idempotent_ = event.idempotent_;
     call.deadline_ = event.deadline_;
     call.mostRepeats_ = event.mostRepeats_;
-    call.priority_ = event.priority_;
     call.ratio_ = &ratios_.of(event.customer_, event.requestClass_);
     if (const auto *root = std::get_if<RootCall>(&event.origin_)) {
         call.budget_ = ChainBudget(root->budget_);
@@ -93,7 +90,7 @@
     }
     // Repetitions by callers must not earn further retries.
     if (!std::holds_alternative<UnbudgetedCall>(event.origin_))
-        ratios_.earn(*call.ratio_, event.ratio_, event.refusedRatio_, now);
+        ratios_.earn(*call.ratio_, event.ratio_);
     auto &kept = calls_.insert_or_assign(event.call_, std::move(call)).first->second;
     out.push_back(start(event.call_, kept, base::Millis(0), now));
 }
@@ -123,7 +120,7 @@
     }
     const auto delay = backoff(call.attempt_);
     const auto finish = now + delay + call.ratio_->meanTime_;
-    if (const auto stop = spend(call, event, now, finish)) {
+    if (const auto stop = spend(call, event, finish)) {
         out.push_back(GiveUp{event.call_, *stop});
         calls_.erase(found);
         return;
@@ -137,7 +134,7 @@
 }
 
 /** Pays for another attempt that would end at that time, or says why there is none. */
-std::optional<StopReason> Core::Impl::spend(Call &call, const AttemptEnded &event, base::Millis now,
+std::optional<StopReason> Core::Impl::spend(Call &call, const AttemptEnded &event,
                                             base::Millis finish)
 {
     const bool mayHaveRun =
@@ -154,19 +151,19 @@
     }
     const bool isRefusal = event.result_ == AttemptResult::NotRun && event.reachedBackend_;
     if (isRefusal && settings_.mostRefused_ > 0) {
-        if (call.refused_ >= settings_.mostRefused_
-            || !ratios_.spendOnRefusal(*call.ratio_, call.priority_, now))
+        if (call.refused_ >= settings_.mostRefused_)
             return StopReason::RefusalsRepeated;
         ++call.refused_;
         return std::nullopt;
     }
     if (call.repeats_ >= call.mostRepeats_)
         return StopReason::BudgetSpent;
-    if (call.ratio_->tokens_ < 1)
+    if (settings_.hasRatio_ && call.ratio_->tokens_ < 1)
         return StopReason::RatioSpent;
     if (auto *budget = budgetOf(call); !budget || !budget->spend())
         return StopReason::BudgetSpent;
-    call.ratio_->tokens_ -= 1;
+    if (settings_.hasRatio_)
+        call.ratio_->tokens_ -= 1;
     ++call.repeats_;
     return std::nullopt;
 }
