Let two daemons of each data centre read the store and tell the others

Change: two readers a data centre by rendezvous hashing; they tell the others of a new revision, which ask the teller for the record. A daemon that is behind asks one of its own data centre if it can, and the store only from the second time on.

--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -8,6 +8,7 @@
 #include <events/Catalogue.h>
 #include <events/Log.h>
 #include <follow/FollowService.h>
+#include <follow/Readers.h>
 #include <logclient/KeyedLog.h>
 #include <rendezvous/KeyedMeeting.h>
 #include <settings/Settings.h>
@@ -19,6 +20,12 @@
 /** Path on the control port at which daemons give each other the configuration in force. */
 const std::string configPath = "/config";
 
+/** Path on the control port at which a daemon is told of a revision. */
+const std::string newsPath = "/config-news";
+
+/** Daemons of a data centre that wait for records at the log; one of them may be cut off. */
+constexpr std::size_t readersPerDataCentre = 2;
+
 /**
  * Time in which the own read is expected to bring a revision that others have, before it is asked
  * for: the time of a few answers of the log.
@@ -48,6 +55,7 @@
     , log_(binding.openLog_(reactor))
     , client_(reactor)
     , tracker_(settings.platform_->service_, settings.platform_->backendAddress_)
+    , random_(seed)
 {
     follow::Options options;
     options.seed_ = seed;
@@ -110,12 +118,13 @@
 {
     for (const auto &record : records) {
         if (record.key_ == binding_.configKey_ && !record.value_.empty())
-            offerConfig(record.value_, "log");
+            offerConfig(record.value_, "log", LearntFrom::Log);
     }
 }
 
 /** Puts a configuration in force unless it is invalid or not newer than the one in force. */
-void PlatformSource::offerConfig(const std::string &record, const std::string &from)
+void PlatformSource::offerConfig(const std::string &record, const std::string &from,
+                                 LearntFrom learntFrom)
 {
     auto config = binding_.decodeConfig_(record);
     if (!config) {
@@ -130,42 +139,96 @@
     revision_ = config->revision_;
     record_ = record;
     hooks_.onConfig_(std::make_shared<const model::Config>(std::move(*config)));
+    tellOthers(learntFrom);
 }
 
 void PlatformSource::setMembers(std::shared_ptr<const std::vector<model::Member>> members)
 {
     members_ = std::move(members);
-    const bool isBehind =
-            std::any_of(members_->begin(), members_->end(), [this](const model::Member &member) {
-                return member.revision_ > revision_;
-            });
-    if (isBehind && catchUpTimer_ == 0)
+    config_->setTold(!follow::isReader(*members_, settings_.id_, settings_.dataCentre_,
+                                       readersPerDataCentre));
+    if (chooseNewest() != nullptr && catchUpTimer_ == 0)
         catchUpTimer_ = reactor_.schedule(catchUpDelay, [this] { catchUp(); });
 }
 
+/** A member with a newer configuration than this daemon, of the own data centre if there is one. */
+const model::Member *PlatformSource::chooseNewest()
+{
+    auto newest = revision_ + 1;
+    for (const auto &member : *members_)
+        newest = std::max(newest, member.revision_);
+    std::vector<const model::Member *> near;
+    std::vector<const model::Member *> far;
+    for (const auto &member : *members_) {
+        if (member.revision_ == newest)
+            (member.dataCentre_ == settings_.dataCentre_ ? near : far).push_back(&member);
+    }
+    const auto &from = near.empty() ? far : near;
+    return from.empty() ? nullptr : from[random_.below(from.size())];
+}
+
+/** Asks another daemon, and from the second time on the log as well. */
 void PlatformSource::catchUp()
 {
     catchUpTimer_ = 0;
-    const auto newest = std::max_element(members_->begin(), members_->end(),
-                                         [](const model::Member &a, const model::Member &b) {
-                                             return a.revision_ < b.revision_;
-                                         });
-    if (newest == members_->end() || newest->revision_ <= revision_)
+    const auto *newest = chooseNewest();
+    if (newest == nullptr) {
+        catchUps_ = 0;
         return;
-    config_->catchUp();
-    askMember(newest->controlAddress_);
+    }
+    if (++catchUps_ > 1)
+        config_->catchUp();
+    askMember(newest->controlAddress_, LearntFrom::OwnDataCentre);
     catchUpTimer_ = reactor_.schedule(askTimeout, [this] { catchUp(); });
 }
 
-void PlatformSource::askMember(const model::Address &address)
+void PlatformSource::askMember(const model::Address &address, LearntFrom from)
 {
     client_.send(address, {.target_ = configPath}, askTimeout,
-                 [this, address](const net::CallResult &result) {
+                 [this, address, from](const net::CallResult &result) {
+                     askedFor_ = 0;
                      if (result && result->status_ == statusOk)
-                         offerConfig(result->body_, address.text());
+                         offerConfig(result->body_, address.text(), from);
                  });
 }
 
+void PlatformSource::tellOthers(LearntFrom from)
+{
+    if (members_ == nullptr)
+        return;
+    const auto targets =
+            newsTargets(*members_, settings_.id_, settings_.dataCentre_, from, random_);
+    for (const auto *member : targets.ownDataCentre_)
+        tell(*member, false);
+    for (const auto *member : targets.otherDataCentres_)
+        tell(*member, true);
+}
+
+// Whoever is not reached hears of the revision by membership.
+void PlatformSource::tell(const model::Member &member, bool isToBeTold)
+{
+    const RevisionNews news{revision_, settings_.dataCentre_, settings_.controlAddress_,
+                            isToBeTold};
+    client_.send(member.controlAddress_,
+                 {.method_ = "POST", .target_ = newsPath, .body_ = news.text()}, askTimeout,
+                 [](const net::CallResult &) {});
+}
+
+net::HttpResponse PlatformSource::hear(const std::string &text)
+{
+    const auto news = RevisionNews::parse(text);
+    if (!news) {
+        events::log(events::configRefused, "from=news cause=\"" + news.error().message_ + "\"");
+        return {.status_ = statusBadRequest, .body_ = news.error().message_ + "\n"};
+    }
+    if (news->revision_ > std::max(revision_, askedFor_)) {
+        askedFor_ = news->revision_;
+        askMember(news->controlAddress_,
+                  news->isToBeTold_ ? LearntFrom::OtherDataCentre : LearntFrom::OwnDataCentre);
+    }
+    return {};
+}
+
 void PlatformSource::wantSeeds()
 {
     meeting_->wantSeeds();
@@ -174,6 +237,8 @@
 std::optional<net::HttpResponse>
 PlatformSource::handleControlRequest(const net::HttpRequest &request)
 {
+    if (request.target_ == newsPath)
+        return hear(request.body_);
     if (request.target_ != configPath)
         return std::nullopt;
     if (revision_ == 0)
--- a/libs/dock/src/details/PlatformSource.h
+++ b/libs/dock/src/details/PlatformSource.h
@@ -16,6 +16,7 @@
 #include <net/HttpServer.h>
 #include <net/Reactor.h>
 
+#include "RevisionNews.h"
 #include "SourceHooks.h"
 
 namespace follow {
@@ -70,9 +71,13 @@
     base::Result<void> listen(ServerSlot &slot, const model::Address &address,
                               std::function<net::HttpResponse(const net::HttpRequest &)> answer);
     void onRecords(const std::vector<logclient::KeyedRecord> &records);
-    void offerConfig(const std::string &record, const std::string &from);
+    void offerConfig(const std::string &record, const std::string &from, LearntFrom learntFrom);
     void catchUp();
-    void askMember(const model::Address &address);
+    void askMember(const model::Address &address, LearntFrom from);
+    const model::Member *chooseNewest();
+    void tellOthers(LearntFrom from);
+    void tell(const model::Member &member, bool isToBeTold);
+    net::HttpResponse hear(const std::string &text);
     net::HttpResponse answerBackend(const net::HttpRequest &request);
     void take(const heartbeat::Heartbeat &message);
     void take(const heartbeat::Deregistration &message);
@@ -97,6 +102,9 @@
     model::Revision revision_ = 0;
     base::Millis configuredAt_; ///< when the first configuration came into force
     net::TimerId catchUpTimer_ = 0;
+    int catchUps_ = 0;             ///< since this daemon knows that others are ahead
+    model::Revision askedFor_ = 0; ///< of the question that waits for its answer, or 0
+    base::Random random_;
     bool isDraining_ = false;
 };
 
--- a/libs/follow/include/follow/Core.h
+++ b/libs/follow/include/follow/Core.h
@@ -33,6 +33,7 @@
     void on(const ReadEnded &event);
     void on(const RetryDue &event);
     void on(const BehindOthers &event);
+    void on(const ToldByOthers &event);
     void readNewest(std::string after);
     void readOn();
     void take(const logclient::KeyedPage &page);
@@ -49,6 +50,7 @@
     bool isFirstPage_ = true;
     bool isComplete_ = false;
     bool isReachable_ = true;
+    bool isTold_ = false; ///< by other daemons
 };
 
 } // namespace follow
--- a/libs/follow/include/follow/Event.h
+++ b/libs/follow/include/follow/Event.h
@@ -32,6 +32,15 @@
 struct BehindOthers
 {};
 
-using Event = std::variant<Started, ReadEnded, RetryDue, BehindOthers>;
+/**
+ * Whether other daemons tell this one of new records. If so, it only looks for them at long
+ * intervals, in case nobody does.
+ */
+struct ToldByOthers
+{
+    bool isTold_ = false;
+};
+
+using Event = std::variant<Started, ReadEnded, RetryDue, BehindOthers, ToldByOthers>;
 
 } // namespace follow
--- a/libs/follow/include/follow/FollowService.h
+++ b/libs/follow/include/follow/FollowService.h
@@ -36,6 +36,9 @@
     /** Another daemon has read a newer record: reads again at once, on another connection. */
     void catchUp();
 
+    /** Whether other daemons tell this one of new records, so that it need not wait for them. */
+    void setTold(bool isTold);
+
 private:
     struct Impl;
     std::shared_ptr<Impl> impl_;
--- a/libs/follow/src/Core.cpp
+++ b/libs/follow/src/Core.cpp
@@ -53,6 +53,19 @@
     readNewest({});
 }
 
+void Core::on(const ToldByOthers &event)
+{
+    if (event.isTold_ == isTold_)
+        return;
+    isTold_ = event.isTold_;
+    if (!isComplete_ || isReadingNewest_)
+        return;
+    if (isTold_)
+        commands_.emplace_back(Retry{++read_, options_.toldInterval_});
+    else
+        readOn();
+}
+
 void Core::readNewest(std::string after)
 {
     isReadingNewest_ = true;
@@ -64,7 +77,8 @@
 void Core::readOn()
 {
     isReadingNewest_ = false;
-    commands_.emplace_back(ReadFrom{++read_, offset_, options_.longPoll_});
+    const auto wait = isTold_ ? base::Millis(0) : options_.longPoll_;
+    commands_.emplace_back(ReadFrom{++read_, offset_, wait});
 }
 
 void Core::take(const logclient::KeyedPage &page)
@@ -79,7 +93,11 @@
         return;
     }
     isComplete_ = true;
-    readOn();
+    isReadingNewest_ = false;
+    if (isTold_)
+        commands_.emplace_back(Retry{++read_, options_.toldInterval_});
+    else
+        readOn();
 }
 
 void Core::retryAfter(const logclient::LogError &error)
--- a/libs/follow/src/FollowService.cpp
+++ b/libs/follow/src/FollowService.cpp
@@ -92,4 +92,9 @@
     impl_->tell(BehindOthers{});
 }
 
+void FollowService::setTold(bool isTold)
+{
+    impl_->tell(ToldByOthers{isTold});
+}
+
 } // namespace follow
--- a/libs/follow/tests/CoreTest.cpp
+++ b/libs/follow/tests/CoreTest.cpp
@@ -13,6 +13,7 @@
 using follow::Retry;
 using follow::RetryDue;
 using follow::Started;
+using follow::ToldByOthers;
 using logclient::KeyedPage;
 using logclient::KeyedRecord;
 
@@ -109,3 +110,31 @@
     core.handle(Started{});
     EXPECT_NE(find<ReadFrom>(core.handle(ReadEnded{1, page({}, 2, true)})), nullptr);
 }
+
+TEST(FollowCore, looksOnlyAtLongIntervalsWhileOthersTell)
+{
+    Core core(options);
+    core.handle(Started{});
+    core.handle(ToldByOthers{true});
+    // The first read goes on, as nobody may have told yet.
+    const auto commands = core.handle(ReadEnded{1, page({{"config", "a", 4}}, 6)});
+    EXPECT_EQ(commands, (std::vector<Command>{Deliver{{{"config", "a", 4}}},
+                                              Retry{2, options.toldInterval_}}));
+    EXPECT_EQ(core.handle(RetryDue{2}), (std::vector<Command>{ReadFrom{3, 6, base::Millis(0)}}));
+    EXPECT_EQ(core.handle(ReadEnded{3, page({}, 6)}),
+              (std::vector<Command>{Retry{4, options.toldInterval_}}));
+}
+
+TEST(FollowCore, waitsForRecordsAgainAsSoonAsNobodyTells)
+{
+    Core core(options);
+    core.handle(Started{});
+    core.handle(ReadEnded{1, page({}, 6)});
+    EXPECT_EQ(core.handle(ToldByOthers{true}),
+              (std::vector<Command>{Retry{3, options.toldInterval_}}));
+    // The read that was outstanding is of no interest any more.
+    EXPECT_TRUE(core.handle(ReadEnded{2, page({}, 6)}).empty());
+    EXPECT_EQ(core.handle(ToldByOthers{false}),
+              (std::vector<Command>{ReadFrom{4, 6, options.longPoll_}}));
+    EXPECT_TRUE(core.handle(RetryDue{3}).empty());
+}
--- /dev/null
+++ b/libs/follow/tests/ReadersTest.cpp
@@ -0,0 +1,52 @@
+#include <follow/Readers.h>
+
+#include <gtest/gtest.h>
+
+using follow::isReader;
+using model::Member;
+
+namespace {
+
+constexpr std::size_t wanted = 2;
+
+std::vector<Member> membersOf(std::size_t count)
+{
+    std::vector<Member> members;
+    for (std::size_t i = 0; i < count; ++i)
+        members.push_back({.id_ = "m" + std::to_string(i), .dataCentre_ = i % 3 == 0 ? "a" : "b"});
+    return members;
+}
+
+std::vector<std::string> readersOf(const std::vector<Member> &members)
+{
+    std::vector<std::string> readers;
+    for (const auto &member : members) {
+        if (isReader(members, member.id_, member.dataCentre_, wanted))
+            readers.push_back(member.id_);
+    }
+    return readers;
+}
+
+} // namespace
+
+TEST(Readers, eachDataCentreHasAsManyAsWanted)
+{
+    for (const std::size_t count : {30, 100, 300})
+        EXPECT_EQ(readersOf(membersOf(count)).size(), 2 * wanted) << count;
+}
+
+TEST(Readers, aDaemonThatKnowsNoOtherReads)
+{
+    EXPECT_TRUE(isReader({}, "m1", "a", wanted));
+}
+
+TEST(Readers, anotherOneTakesThePlaceOfOneThatIsGone)
+{
+    auto members = membersOf(100);
+    const auto before = readersOf(members);
+    std::erase_if(members, [&](const Member &member) { return member.id_ == before[0]; });
+    const auto after = readersOf(members);
+    EXPECT_EQ(after.size(), before.size());
+    for (std::size_t i = 1; i < before.size(); ++i)
+        EXPECT_NE(std::find(after.begin(), after.end(), before[i]), after.end());
+}
