Let the calls of repeated runs pass, and repeat fewer whole runs

Change: such calls are counted against the budget, as a debt if need be, and pass; runs that are repeated whole get a quarter of it. Tests: debt, and the part of whole runs; the bound in every window is checked as before.

--- a/libs/dock/include/dock/Attempt.h
+++ b/libs/dock/include/dock/Attempt.h
@@ -8,6 +8,7 @@
 #include <base/Millis.h>
 #include <net/HttpRequest.h>
 #include <once/SubKey.h>
+#include <retry/RepeatKind.h>
 
 namespace dock {
 
@@ -25,10 +26,10 @@
     std::string requestClass_;
     std::string customer_;
     admission::Priority priority_;
-    base::Millis timeLeft_;              ///< until the caller's deadline
-    std::uint32_t budget_ = 0;           ///< retries handed down for the calls below
-    std::uint32_t depth_ = 0;            ///< calls between the root and this one
-    bool isRepeat_ = false;              ///< a backend server may have seen the request before
+    base::Millis timeLeft_;    ///< until the caller's deadline
+    std::uint32_t budget_ = 0; ///< retries handed down for the calls below
+    std::uint32_t depth_ = 0;  ///< calls between the root and this one
+    retry::RepeatKind repeat_ = retry::RepeatKind::First;
     std::optional<once::SubKey> subKey_; ///< set for non-idempotent classes
     std::uint64_t settledBelow_ = 0;     ///< see once::Delegate
     net::HttpRequest request_;           ///< target without the service name
--- a/libs/dock/include/dock/CallInfo.h
+++ b/libs/dock/include/dock/CallInfo.h
@@ -40,7 +40,7 @@
     std::uint32_t mostRepeats_ = std::numeric_limits<std::uint32_t>::max(); ///< of this call
     std::string contextToken_; ///< of the running call that made this call, or empty
     bool hasUnknownContext_ = false;
-    bool isRepeat_ = false; ///< a backend server may have seen it, or the run that it belongs to
+    retry::RepeatKind repeat_ = retry::RepeatKind::First; ///< of its next attempt
 
     /** Whether a backend server made the call within a request that still runs here. */
     bool isChild() const { return !contextToken_.empty(); }
--- a/libs/dock/src/AttemptCodec.cpp
+++ b/libs/dock/src/AttemptCodec.cpp
@@ -16,7 +16,6 @@
 constexpr std::string_view outcomeComplete = "complete";
 constexpr std::string_view outcomeNotRun = "not-run";
 constexpr std::string_view outcomeUnknown = "unknown";
-constexpr std::string_view flagSet = "1";
 constexpr std::string_view flagLeaving = "leaving";
 constexpr std::string_view flagReplaced = "replaced";
 constexpr int statusRefused = 503;
@@ -112,8 +111,8 @@
     add(headers, header::timeLeftMicros, std::to_string(attempt.timeLeft_.micros()));
     add(headers, header::budget, std::to_string(attempt.budget_));
     add(headers, header::depth, std::to_string(attempt.depth_));
-    if (attempt.isRepeat_)
-        add(headers, header::repeat, std::string(flagSet));
+    if (attempt.repeat_ != retry::RepeatKind::First)
+        add(headers, header::repeat, std::to_string(static_cast<int>(attempt.repeat_)));
     if (attempt.subKey_) {
         add(headers, header::subKey, attempt.subKey_->text());
         add(headers, header::settledBelow, std::to_string(attempt.settledBelow_));
@@ -138,7 +137,8 @@
             numberUpTo(headers, header::timeLeftMicros, mostTimeLeftMicros)));
     attempt.budget_ = static_cast<std::uint32_t>(numberUpTo(headers, header::budget, mostBudget));
     attempt.depth_ = static_cast<std::uint32_t>(numberUpTo(headers, header::depth, mostDepth));
-    attempt.isRepeat_ = headerValue(headers, header::repeat) == flagSet;
+    attempt.repeat_ = static_cast<retry::RepeatKind>(numberUpTo(
+            headers, header::repeat, static_cast<std::uint64_t>(retry::RepeatKind::OfRepeatedRun)));
     if (const auto text = headerValue(headers, header::subKey); !text.empty()) {
         auto subKey = once::SubKey::parse(text);
         if (!subKey)
--- a/libs/dock/src/CallInfo.cpp
+++ b/libs/dock/src/CallInfo.cpp
@@ -12,7 +12,7 @@
             .timeLeft_ = call.deadline_ - now,
             .budget_ = handedDown,
             .depth_ = call.depth_,
-            .isRepeat_ = call.isRepeat_,
+            .repeat_ = call.repeat_,
             .request_ = call.request_};
 }
 
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -129,7 +129,8 @@
         event.result_ = isUnsent ? retry::AttemptResult::NotSent : retry::AttemptResult::Lost;
         event.reachedBackend_ = !isUnsent;
         call.mayHaveRun_ |= !isUnsent;
-        call.info_.isRepeat_ = call.info_.isRepeat_ || !isUnsent;
+        if (!isUnsent)
+            call.info_.repeat_ = retry::RepeatKind::Rerun;
         call.lastRefusal_ = {once::Reason::NoInstance, {}};
         perform(retry_.handle(event, base::monotonicNow()));
         return;
@@ -149,7 +150,11 @@
         event.result_ = retry::AttemptResult::Failed;
         call.failure_ = whole;
     }
-    call.info_.isRepeat_ = call.info_.isRepeat_ || event.reachedBackend_;
+    if (event.result_ == retry::AttemptResult::Lost
+        || event.result_ == retry::AttemptResult::Failed)
+        call.info_.repeat_ = retry::RepeatKind::Rerun;
+    else if (event.reachedBackend_ && call.info_.repeat_ != retry::RepeatKind::Rerun)
+        call.info_.repeat_ = retry::RepeatKind::AfterRefusal;
     const auto commands = retry_.handle(event, base::monotonicNow());
     if (event.result_ == retry::AttemptResult::Answered)
         finish(id, result->outcome_);
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -130,7 +130,8 @@
     if (found == records_.end())
         return;
     const bool hasReached = order.wasSent_ && hasReachedBackend(order.why_);
-    found->second.info_.isRepeat_ = found->second.info_.isRepeat_ || hasReached;
+    if (hasReached)
+        found->second.info_.repeat_ = retry::RepeatKind::AfterRefusal;
     const retry::AttemptEnded event{
             .call_ = order.record_,
             .attempt_ = found->second.attempt_.attempt_,
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -16,6 +16,7 @@
 using admission::Level;
 using once::NotRun;
 using once::Reason;
+using retry::RepeatKind;
 
 constexpr base::Millis tickInterval(20);
 
@@ -98,8 +99,9 @@
         const bool isLeaving = isDraining_ || backend_.serving_ == model::ServingState::Draining;
         return NotRun{isLeaving ? Reason::Draining : Reason::NoInstance, {}};
     }
-    const bool isOverBudget = attempt.isRepeat_ && arrivals_
-                              && !arrivals_->spend(attempt.priority_, base::monotonicNow());
+    const bool isOverBudget =
+            arrivals_ && attempt.repeat_ != RepeatKind::First
+            && !arrivals_->spend(attempt.repeat_, attempt.priority_, base::monotonicNow());
     return isOverBudget ? std::optional(NotRun{Reason::RepeatLimit, {}}) : std::nullopt;
 }
 
@@ -134,7 +136,7 @@
                             .deadline_ = startBy,
                             .budget_ = retry::ChainBudget(attempt.budget_),
                             .depth_ = attempt.depth_,
-                            .isRepeat_ = attempt.isRepeat_});
+                            .isRepeat_ = attempt.repeat_ != RepeatKind::First});
     if (!token)
         return std::nullopt;
     const auto id = nextRun_++;
@@ -234,7 +236,7 @@
         return;
     }
     auto &run = runs_.at(id);
-    if (arrivals_ && !run.attempt_.isRepeat_)
+    if (arrivals_ && run.attempt_.repeat_ == RepeatKind::First)
         arrivals_->noteFirst(base::monotonicNow());
     // It is sent once whatever comes of it, so its content is not needed any more.
     auto request = details::backendRequest(std::move(run.attempt_.request_), timeLeft, run.context_,
--- a/libs/dock/src/details/RequestReader.cpp
+++ b/libs/dock/src/details/RequestReader.cpp
@@ -200,7 +200,8 @@
     call.priority_ = admission::Priority::unpack(static_cast<int>(parent.priority_)).forChild();
     call.deadline_ = std::min(call.deadline_, parent.deadline_);
     call.depth_ = parent.depth_ + 1;
-    call.isRepeat_ = parent.isRepeat_;
+    if (parent.isRepeat_)
+        call.repeat_ = retry::RepeatKind::OfRepeatedRun;
 }
 
 void RequestReader::addTolerance(CallInfo &call) const
--- a/libs/retry/include/retry/ArrivalBudget.h
+++ b/libs/retry/include/retry/ArrivalBudget.h
@@ -5,6 +5,7 @@
 #include <admission/LevelController.h>
 #include <admission/Priority.h>
 #include <base/Millis.h>
+#include <retry/RepeatKind.h>
 
 namespace retry {
 
@@ -15,7 +16,9 @@
  *
  * For loads under which many calls fail and there are fewer repeats than calls to be saved:
  * requests of the best priorities get as many as they need and the others none, since a request
- * that makes many calls fails by a single one. No I/O or clock.
+ * that makes many calls fails by a single one. Runs that are repeated whole cost the most and get a
+ * part only. Calls of repeated runs are counted and let pass, since the run would be wasted without
+ * them; what they take beyond the budget is missing to others later. No I/O or clock.
  */
 class ArrivalBudget
 {
@@ -29,7 +32,7 @@
     void noteFirst(base::Millis now);
 
     /** Pays for a repeat; false if it must not arrive. */
-    bool spend(const admission::Priority &priority, base::Millis now);
+    bool spend(RepeatKind kind, const admission::Priority &priority, base::Millis now);
 
     /** Repeats that were not paid for since the start. */
     std::uint64_t refused() const { return refused_; }
@@ -39,10 +42,12 @@
     static constexpr double leastSaved = 1;
 
     void closeWindows(base::Millis now);
+    double mostSaved() const;
 
     double ratio_;
     double tokens_ = leastSaved;
-    double earnedLately_ = 0; ///< in about a second; more is not saved up
+    double rerunTokens_ = leastSaved; ///< for runs that are repeated whole, besides tokens_
+    double earnedLately_ = 0;         ///< in about a second; more is not saved up
     admission::LevelController level_;
     base::Millis windowEnd_; ///< of the level
     bool wasShort_ = false;  ///< in this window
--- a/libs/retry/include/retry/RunningCall.h
+++ b/libs/retry/include/retry/RunningCall.h
@@ -17,7 +17,7 @@
     base::Millis deadline_;
     ChainBudget budget_;
     std::uint32_t depth_ = 0; ///< 0 for the root request
-    bool isRepeat_ = false;   ///< it may have been run before, and its calls with it
+    bool isRepeat_ = false; ///< a backend server may have seen it, or its own caller's run, before
 
     bool operator==(const RunningCall &) const = default;
 };
--- a/libs/retry/tests/ArrivalBudgetTest.cpp
+++ b/libs/retry/tests/ArrivalBudgetTest.cpp
@@ -8,6 +8,7 @@
 
 using base::Millis;
 using retry::ArrivalBudget;
+using retry::RepeatKind;
 
 namespace {
 
@@ -15,7 +16,8 @@
 constexpr double platformRatio = 0.2;
 constexpr Millis window(10'000);
 
-/** Arrivals that the platform allows besides: 124 for a service of 48 executors, the least share. */
+/** Arrivals that the platform allows besides: 124 for a service of 48 executors, the least share.
+ */
 constexpr double slackOfExecutor = 2.5;
 
 /** Part of the ratio that executors use. */
@@ -41,7 +43,7 @@
             any().noteFirst(now_);
             const admission::Priority priority{.rank_ = 0,
                                                .bucket_ = static_cast<int>(random_.below(128))};
-            while (random_.unit() < chance && any().spend(priority, now_))
+            while (random_.unit() < chance && any().spend(RepeatKind::AfterRefusal, priority, now_))
                 ++counted.repeats_;
         }
         steps_.push_back(counted);
@@ -141,8 +143,8 @@
 TEST(ArrivalBudget, oneRepeatIsPaidForBeforeTheFirstArrivals)
 {
     ArrivalBudget budget(platformRatio);
-    EXPECT_TRUE(budget.spend({}, Millis(1000)));
-    EXPECT_FALSE(budget.spend({}, Millis(1000)));
+    EXPECT_TRUE(budget.spend(RepeatKind::AfterRefusal, {}, Millis(1000)));
+    EXPECT_FALSE(budget.spend(RepeatKind::AfterRefusal, {}, Millis(1000)));
 }
 
 TEST(ArrivalBudget, aServerWithFewRequestsCanBeTriedAgainAtTimes)
@@ -150,6 +152,36 @@
     ArrivalBudget budget(platformRatio);
     for (int i = 0; i < 10; ++i)
         budget.noteFirst(Millis(1000 + i * 5000));
-    EXPECT_TRUE(budget.spend({}, Millis(60'000)));
-    EXPECT_FALSE(budget.spend({}, Millis(60'000)));
+    EXPECT_TRUE(budget.spend(RepeatKind::AfterRefusal, {}, Millis(60'000)));
+    EXPECT_FALSE(budget.spend(RepeatKind::AfterRefusal, {}, Millis(60'000)));
+}
+
+TEST(ArrivalBudget, callsOfRepeatedRunsPassAndAreMissingToOthers)
+{
+    ArrivalBudget budget(platformRatio);
+    const Millis now(1000);
+    for (int i = 0; i < 5; ++i)
+        EXPECT_TRUE(budget.spend(RepeatKind::OfRepeatedRun, {}, now));
+    for (int i = 0; i < 5; ++i)
+        budget.noteFirst(now);
+    EXPECT_FALSE(budget.spend(RepeatKind::AfterRefusal, {}, now));
+    for (int i = 0; i < 5; ++i)
+        budget.noteFirst(now);
+    EXPECT_TRUE(budget.spend(RepeatKind::AfterRefusal, {}, now));
+}
+
+TEST(ArrivalBudget, wholeRunsAreRepeatedForAPartOfItOnly)
+{
+    ArrivalBudget budget(platformRatio);
+    int reruns = 0;
+    int afterRefusals = 0;
+    for (int i = 0; i < 5000; ++i) {
+        const Millis now(1000 + i);
+        budget.noteFirst(now);
+        reruns += budget.spend(RepeatKind::Rerun, {}, now) ? 1 : 0;
+        afterRefusals += budget.spend(RepeatKind::AfterRefusal, {}, now) ? 1 : 0;
+    }
+    EXPECT_LE(reruns, 0.25 * platformRatio * 5000 + 1);
+    EXPECT_GT(reruns + afterRefusals, 0.9 * platformRatio * 5000);
+    EXPECT_LE(reruns + afterRefusals, platformRatio * 5000 + 1);
 }
--- a/libs/retry/tests/RefusedRunsTest.cpp
+++ b/libs/retry/tests/RefusedRunsTest.cpp
@@ -65,7 +65,8 @@
         for (int i = 0; i < calls; ++i) {
             const auto call = start();
             for (std::uint32_t attempt = 1; random_.unit() < chance; ++attempt) {
-                if (!isRepeated(call, attempt) || !arrivals_.spend(priority, now_))
+                if (!isRepeated(call, attempt)
+                    || !arrivals_.spend(RepeatKind::AfterRefusal, priority, now_))
                     return false;
             }
             core_.handle(CallEnded{call}, now_);
@@ -113,7 +114,7 @@
     constexpr int calls = 2000;
     int repeated = 0;
     for (int i = 0; i < calls; ++i) {
-        if (isRepeated(start(), 1) && arrivals_.spend({}, now_))
+        if (isRepeated(start(), 1) && arrivals_.spend(RepeatKind::AfterRefusal, {}, now_))
             ++repeated;
         now_ = now_ + Millis(1);
     }
