--- a/libs/net/src/details/ServerConnection.h
+++ b/libs/net/src/details/ServerConnection.h
@@ -107,7 +107,7 @@
     RequestParser parser_;
     std::string unparsed_; ///< received, and not yet taken by the parser
     Output output_;
-    HeldBytes held_; ///< by the request until it is answered, and by the answer
+    HeldBytes held_;          ///< by the request until it is answered, and by the answer
     std::size_t dropped_ = 0; ///< while lingering
     State state_ = State::Reading;
     bool isToHead_ = false;
