--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -48,8 +48,8 @@
         : settings_(settings)
         , interface_(std::move(interface))
         , outbox_(std::move(outbox))
-        , contexts_(base::randomSecret())
         , budget_(settings.messageBytes())
+        , contexts_(base::randomSecret())
         , client_(reactor_, settings.maxBodyBytes_, &budget_)
         , executor_(
                   reactor_, settings, self, contexts_, budget_, interface_,
@@ -77,9 +77,9 @@
     const settings::Settings &settings_;
     const CallInterface interface_;
     Outbox outbox_;
+    net::ByteBudget budget_; ///< before the reactor, whose last turn may end connections
     net::Reactor reactor_;
     retry::ContextTable contexts_;
-    net::ByteBudget budget_;
     net::PeerClient client_;
     Executor executor_;
     Entry entry_;
--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -160,7 +160,7 @@
 {
     if (outputOffset_ == output_.size()) {
         if (output_.capacity() > largestKeptOutput)
-            output_ = {};
+            output_ = std::string();
         output_.clear();
         outputOffset_ = 0;
     }
@@ -224,6 +224,8 @@
     if (isClosed_)
         return;
     isClosed_ = true;
+    // The connection itself is destroyed later, perhaps after its budget.
+    streams_.clear();
     reactor_.closeWatched(socket_);
     connectionClosed();
 }
@@ -248,7 +250,7 @@
     auto &message = stream(id);
     message.isRejected_ = true;
     message.headers_.clear();
-    message.body_ = {};
+    message.body_ = std::string(); // an empty list would keep the memory
     message.held_.release();
     nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id,
                               isServer_ ? NGHTTP2_REFUSED_STREAM : NGHTTP2_CANCEL);
--- a/libs/net/src/details/ServerConnection.cpp
+++ b/libs/net/src/details/ServerConnection.cpp
@@ -188,7 +188,7 @@
 {
     state_ = State::Serving;
     isRefusing_ = true;
-    unparsed_ = {};
+    unparsed_ = std::string();
     static_cast<void>(parser_.take()); // gives back what was read
     respond(std::move(answer), true);
 }
--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -27,7 +27,11 @@
  * large messages leave no gaps in the heap. Without it the allocator raises its own bound up to 32
  * MiB.
  */
-constexpr int mappedBlockBytes = 512 * 1024;
+constexpr int mappedBlockBytes = 64 * 1024;
+
+/** Free memory at the end of the heap that is kept; the allocator's own first value, else it grows.
+ */
+constexpr int mostUnusedBytes = 128 * 1024;
 
 /** How often a second signal is looked for while the daemon drains, in nanoseconds. */
 constexpr long drainPollNanos = 50'000'000;
@@ -105,6 +109,7 @@
 int serve(const settings::Settings &settings, const std::string &file)
 {
     mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+    mallopt(M_TRIM_THRESHOLD, mostUnusedBytes);
     events::setUpLog(settings.logLevel_, settings.id_);
     // Blocked before any thread starts, so that only this thread receives them.
     const auto signals = endSignals();
