Choose the daemons with a duty in one place; share test frames and a default

The first readers are chosen under another name than before, so they may be other daemons. Whether a daemon is behind is asked without drawing one of those ahead, on every change of members. The default of a missing byte budget stood four times, the bytes of an HTTP/2 frame twice in tests.

--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -8,8 +8,8 @@
 #include <events/Catalogue.h>
 #include <events/Log.h>
 #include <follow/FollowService.h>
-#include <follow/Readers.h>
 #include <logclient/KeyedLog.h>
+#include <model/Duty.h>
 #include <rendezvous/KeyedMeeting.h>
 #include <settings/Settings.h>
 
@@ -25,6 +25,7 @@
 
 /** Daemons of a data centre that wait for records at the log; one of them may be cut off. */
 constexpr std::size_t readersPerDataCentre = 2;
+constexpr const char *readerDuty = "config-reader";
 
 /**
  * Time in which the own read is expected to bring a revision that others have, before it is asked
@@ -145,16 +146,23 @@
 void PlatformSource::setMembers(std::shared_ptr<const std::vector<model::Member>> members)
 {
     members_ = std::move(members);
-    config_->setTold(!follow::isReader(*members_, settings_.id_, settings_.dataCentre_,
-                                       readersPerDataCentre));
-    if (chooseNewest() != nullptr && catchUpTimer_ == 0)
+    config_->setTold(!model::hasDuty(readerDuty, *members_, settings_.id_, settings_.dataCentre_,
+                                     readersPerDataCentre));
+    if (catchUpTimer_ == 0 && isBehind())
         catchUpTimer_ = reactor_.schedule(catchUpDelay, [this] { catchUp(); });
 }
 
-/** A member with a newer configuration than this daemon, of the own data centre if there is one. */
-const model::Member *PlatformSource::chooseNewest()
+bool PlatformSource::isBehind() const
 {
-    auto newest = revision_ + 1;
+    return std::any_of(members_->begin(), members_->end(), [this](const model::Member &member) {
+        return member.revision_ > revision_;
+    });
+}
+
+/** One of the members with the newest configuration, of the own data centre if there is one. */
+const model::Member &PlatformSource::chooseNewest()
+{
+    model::Revision newest = 0;
     for (const auto &member : *members_)
         newest = std::max(newest, member.revision_);
     std::vector<const model::Member *> near;
@@ -164,21 +172,20 @@
             (member.dataCentre_ == settings_.dataCentre_ ? near : far).push_back(&member);
     }
     const auto &from = near.empty() ? far : near;
-    return from.empty() ? nullptr : from[random_.below(from.size())];
+    return *from[random_.below(from.size())];
 }
 
 /** Asks another daemon, and from the second time on the log as well. */
 void PlatformSource::catchUp()
 {
     catchUpTimer_ = 0;
-    const auto *newest = chooseNewest();
-    if (newest == nullptr) {
+    if (!isBehind()) {
         catchUps_ = 0;
         return;
     }
     if (++catchUps_ > 1)
         config_->catchUp();
-    askMember(newest->controlAddress_, LearntFrom::OwnDataCentre);
+    askMember(chooseNewest().controlAddress_, LearntFrom::OwnDataCentre);
     catchUpTimer_ = reactor_.schedule(askTimeout, [this] { catchUp(); });
 }
 
--- a/libs/dock/src/details/PlatformSource.h
+++ b/libs/dock/src/details/PlatformSource.h
@@ -74,7 +74,8 @@
     void offerConfig(const std::string &record, const std::string &from, LearntFrom learntFrom);
     void catchUp();
     void askMember(const model::Address &address, LearntFrom from);
-    const model::Member *chooseNewest();
+    bool isBehind() const;
+    const model::Member &chooseNewest();
     void tellOthers(LearntFrom from);
     void tell(const model::Member &member, bool isToBeTold);
     net::HttpResponse hear(const std::string &text);
--- a/libs/model/include/model/Duty.h
+++ b/libs/model/include/model/Duty.h
@@ -2,19 +2,19 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <model/Member.h>
 
-namespace follow {
+namespace model {
 
 /**
- * Whether a daemon is one of those of its data centre that keep a read outstanding at the log; the
- * others hear from these. Chosen by rendezvous hashing over the members known, so a daemon whose
- * view differs is a reader too many or too few for a while, which costs calls or time, never
- * correctness. A daemon that knows no other one is a reader.
+ * Whether a daemon is one of the `count` daemons of its data centre that have the duty. Chosen by
+ * rendezvous hashing over the members known, so daemons with different views have it too many or
+ * too few times for a while. A daemon that knows no other one of its data centre has it.
  */
-bool isReader(const std::vector<model::Member> &members, const std::string &selfId,
-              const std::string &dataCentre, std::size_t readersPerDataCentre);
+bool hasDuty(std::string_view duty, const std::vector<Member> &members, const std::string &selfId,
+             const std::string &dataCentre, std::size_t count);
 
-} // namespace follow
+} // namespace model
--- a/libs/model/tests/DutyTest.cpp
+++ b/libs/model/tests/DutyTest.cpp
@@ -1,8 +1,8 @@
-#include <follow/Readers.h>
+#include <model/Duty.h>
 
 #include <gtest/gtest.h>
 
-using follow::isReader;
+using model::hasDuty;
 using model::Member;
 
 namespace {
@@ -21,7 +21,7 @@
 {
     std::vector<std::string> readers;
     for (const auto &member : members) {
-        if (isReader(members, member.id_, member.dataCentre_, wanted))
+        if (hasDuty("reader", members, member.id_, member.dataCentre_, wanted))
             readers.push_back(member.id_);
     }
     return readers;
@@ -29,18 +29,18 @@
 
 } // namespace
 
-TEST(Readers, eachDataCentreHasAsManyAsWanted)
+TEST(Duty, eachDataCentreHasAsManyAsWanted)
 {
     for (const std::size_t count : {30, 100, 300})
         EXPECT_EQ(readersOf(membersOf(count)).size(), 2 * wanted) << count;
 }
 
-TEST(Readers, aDaemonThatKnowsNoOtherReads)
+TEST(Duty, aDaemonThatKnowsNoOtherReads)
 {
-    EXPECT_TRUE(isReader({}, "m1", "a", wanted));
+    EXPECT_TRUE(hasDuty("reader", {}, "m1", "a", wanted));
 }
 
-TEST(Readers, anotherOneTakesThePlaceOfOneThatIsGone)
+TEST(Duty, anotherOneTakesThePlaceOfOneThatIsGone)
 {
     auto members = membersOf(100);
     const auto before = readersOf(members);
--- a/libs/net/include/net/ByteBudget.h
+++ b/libs/net/include/net/ByteBudget.h
@@ -38,4 +38,10 @@
     std::uint64_t refused_ = 0;
 };
 
+/** The budget chosen, or the own one where none was. */
+inline ByteBudget &budgetOr(ByteBudget *chosen, ByteBudget &own)
+{
+    return chosen != nullptr ? *chosen : own;
+}
+
 } // namespace net
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -50,8 +50,6 @@
     void callEnded(ClientConnection &connection, CallResult result) override;
     void connectionClosed(ClientConnection &connection) override;
 
-    ByteBudget &budget() { return options_.budget_ != nullptr ? *options_.budget_ : unbounded_; }
-
     Reactor &reactor_;
     const HttpClientOptions options_;
     ByteBudget unbounded_; ///< of a client without a budget of its task
@@ -106,8 +104,8 @@
     const auto socket = details::openConnection(to);
     if (socket.socket_ < 0)
         return nullptr;
-    auto connection =
-            std::make_unique<ClientConnection>(reactor_, to, socket, options_, budget(), *this);
+    auto connection = std::make_unique<ClientConnection>(
+            reactor_, to, socket, options_, budgetOr(options_.budget_, unbounded_), *this);
     auto *key = connection.get();
     connections_.emplace(key, std::move(connection));
     return key;
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -53,8 +53,6 @@
     void activityChanged(ServerConnection &connection) override;
     void connectionClosed(ServerConnection &connection) override;
 
-    ByteBudget &budget() { return options_.budget_ != nullptr ? *options_.budget_ : unbounded_; }
-
     Reactor &reactor_;
     HttpServerOptions options_;
     ByteBudget unbounded_; ///< of a server without a budget of its task
@@ -99,7 +97,9 @@
     }
     auto connection = std::make_unique<ServerConnection>(
             reactor_, socket,
-            details::ServerLimits{options_.maxBodyBytes_, budget(), options_.withoutRoom_}, *this);
+            details::ServerLimits{options_.maxBodyBytes_, budgetOr(options_.budget_, unbounded_),
+                                  options_.withoutRoom_},
+            *this);
     auto *key = connection.get();
     key->record_ = {.list_ = &waiting_,
                     .place_ = waiting_.insert(waiting_.end(), key),
--- a/libs/net/src/PeerClient.cpp
+++ b/libs/net/src/PeerClient.cpp
@@ -45,7 +45,7 @@
 
     Impl(Reactor &reactor, std::size_t maxBodyBytes, ByteBudget *budget)
         : reactor_(reactor)
-        , limits_{maxBodyBytes, budget != nullptr ? *budget : unbounded_}
+        , limits_{maxBodyBytes, budgetOr(budget, unbounded_)}
     {}
 
     Connection *connectionTo(const model::Address &to);
--- a/libs/net/src/PeerServer.cpp
+++ b/libs/net/src/PeerServer.cpp
@@ -180,9 +180,8 @@
                                                             HttpServer::HangUpHandler onHangUp)
 {
     auto impl = std::make_unique<Impl>(reactor);
-    impl->limits_.emplace(details::Http2Limits{options.maxBodyBytes_, options.budget_ != nullptr
-                                                                              ? *options.budget_
-                                                                              : impl->unbounded_});
+    impl->limits_.emplace(details::Http2Limits{options.maxBodyBytes_,
+                                               budgetOr(options.budget_, impl->unbounded_)});
     impl->maxConnections_ = options.maxConnections_;
     impl->onRequest_ = std::move(onRequest);
     impl->onHangUp_ = std::move(onHangUp);
--- a/libs/net/tests/EndlessBytesTest.cpp
+++ b/libs/net/tests/EndlessBytesTest.cpp
@@ -9,6 +9,7 @@
 #include <net/PeerServer.h>
 #include <net/Reactor.h>
 
+#include "Http2Frame.h"
 #include "RawSocket.h"
 
 using base::Millis;
@@ -244,31 +245,6 @@
 
 namespace {
 
-/** One HTTP/2 frame of stream 1, or of the connection. */
-std::string frame(char type, char flags, char stream, const std::string &payload)
-{
-    std::string bytes;
-    bytes += static_cast<char>(payload.size() >> 16);
-    bytes += static_cast<char>(payload.size() >> 8);
-    bytes += static_cast<char>(payload.size());
-    return bytes + type + flags + std::string("\0\0\0", 3) + stream + payload;
-}
-
-constexpr char dataFrame = 0;
-constexpr char headersFrame = 1;
-constexpr char settingsFrame = 4;
-constexpr char endHeaders = 4;
-
-/** Preface, settings and the head of a request: POST, http, "/" of the static table, and
- * ":authority: a". */
-std::string beginOfStream()
-{
-    return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(settingsFrame, 0, 0, "")
-           + frame(headersFrame, endHeaders, 1,
-                   "\x83\x86\x84\x41\x01"
-                   "a");
-}
-
 /** A server for other daemons with a budget, and one of these that sends just the bytes it is told.
  */
 class EndlessStream : public testing::Test
@@ -294,12 +270,12 @@
 TEST_F(EndlessStream, isResetAsNotHandled)
 {
     const auto peer = connect();
-    peer.send(beginOfStream());
+    peer.send(http2::preface() + http2::requestHead());
     // A reset of stream 1 with the code for streams that were not handled.
-    const std::string reset = frame(3, 0, 1, std::string("\0\0\0\7", 4));
+    const std::string reset = http2::frame(http2::resetFrame, 0, 1, std::string("\0\0\0\7", 4));
     std::string received;
     for (int i = 0; i < 2000 && received.find(reset) == std::string::npos; ++i) {
-        peer.sendSome(frame(dataFrame, 0, 1, std::string(16 * 1024, 'x')));
+        peer.sendSome(http2::frame(http2::dataFrame, 0, 1, std::string(16 * 1024, 'x')));
         reactor_.runFor(Millis(1));
         received += peer.received();
     }
@@ -312,7 +288,8 @@
 TEST_F(EndlessStream, givesItsBytesBackWhenItsConnectionEnds)
 {
     auto peer = connect();
-    peer.send(beginOfStream() + frame(dataFrame, 0, 1, std::string(1000, 'x')));
+    peer.send(http2::preface() + http2::requestHead()
+              + http2::frame(http2::dataFrame, 0, 1, std::string(1000, 'x')));
     reactor_.runFor(Millis(50));
     EXPECT_GE(budget_.held(), 1000U);
     peer.close();
--- /dev/null
+++ b/libs/net/tests/Http2Frame.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string>
+
+/** Bytes of HTTP/2, put together by hand; for tests. */
+namespace http2 {
+
+inline constexpr char dataFrame = 0;
+inline constexpr char headersFrame = 1;
+inline constexpr char resetFrame = 3;
+inline constexpr char settingsFrame = 4;
+inline constexpr char acknowledgement = 1;
+inline constexpr char endHeaders = 4;
+
+/** One frame of a stream, or with stream 0 of the connection. */
+inline std::string frame(char type, char flags, char stream, const std::string &payload)
+{
+    std::string bytes;
+    bytes += static_cast<char>(payload.size() >> 16);
+    bytes += static_cast<char>(payload.size() >> 8);
+    bytes += static_cast<char>(payload.size());
+    return bytes + type + flags + std::string("\0\0\0", 3) + stream + payload;
+}
+
+/** Preface and settings of a caller. */
+inline std::string preface()
+{
+    return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(settingsFrame, 0, 0, "");
+}
+
+/** Head of a request on stream 1: POST, http, "/" of the static table, and ":authority: a". */
+inline std::string requestHead()
+{
+    return frame(headersFrame, endHeaders, 1,
+                 "\x83\x86\x84\x41\x01"
+                 "a");
+}
+
+} // namespace http2
--- a/libs/rendezvous/src/Core.cpp
+++ b/libs/rendezvous/src/Core.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include <base/Hash.h>
 #include <base/Overloaded.h>
+#include <model/Duty.h>
 #include <rendezvous/Meeting.h>
 
 namespace rendezvous {
@@ -25,16 +25,10 @@
     return meetings;
 }
 
-/** Whether fewer than `count` members of the data centre weigh more than this daemon. */
 bool isElected(const std::vector<model::Member> &members, const Options &options)
 {
-    const auto own = base::rendezvousWeight(electionKey, options.selfId_);
-    const auto heavier =
-            std::count_if(members.begin(), members.end(), [&](const model::Member &member) {
-                return member.dataCentre_ == options.dataCentre_
-                       && base::rendezvousWeight(electionKey, member.id_) > own;
-            });
-    return static_cast<std::size_t>(heavier) < options.publishersPerDataCentre_;
+    return model::hasDuty(electionKey, members, options.selfId_, options.dataCentre_,
+                          options.publishersPerDataCentre_);
 }
 
 } // namespace
