Log and count second delegations and what backend servers refused

Cause: when a request that must run once ran twice, no line named the second delegation, what allowed it, or the answer that was read as a refusal.

Change: E302 at the entry names request, attempt, the statement that allowed the delegation, and daemon and generation of both executors. E303 at the executor names the request, what its outcome became, the answer's status, and what ties the answer to the request: its id, a connection that carried no other request, or its order alone. Lines are bounded to 50 a second by the bound that E300 and E301 had, now in a class of its own.

No decision is changed.

--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -98,6 +98,9 @@
     /** Those of them that were not made by the backend server beside the daemon. */
     std::size_t openRoots() const;
 
+    /** Further delegations of requests that must run once, by what allowed them. */
+    const std::map<std::string, std::uint64_t> &delegatedAgain() const;
+
     /** What this daemon has counted of its callers' requests. */
     const Recorder &recorder() const;
 
--- a/libs/dock/include/dock/Executor.h
+++ b/libs/dock/include/dock/Executor.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include <admission/Level.h>
@@ -98,6 +101,9 @@
     /** Worst priority that admission takes. */
     admission::Level level() const;
 
+    /** Calls that the backend server refused or whose answer was lost, by kind and match. */
+    const std::map<std::string, std::uint64_t> &backendFailures() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/libs/dock/include/dock/KeyedCalls.h
+++ b/libs/dock/include/dock/KeyedCalls.h
@@ -9,6 +9,7 @@
 #include <dock/AttemptSender.h>
 #include <dock/CallInfo.h>
 #include <dock/IdempotentCalls.h>
+#include <dock/Redelegation.h>
 #include <net/Reactor.h>
 #include <once/Home.h>
 #include <retry/Core.h>
@@ -24,10 +25,12 @@
 public:
     using Done = IdempotentCalls::Done;
     using FindMember = std::function<const model::Member *(const std::string &id)>;
+    using DelegatedAgain = std::function<void(const CallInfo &, const Redelegation &)>;
 
     /** All that is passed in must outlive this object. */
     KeyedCalls(net::Reactor &reactor, once::Home &home, retry::Core &retry,
-               InstanceSelector &selector, AttemptSender &sender, FindMember findMember);
+               InstanceSelector &selector, AttemptSender &sender, FindMember findMember,
+               DelegatedAgain onDelegatedAgain);
     ~KeyedCalls();
 
     /** Starts or repeats the request of a key that this daemon is the home of. */
@@ -64,6 +67,7 @@
         admission::Priority routed_;     ///< by which the executor was chosen
         retry::StartAttempt attempt_;
         std::optional<std::uint32_t> budgetLeft_; ///< as the last answer said
+        Redelegation again_;                      ///< from the second attempt on
     };
 
     void tell(const once::HomeEvent &event);
@@ -86,6 +90,7 @@
     InstanceSelector &selector_;
     AttemptSender &sender_;
     FindMember findMember_;
+    DelegatedAgain onDelegatedAgain_;
     std::unordered_map<once::WaiterId, Waiting> waiting_;
     std::unordered_map<once::RecordId, Record> records_;
     once::WaiterId nextWaiter_ = 1;
--- a/libs/dock/include/dock/Messages.h
+++ b/libs/dock/include/dock/Messages.h
@@ -80,7 +80,9 @@
     std::size_t activeRuns_ = 0;   ///< at the backend server, running or queued
     std::uint32_t limit_ = 0;      ///< requests that may run at once
     admission::Level level_;
-    std::map<std::string, std::uint64_t> failures_; ///< calls not run or unknown, by reason
+    std::map<std::string, std::uint64_t> failures_;        ///< calls not run or unknown, by reason
+    std::map<std::string, std::uint64_t> delegatedAgain_;  ///< by what allowed it
+    std::map<std::string, std::uint64_t> backendFailures_; ///< by outcome and match
     MessageMemory memory_;
     std::shared_ptr<const metrics::Snapshot> metrics_;
 };
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -287,6 +287,8 @@
                        .limit_ = executor_.limit(),
                        .level_ = executor_.level(),
                        .failures_ = entry_.recorder().failures(),
+                       .delegatedAgain_ = entry_.delegatedAgain(),
+                       .backendFailures_ = executor_.backendFailures(),
                        .memory_ = {budget_.limit(), budget_.held(), budget_.refused()},
                        .metrics_ = entry_.recorder().snapshot()});
     reactor_.schedule(statusInterval, [this] { sendStatus(); });
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -25,6 +25,7 @@
 #include <routing/Core.h>
 #include <settings/Settings.h>
 
+#include "details/DelegationLog.h"
 #include "details/FailureLog.h"
 #include "details/RequestReader.h"
 
@@ -77,8 +78,12 @@
                         executor_.observeLevel(call.contextToken_, call.service_, level);
                     })
         , idempotent_(reactor, retryIdempotent_, selector_, sender_, interface.hasRoutes())
-        , keyed_(reactor, *home_, retryKeyed_, selector_, sender_,
-                 [this](const std::string &id) { return findMember(id); })
+        , keyed_(
+                  reactor, *home_, retryKeyed_, selector_, sender_,
+                  [this](const std::string &id) { return findMember(id); },
+                  [this](const CallInfo &call, const Redelegation &again) {
+                      delegationLog_.note(call, again, base::monotonicNow());
+                  })
         , reader_(settings, interface, executor, contexts, randomSeed())
     {}
 
@@ -136,6 +141,7 @@
     EntryId nextId_ = 1;
     std::uint64_t nextOwnKey_ = 1;
     details::FailureLog failureLog_;
+    details::DelegationLog delegationLog_;
     bool isDraining_ = false;
     bool isClosedToRoots_ = false;
     bool isClosed_ = false;
@@ -449,6 +455,11 @@
                           [](const auto &entry) { return !entry.second.call_.isChild(); }));
 }
 
+const std::map<std::string, std::uint64_t> &Entry::delegatedAgain() const
+{
+    return impl_->delegationLog_.counts();
+}
+
 const Recorder &Entry::recorder() const
 {
     return impl_->recorder_;
--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -175,4 +175,9 @@
     return impl_->admission_.level();
 }
 
+const std::map<std::string, std::uint64_t> &Executor::backendFailures() const
+{
+    return impl_->backendLog_.counts();
+}
+
 } // namespace dock
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -26,13 +26,15 @@
 } // namespace
 
 KeyedCalls::KeyedCalls(net::Reactor &reactor, once::Home &home, retry::Core &retry,
-                       InstanceSelector &selector, AttemptSender &sender, FindMember findMember)
+                       InstanceSelector &selector, AttemptSender &sender, FindMember findMember,
+                       DelegatedAgain onDelegatedAgain)
     : reactor_(reactor)
     , home_(home)
     , retry_(retry)
     , selector_(selector)
     , sender_(sender)
     , findMember_(std::move(findMember))
+    , onDelegatedAgain_(std::move(onDelegatedAgain))
 {}
 
 KeyedCalls::~KeyedCalls()
@@ -129,6 +131,10 @@
     const auto found = records_.find(order.record_);
     if (found == records_.end())
         return;
+    found->second.again_ = {.attempt_ = order.attempt_,
+                            .allowedBy_ = order.why_,
+                            .wasSent_ = order.wasSent_,
+                            .last_ = order.last_};
     const bool hasReached = order.wasSent_ && hasReachedBackend(order.why_);
     if (hasReached)
         found->second.info_.repeat_ = retry::RepeatKind::AfterRefusal;
@@ -205,6 +211,10 @@
         reportNotSent(order.subKey_);
         return;
     }
+    if (auto &again = record->second.again_; again.attempt_ > 0) {
+        again.next_ = order.subKey_.executor_;
+        onDelegatedAgain_(record->second.info_, again);
+    }
     auto attempt = attemptOf(record->second.info_, record->second.attempt_.handedDown_,
                              base::monotonicNow());
     attempt.timeLeft_ = order.timeLeft_;
--- a/libs/dock/src/StatusReport.cpp
+++ b/libs/dock/src/StatusReport.cpp
@@ -147,12 +147,21 @@
     values.push_back(counter("messages_without_room_total",
                              "requests refused and answers broken off for want of memory",
                              static_cast<double>(data_.memory_.refused_)));
-    for (const auto &[reason, count] : data_.failures_) {
-        auto value = counter("not_complete_total", "calls not run or unknown, by reason",
-                             static_cast<double>(count));
-        value.labels_ = {{"reason", reason}};
-        values.push_back(std::move(value));
-    }
+    const auto addCounters = [&values](const std::map<std::string, std::uint64_t> &counts,
+                                       const char *name, const char *help, const char *label) {
+        for (const auto &[labelValue, count] : counts) {
+            auto value = counter(name, help, static_cast<double>(count));
+            value.labels_ = {{label, labelValue}};
+            values.push_back(std::move(value));
+        }
+    };
+    addCounters(data_.failures_, "not_complete_total", "calls not run or unknown, by reason",
+                "reason");
+    addCounters(data_.delegatedAgain_, "delegated_again_total",
+                "further delegations of requests that must run once, by what allowed them",
+                "allowed_by");
+    addCounters(data_.backendFailures_, "backend_failures_total",
+                "calls that the backend server refused or whose answer was lost", "outcome");
     return renderPrometheus(snapshot);
 }
 
--- /dev/null
+++ b/libs/dock/src/details/BoundedLog.cpp
@@ -0,0 +1,24 @@
+#include "BoundedLog.h"
+
+#include <utility>
+
+#include <events/Log.h>
+
+namespace dock::details {
+
+bool BoundedLog::admits(base::Millis now)
+{
+    if (lines_.take(now))
+        return true;
+    ++dropped_;
+    return false;
+}
+
+void BoundedLog::write(const events::Event &event, std::string detail)
+{
+    if (dropped_ > 0)
+        detail += " dropped=" + std::to_string(std::exchange(dropped_, 0));
+    events::log(event, detail);
+}
+
+} // namespace dock::details
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -248,9 +248,12 @@
 
 void Executor::Impl::backendDone(RunId id, net::CallResult result)
 {
-    if (!runs_.contains(id))
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
         return;
+    const auto reply = details::BackendReply::of(result);
     const auto end = details::endOf(std::move(result), interface_);
+    backendLog_.note(found->second.requestId_, reply, end.outcome_, base::monotonicNow());
     finish(id, end.admission_, end.outcome_);
 }
 
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -16,6 +16,8 @@
 #include <retry/ArrivalBudget.h>
 #include <settings/Settings.h>
 
+#include "details/BackendLog.h"
+
 namespace retry {
 class ContextTable;
 }
@@ -107,6 +109,7 @@
     BackendChanged onBackendChanged_;
     ContextFunction onContextEnded_;
     ContextFunction onContextCancelled_;
+    details::BackendLog backendLog_;
     BackendServer backend_;
     base::Millis lastAnnounced_;
     std::map<std::string, model::Customer> customers_;
--- a/libs/dock/src/details/FailureLog.cpp
+++ b/libs/dock/src/details/FailureLog.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include <events/Catalogue.h>
-#include <events/Log.h>
 
 namespace dock::details {
 
@@ -12,10 +11,8 @@
 {
     if (std::holds_alternative<once::Complete>(outcome))
         return;
-    if (!lines_.take(now)) {
-        ++dropped_;
+    if (!log_.admits(now))
         return;
-    }
     const auto *notRun = std::get_if<once::NotRun>(&outcome);
     const auto reason =
             notRun != nullptr ? notRun->reason_ : std::get<once::Unknown>(outcome).reason_;
@@ -27,9 +24,8 @@
                          + " age=" + std::to_string((now - call.receivedAt_).count()) + "ms";
     if (notRun != nullptr)
         detail += " retryAfter=" + std::to_string(notRun->retryAfter_.count()) + "ms";
-    if (dropped_ > 0)
-        detail += " dropped=" + std::to_string(std::exchange(dropped_, 0));
-    events::log(notRun != nullptr ? events::requestNotRun : events::outcomeUnknown, detail);
+    log_.write(notRun != nullptr ? events::requestNotRun : events::outcomeUnknown,
+               std::move(detail));
 }
 
 } // namespace dock::details
--- a/libs/dock/src/details/FailureLog.h
+++ b/libs/dock/src/details/FailureLog.h
@@ -1,16 +1,15 @@
 #pragma once
 
-#include <cstdint>
-
 #include <base/Millis.h>
 #include <dock/CallInfo.h>
 #include <dock/CallReport.h>
-#include <logclient/TokenBucket.h>
 #include <once/Outcome.h>
 
+#include "BoundedLog.h"
+
 namespace dock::details {
 
-/** Log lines on requests that got no answer of a backend server, at most 50 a second. */
+/** Log lines on requests that got no answer of a backend server. */
 class FailureLog
 {
 public:
@@ -19,11 +18,7 @@
               base::Millis now);
 
 private:
-    static constexpr std::uint32_t burst = 50;
-    static constexpr base::Millis interval = base::Millis(20);
-
-    logclient::TokenBucket lines_{burst, interval};
-    std::uint64_t dropped_ = 0; ///< lines left out since the last one
+    BoundedLog log_;
 };
 
 } // namespace dock::details
--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -24,6 +24,8 @@
 // 3xx: requests
 inline constexpr Event outcomeUnknown = {300, Severity::Warning, "outcome-unknown"};
 inline constexpr Event requestNotRun = {301, Severity::Info, "request-not-run"};
+inline constexpr Event delegatedAgain = {302, Severity::Info, "delegated-again"};
+inline constexpr Event backendFailed = {303, Severity::Info, "backend-failed"};
 
 // 4xx: configuration and membership
 inline constexpr Event configInForce = {400, Severity::Info, "config-in-force"};
--- a/libs/net/src/details/ClientConnection.cpp
+++ b/libs/net/src/details/ClientConnection.cpp
@@ -194,6 +194,14 @@
     return echo == expectedEcho_ || (echo.empty() && response.status_ > lastSuccess);
 }
 
+MatchedBy ClientConnection::matchOfAnswer() const
+{
+    const auto echo = headerValue(parser_.response().headers_, options_.echoedField_);
+    if (!expectedEcho_.empty() && echo == expectedEcho_)
+        return MatchedBy::Id;
+    return hasCarriedRequest_ ? MatchedBy::Order : MatchedBy::NewConnection;
+}
+
 void ClientConnection::read(std::string_view bytes)
 {
     while (true) {
@@ -235,7 +243,10 @@
 
 void ClientConnection::answered(bool hasSurplus)
 {
+    const auto matchedBy = matchOfAnswer();
     auto response = parser_.take();
+    response.matchedBy_ = matchedBy;
+    hasCarriedRequest_ = true;
     // A request that is not written to its end would run into the next one.
     const bool isReusable =
             parser_.keepsAlive() && !hasSurplus && foreignAnswers_ == 0 && output_.isDone();
--- a/libs/net/src/details/ClientConnection.h
+++ b/libs/net/src/details/ClientConnection.h
@@ -11,6 +11,7 @@
 #include <net/CallResult.h>
 #include <net/HeldBytes.h>
 #include <net/HttpRequest.h>
+#include <net/MatchedBy.h>
 
 #include "details/MessageParser.h"
 #include "details/Output.h"
@@ -85,6 +86,7 @@
     bool write();
     void read(std::string_view bytes);
     bool isOwnAnswer() const;
+    MatchedBy matchOfAnswer() const;
     bool skipAnswer();
     void answered(bool hasSurplus);
     void ended();
@@ -104,8 +106,9 @@
     State state_;
     base::Millis usableUntil_;
     bool isToHead_ = false;
-    int interimAnswers_ = 0; ///< before the answer to the request sent last
-    int foreignAnswers_ = 0; ///< likewise, to other requests
+    bool hasCarriedRequest_ = false; ///< before the one sent last
+    int interimAnswers_ = 0;         ///< before the answer to the request sent last
+    int foreignAnswers_ = 0;         ///< likewise, to other requests
 };
 
 } // namespace net::details
