Believe a refusal only if it belongs to the request beyond doubt

Callers saw a request that must run once run two and three times, or were told "not run" of one that ran. Cause: an answer of 300 or above without a request id counted as the answer to the request sent last, also on a connection used before. A refusal that the backend server sent again, or bytes after a complete answer, so said "not run" of a request that was running, and its home delegated it anew.

Change: such an answer counts only as the first on a connection that carried no other request; later, or after an answer to another request, the call is lost and its outcome unknown. A connection is used again only after an answer that has the id. So whoever says "not run" is bound to the request, in the place where answers are matched with requests, for all classes.

--- a/libs/net/include/net/HttpClientOptions.h
+++ b/libs/net/include/net/HttpClientOptions.h
@@ -19,9 +19,10 @@
     base::Millis maxIdle_ = base::Millis(20'000);
 
     /**
-     * Name of a field that every success has to repeat as the request states it, and other answers
-     * if they have it. An answer that does not is taken for that to another request, and its
-     * connection is closed. Empty: not checked.
+     * Name of a field that answers repeat as the request states it. One that has another value, or
+     * none and is a success, is taken for that to another request, and its connection is closed. A
+     * refusal or failure without the field counts as the answer only to the first request on its
+     * connection, which is closed; later the call is lost. Empty: not checked.
      */
     std::string echoedField_;
 
--- a/libs/net/src/details/ClientConnection.cpp
+++ b/libs/net/src/details/ClientConnection.cpp
@@ -184,14 +184,18 @@
     return 0;
 }
 
-bool ClientConnection::isOwnAnswer() const
+ClientConnection::Claim ClientConnection::claimOfAnswer() const
 {
     const auto &response = parser_.response();
-    if (expectedEcho_.empty() || response.status_ < firstFinalStatus)
-        return true;
-    const auto echo = headerValue(response.headers_, options_.echoedField_);
-    // Refusals need not repeat the field.
-    return echo == expectedEcho_ || (echo.empty() && response.status_ > lastSuccess);
+    const auto matchedBy = matchOfAnswer();
+    if (expectedEcho_.empty() || matchedBy == MatchedBy::Id)
+        return Claim::Own;
+    const bool hasOtherId = !headerValue(response.headers_, options_.echoedField_).empty();
+    if (hasOtherId || response.status_ <= lastSuccess)
+        return Claim::OtherRequest;
+    // Without an id it may be the copy of an earlier refusal, or bytes that follow another answer.
+    return matchedBy == MatchedBy::NewConnection && foreignAnswers_ == 0 ? Claim::Own
+                                                                         : Claim::Unclear;
 }
 
 MatchedBy ClientConnection::matchOfAnswer() const
@@ -218,11 +222,17 @@
         case ParseState::Complete:
             break;
         }
-        if (parser_.response().status_ >= firstFinalStatus && isOwnAnswer()) {
+        const bool isFinal = parser_.response().status_ >= firstFinalStatus;
+        const auto claim = claimOfAnswer();
+        if (isFinal && claim == Claim::Own) {
             answered(!bytes.empty());
             return;
         }
-        if (!skipAnswer()) {
+        if (isFinal && claim == Claim::Unclear) {
+            fail(FailureKind::Lost, "an answer without an id may be to another request");
+            return;
+        }
+        if (!skipAnswer(isFinal)) {
             fail(FailureKind::Lost, "other answers come in place of the own one");
             return;
         }
@@ -231,12 +241,9 @@
 
 /** Passes over an interim answer, or a late one to an earlier request; false if there are too many.
  */
-bool ClientConnection::skipAnswer()
+bool ClientConnection::skipAnswer(bool isFinal)
 {
-    if (isOwnAnswer())
-        ++interimAnswers_;
-    else
-        ++foreignAnswers_;
+    ++(isFinal ? foreignAnswers_ : interimAnswers_);
     parser_.begin(isToHead_);
     return interimAnswers_ <= mostInterimAnswers && foreignAnswers_ <= mostForeignAnswers;
 }
@@ -247,9 +254,11 @@
     auto response = parser_.take();
     response.matchedBy_ = matchedBy;
     hasCarriedRequest_ = true;
+    // A copy of an answer without an id could not be told from the answer to the next request.
+    const bool isNamed = expectedEcho_.empty() || matchedBy == MatchedBy::Id;
     // A request that is not written to its end would run into the next one.
-    const bool isReusable =
-            parser_.keepsAlive() && !hasSurplus && foreignAnswers_ == 0 && output_.isDone();
+    const bool isReusable = parser_.keepsAlive() && !hasSurplus && isNamed && foreignAnswers_ == 0
+                            && output_.isDone();
     auto usableFor = options_.maxIdle_;
     if (const auto seconds = statedIdleSeconds(response.headers_))
         usableFor = std::min(usableFor, base::Millis(*seconds * usableMillisPerSecond));
@@ -265,7 +274,7 @@
 
 void ClientConnection::ended()
 {
-    if (parser_.end() == ParseState::Complete && isOwnAnswer())
+    if (parser_.end() == ParseState::Complete && claimOfAnswer() == Claim::Own)
         answered(true);
     else
         fail(FailureKind::Lost, "the connection was closed before a whole answer");
--- a/libs/net/src/details/ClientConnection.h
+++ b/libs/net/src/details/ClientConnection.h
@@ -82,12 +82,19 @@
         Closed,
     };
 
+    /** Which request an answer belongs to. */
+    enum class Claim : std::uint8_t {
+        Own,
+        OtherRequest,
+        Unclear,
+    };
+
     void connected();
     bool write();
     void read(std::string_view bytes);
-    bool isOwnAnswer() const;
+    Claim claimOfAnswer() const;
     MatchedBy matchOfAnswer() const;
-    bool skipAnswer();
+    bool skipAnswer(bool isFinal);
     void answered(bool hasSurplus);
     void ended();
     void fail(FailureKind kind, const char *detail);
--- a/libs/net/tests/HttpClientTest.cpp
+++ b/libs/net/tests/HttpClientTest.cpp
@@ -16,6 +16,8 @@
 
 constexpr Millis callTimeout(5000);
 
+const std::string unnamedRefusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
 /** A client that checks the field "id", and a server that sends plain bytes. */
 class HttpClientBytes : public testing::Test
 {
@@ -136,6 +138,50 @@
     }
 }
 
+TEST_F(HttpClientBytes, aRefusalWithoutAnIdIsTakenOnANewConnectionAndEndsIt)
+{
+    start();
+    const auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send(unnamedRefusal);
+    ASSERT_TRUE(result());
+    EXPECT_EQ(result()->matchedBy_, net::MatchedBy::NewConnection);
+    EXPECT_TRUE(server.isClosed(reactor_));
+}
+
+TEST_F(HttpClientBytes, aRefusalWithoutAnIdOnAUsedConnectionIsNotTaken)
+{
+    const auto server = usedConnection();
+    start();
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send(unnamedRefusal);
+    ASSERT_FALSE(result());
+    EXPECT_EQ(result().error().kind_, FailureKind::Lost);
+    EXPECT_TRUE(server.isClosed(reactor_));
+}
+
+TEST_F(HttpClientBytes, aRefusalWithoutAnIdAfterAnotherRequestsAnswerIsNotTaken)
+{
+    start();
+    const auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nid: z\r\nContent-Length: 5\r\n\r\nalien" + unnamedRefusal);
+    ASSERT_FALSE(result());
+    EXPECT_EQ(result().error().kind_, FailureKind::Lost);
+}
+
+TEST_F(HttpClientBytes, aRefusalWithItsIdIsTakenOnAUsedConnection)
+{
+    const auto server = usedConnection();
+    start();
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 503 Service Unavailable\r\nid: a\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(result());
+    EXPECT_EQ(result()->status_, 503);
+    EXPECT_EQ(result()->matchedBy_, net::MatchedBy::Id);
+    EXPECT_FALSE(server.isClosed(reactor_));
+}
+
 TEST_F(HttpClientBytes, surplusBytesEndTheConnection)
 {
     start();
