Take a refusal only in the words of the interface in use

Cause: an answer of a backend server with `Fuchsiadock-Outcome: not-run` counted as its refusal on every interface and in every form. A server that hands on the answer to a call of its own, with its header fields, so refused what it had run; the home delegated the request again, and told its caller that it had not run.

Change: where the interface names a field for refusals, only that one counts. In the product's own interface a refusal with `Fuchsiadock-Reason` is a daemon's, so such an answer is the server's whole answer to the request it has run. Fields that daemons state are not passed on from it.

--- a/libs/dock/include/dock/CallInterface.h
+++ b/libs/dock/include/dock/CallInterface.h
@@ -33,8 +33,9 @@
     std::optional<char> requestIdSeparator_;
     std::string callerService_;    ///< service beside the daemon at which the request began
     std::string expectedInstance_; ///< any other instance refuses the request, with status 421
-    std::string notExecuted_;      ///< in answers: the backend server has not run the request
-    std::string signature_;        ///< in answers: stands in every success of a backend server
+    /** In answers: the backend server has not run the request. Empty: header::outcome says so. */
+    std::string notExecuted_;
+    std::string signature_; ///< in answers: stands in every success of a backend server
     bool hasFractionalRetryAfter_ = false; ///< seconds may have decimals
     int lostAnswerStatus_ = 504; ///< of a request whose answer was lost before its time was over
 
--- a/libs/dock/src/details/BackendExchange.cpp
+++ b/libs/dock/src/details/BackendExchange.cpp
@@ -12,12 +12,30 @@
 constexpr int firstSuccess = 200;
 constexpr int lastSuccess = 299;
 
+/** Fields that the daemon states itself; in an answer they are of a call of the backend server. */
+bool isOfDaemon(std::string_view name)
+{
+    return net::equalsIgnoringCase(name, header::outcome)
+           || net::equalsIgnoringCase(name, header::reason)
+           || net::equalsIgnoringCase(name, header::nextKey);
+}
+
+/** Whether the answer says that the backend server has not run the request. */
+bool isRefusal(const net::Headers &headers, const CallInterface &interface)
+{
+    if (!interface.notExecuted_.empty())
+        return !net::headerValue(headers, interface.notExecuted_).empty();
+    // A refusal with a reason is a daemon's, of a call that the backend server made.
+    return net::headerValue(headers, header::outcome) == "not-run"
+           && net::headerValue(headers, header::reason).empty();
+}
+
 once::AnswerPtr answerOf(net::HttpResponse response)
 {
     auto answer = std::make_shared<once::Answer>();
     answer->status_ = response.status_;
     for (auto &[name, value] : response.headers_) {
-        if (!isHopByHop(name) && !net::equalsIgnoringCase(name, header::outcome))
+        if (!isHopByHop(name) && !isOfDaemon(name))
             answer->headers_.emplace_back(std::move(name), std::move(value));
     }
     answer->body_ = std::move(response.body_);
@@ -70,16 +88,13 @@
 {
     if (!result)
         return endOfFailure(result.error());
-    const auto &headers = result->headers_;
-    const auto has = [&headers](const std::string &name) {
-        return !name.empty() && !net::headerValue(headers, name).empty();
-    };
-    if (has(interface.notExecuted_) || net::headerValue(headers, header::outcome) == "not-run")
+    if (isRefusal(result->headers_, interface))
         return {once::NotRun{once::Reason::BackendRefused, {}}, admission::Outcome::Shed};
     if (!interface.expectedInstance_.empty() && result->status_ == statusMisdirected)
         return {once::NotRun{once::Reason::BackendUnavailable, {}}, admission::Outcome::Failed};
     const bool isSuccess = result->status_ >= firstSuccess && result->status_ <= lastSuccess;
-    if (isSuccess && !interface.signature_.empty() && !has(interface.signature_))
+    if (isSuccess && !interface.signature_.empty()
+        && net::headerValue(result->headers_, interface.signature_).empty())
         return {once::Unknown{once::Reason::AnswerLost}, admission::Outcome::Failed};
     return {once::Complete{answerOf(std::move(*result))}, admission::Outcome::Ok};
 }
--- a/libs/dock/tests/FailureTest.cpp
+++ b/libs/dock/tests/FailureTest.cpp
@@ -121,6 +121,24 @@
     EXPECT_GT(runs(), calls);
 }
 
+// The backend server has run the request and hands on how a call of its own was refused.
+TEST_F(Failures, aRefusalHandedOnByTheBackendServerAllowsNoSecondRun)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &) {
+        server.respond(id, {.status_ = 503,
+                            .headers_ = {{"Fuchsiadock-Outcome", "not-run"},
+                                         {"Fuchsiadock-Reason", "overloaded"},
+                                         {"Fuchsiadock-Next-Key", "of the call"}},
+                            .body_ = "half of it is done"});
+    });
+    const auto answer = caller_.call(entry_->address(), redeem(issueKey()));
+    EXPECT_EQ(outcomeOf(answer), "complete");
+    EXPECT_EQ(answer.body_, "half of it is done");
+    EXPECT_EQ(net::headerValue(answer.headers_, "Fuchsiadock-Reason"), "");
+    EXPECT_NE(net::headerValue(answer.headers_, "Fuchsiadock-Next-Key"), "of the call");
+    EXPECT_EQ(runs(), 1);
+}
+
 TEST_F(Failures, aCallersOwnKeyGetsNoRetries)
 {
     serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &) {
--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -278,6 +278,20 @@
     EXPECT_EQ(runs(), 1);
 }
 
+// The field is that of the product's own interface: it may come from a call of the backend server.
+TEST_F(RoutedPath, aRefusalHandedOnInAnAnswerAllowsNoSecondRun)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        auto answer = ownAnswer(request, 500);
+        answer.headers_.push_back({"Fuchsiadock-Outcome", "not-run"});
+        server.respond(id, std::move(answer));
+    });
+    const auto answer = call("POST", "/write/1");
+    EXPECT_EQ(answer.status_, 500);
+    EXPECT_EQ(headerOf(answer, "Fuchsiadock-Outcome"), "complete");
+    EXPECT_EQ(runs(), 1);
+}
+
 TEST_F(RoutedPath, theRouteBoundsTheTimeThatACallerAsksFor)
 {
     serve([](net::HttpServer &, net::ExchangeId, const HttpRequest &) {});
