Close a connection after a server error where no ids are in use

Cause: the same as of refusals without an id, in the product's own interface, which has no request ids: the copy of a refusal, sent when the next request was on its way, would count as that request's.

Change: such a connection is not used again after a status of 500 or above.

Evidence: HttpClientBytes.aRefusalSentTwiceReachesNoOtherRequestWhereNoIdsAreInUse failed before and passes now; 72 net and 53 dock tests pass.

--- a/libs/net/include/net/HttpClientOptions.h
+++ b/libs/net/include/net/HttpClientOptions.h
@@ -22,7 +22,8 @@
      * Name of a field that answers repeat as the request states it. One that has another value, or
      * none and is a success, is taken for that to another request, and its connection is closed. A
      * refusal or failure without the field counts as the answer only to the first request on its
-     * connection, which is closed; later the call is lost. Empty: not checked.
+     * connection, which is closed; later the call is lost. Empty: not checked, but a connection is
+     * closed after a server error, so that a copy of it reaches no other request.
      */
     std::string echoedField_;
 
--- a/libs/net/src/details/ClientConnection.cpp
+++ b/libs/net/src/details/ClientConnection.cpp
@@ -25,6 +25,7 @@
 /** Answers to earlier requests in place of the own one; a server sends one twice at most. */
 constexpr int mostForeignAnswers = 4;
 constexpr int lastSuccess = 299;
+constexpr int firstServerError = 500;
 
 /** Part of each second of a stated idle timeout in which a connection is used again. */
 constexpr std::int64_t usableMillisPerSecond = 800;
@@ -254,8 +255,10 @@
     auto response = parser_.take();
     response.matchedBy_ = matchedBy;
     hasCarriedRequest_ = true;
-    // A copy of an answer without an id could not be told from the answer to the next request.
-    const bool isNamed = expectedEcho_.empty() || matchedBy == MatchedBy::Id;
+    // A copy of an answer without an id could not be told from the answer to the next request;
+    // where no ids are in use, this holds for copies of refusals at least.
+    const bool isNamed = expectedEcho_.empty() ? response.status_ < firstServerError
+                                               : matchedBy == MatchedBy::Id;
     // A request that is not written to its end would run into the next one.
     const bool isReusable = parser_.keepsAlive() && !hasSurplus && isNamed && foreignAnswers_ == 0
                             && output_.isDone();
--- a/libs/net/tests/HttpClientTest.cpp
+++ b/libs/net/tests/HttpClientTest.cpp
@@ -182,6 +182,21 @@
     EXPECT_FALSE(server.isClosed(reactor_));
 }
 
+TEST_F(HttpClientBytes, aRefusalSentTwiceReachesNoOtherRequestWhereNoIdsAreInUse)
+{
+    start({});
+    const auto first = listener_.accept(reactor_);
+    first.receiveUntil(reactor_, "\r\n\r\n");
+    first.send(unnamedRefusal);
+    ASSERT_EQ(result()->status_, 503);
+    start({});
+    first.sendSome(unnamedRefusal);
+    const auto second = listener_.accept(reactor_);
+    second.receiveUntil(reactor_, "\r\n\r\n");
+    second.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+    EXPECT_EQ(result()->status_, 200);
+}
+
 TEST_F(HttpClientBytes, surplusBytesEndTheConnection)
 {
     start();
