Give successive processes of one name different generations

Cause: a home that has lost an answer asks the executor, and "never arrived" allows a second run. That holds only if the process that answers is the one that was asked first, which is told by the generation: the wall clock at start, or, when that clock went back, the generation heard of plus one. Two processes that start one after the other with a clock set back, and hear of the same earlier generation, took the same one. The second would deny what runs, or has run, at the first.

Change: a generation is raised by a random part of a second, and begins with microseconds instead of milliseconds, so that the raise stays within the time of a restart.

Evidence: Core.twoRestartsWithAClockThatWentBackTakeDifferentGenerations failed before (1000031 twice) and passes now; all 41 tests pass.

--- a/libs/dock/src/Daemon.cpp
+++ b/libs/dock/src/Daemon.cpp
@@ -8,7 +8,7 @@
     : settings_(std::move(settings))
 {
     const once::Incarnation self{settings_.id_,
-                                 static_cast<std::uint64_t>(base::wallNow().count())};
+                                 static_cast<std::uint64_t>(base::wallNow().micros())};
     data_ = std::make_unique<DataTask>(
             settings_, self, [this](ToControl message) { control_->deliver(std::move(message)); },
             binding ? binding->interface_ : CallInterface());
--- a/libs/gossip/src/GossipService.cpp
+++ b/libs/gossip/src/GossipService.cpp
@@ -26,7 +26,7 @@
     membership::Options result{options.self_, options.seeds_, options.randomSeed_, options.timing_};
     result.self_.controlAddress_.port_ = port;
     if (result.self_.generation_ == 0)
-        result.self_.generation_ = static_cast<std::uint64_t>(base::wallNow().count());
+        result.self_.generation_ = static_cast<std::uint64_t>(base::wallNow().micros());
     if (result.randomSeed_ == 0)
         result.randomSeed_ = base::hash64(result.self_.id_, result.self_.generation_);
     return result;
--- a/libs/membership/src/details/CoreImpl.h
+++ b/libs/membership/src/details/CoreImpl.h
@@ -49,6 +49,7 @@
     /** Takes a record into account; true when it was news. */
     bool absorb(Record record, const std::string &senderDataCentre, bool spread);
     bool absorbSelf(const Record &record);
+    std::uint64_t generationAbove(std::uint64_t seen);
     bool apply(Record record, bool spread);
     bool settleAddress(Record &record);
     void declare(const std::string &id, Status status);
--- a/libs/membership/src/details/Merging.cpp
+++ b/libs/membership/src/details/Merging.cpp
@@ -10,6 +10,9 @@
 /** Bounds the contest of two daemons that were given the same id by mistake. */
 constexpr std::uint32_t maxGenerationRaises = 8;
 
+/** Range of a raise, in the microseconds of wall clock that generations begin with: one second. */
+constexpr std::uint64_t generationRaiseRange = 1'000'000;
+
 } // namespace
 
 bool Core::Impl::absorb(Record record, const std::string &senderDataCentre, bool spread)
@@ -38,7 +41,7 @@
         if (generationRaises_ == maxGenerationRaises)
             return false;
         ++generationRaises_;
-        self_.generation_ = record.member_.generation_ + 1;
+        self_.generation_ = generationAbove(record.member_.generation_);
         incarnation_ = 0;
     } else {
         incarnation_ = record.incarnation_ + 1;
@@ -47,6 +50,12 @@
     return true;
 }
 
+/** Random, as an earlier process of this name may have raised its own above the same one. */
+std::uint64_t Core::Impl::generationAbove(std::uint64_t seen)
+{
+    return seen + 1 + random_.below(generationRaiseRange);
+}
+
 bool Core::Impl::apply(Record record, bool spread)
 {
     const bool isDisplaced = record.isLive() && settleAddress(record);
@@ -98,7 +107,7 @@
     };
     if (isSelf(known.member_.id_)) {
         if (order(known) < order(record)) {
-            self_.generation_ = record.member_.generation_ + 1;
+            self_.generation_ = generationAbove(record.member_.generation_);
             announceSelf();
         }
         record.status_ = Status::Dead;
--- a/libs/membership/tests/CoreTest.cpp
+++ b/libs/membership/tests/CoreTest.cpp
@@ -183,6 +183,28 @@
     EXPECT_TRUE(pump.runUntil(isKnownAnew, settleBound));
 }
 
+// A home that asks for what ran at the first process must not be answered by the second.
+TEST(Core, twoRestartsWithAClockThatWentBackTakeDifferentGenerations)
+{
+    Pump pump(15);
+    pump.startAll(1, 3);
+    ASSERT_TRUE(pump.runUntil([&] { return pump.isConverged(); }, settleBound));
+    const auto old = *pump.core("d0-1").find("d0-2");
+    const auto raisedBy = [&](std::uint64_t clock) {
+        pump.generation_ = clock;
+        pump.restart("d0-2");
+        membership::Datagram datagram{"d0-1", 0, "dc0"};
+        datagram.records_ = {old};
+        pump.tell("d0-2", membership::DatagramReceived{Pump::address(1), datagram});
+        return pump.core("d0-2").self().generation_;
+    };
+    const auto first = raisedBy(5);
+    const auto second = raisedBy(500);
+    EXPECT_GT(first, old.member_.generation_);
+    EXPECT_GT(second, old.member_.generation_);
+    EXPECT_NE(first, second);
+}
+
 TEST(Core, newNamesAfterTheLossOfAWholeDataCentre)
 {
     Pump pump(9);
