Run a request that its caller names once, however often it comes

Cause: on routes each arrival of a request that must run once was issued a fresh key, on the assumption that callers never send one attempt twice. One that does, such as a client library that repeats a request when its connection breaks, had it run for each arrival; and a request that was told "not run" ran when it came again, though that answer says that it never will.

Change: a request id has one key at its entry for the life of the key. A repeated one joins the first, and one that was refused is refused again, with 503 instead of the 428 of the product's own keys. Calls of a running request are named by their ids likewise.

Evidence: RoutedPath.aRequestThatComesTwiceRunsOnce (3 runs before) and aRequestThatWasRefusedDoesNotRunWhenItComesAgain (200 and a run before) failed first and pass now, as do all 58 dock tests.

--- a/libs/dock/include/dock/CallerAnswer.h
+++ b/libs/dock/include/dock/CallerAnswer.h
@@ -23,6 +23,7 @@
 {
     RetryAfterForm retryAfter_ = RetryAfterForm::WholeSeconds;
     int lostAnswerStatus_ = 504; ///< of a request whose answer was lost before its time was over
+    bool hasKeys_ = true;        ///< whether callers name requests by keys that they were issued
 
     bool operator==(const AnswerForm &) const = default;
 };
--- a/libs/dock/src/CallerAnswer.cpp
+++ b/libs/dock/src/CallerAnswer.cpp
@@ -48,14 +48,14 @@
     return std::to_string(std::max<std::int64_t>(1, seconds));
 }
 
-int statusOf(once::Reason reason)
+int statusOf(once::Reason reason, const AnswerForm &form)
 {
     switch (reason) {
     case once::Reason::BadKey:
     case once::Reason::KeyBurned:
     case once::Reason::KeyExpired:
     case once::Reason::KeyMismatch:
-        return statusKeyNeeded;
+        return form.hasKeys_ ? statusKeyNeeded : statusUnavailable;
     case once::Reason::CustomerLimit:
         return statusTooManyRequests;
     default:
@@ -69,7 +69,8 @@
 {
     return {.retryAfter_ = interface.hasFractionalRetryAfter_ ? RetryAfterForm::Decimals
                                                               : RetryAfterForm::WholeSeconds,
-            .lostAnswerStatus_ = interface.lostAnswerStatus_};
+            .lostAnswerStatus_ = interface.lostAnswerStatus_,
+            .hasKeys_ = !interface.hasRoutes()};
 }
 
 net::HttpResponse refusal(int status, std::string_view reason, base::Millis retryAfter,
@@ -92,7 +93,7 @@
             base::Overloaded{
                     [](const once::Complete &whole) { return complete(*whole.answer_); },
                     [&form](const once::NotRun &why) {
-                        return refusal(statusOf(why.reason_), once::reasonText(why.reason_),
+                        return refusal(statusOf(why.reason_, form), once::reasonText(why.reason_),
                                        why.retryAfter_, {}, form.retryAfter_);
                     },
                     [&form](const once::Unknown &why) { return unknown(why.reason_, form); },
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -27,6 +27,7 @@
 
 #include "details/DelegationLog.h"
 #include "details/FailureLog.h"
+#include "details/RequestKeys.h"
 #include "details/RequestReader.h"
 
 namespace dock {
@@ -35,6 +36,7 @@
 
 constexpr base::Millis retryWhenUnconfigured(1000);
 constexpr base::Millis retryWhenClosed(200); ///< another daemon can serve it at once
+constexpr base::Millis retryWithoutRoom(1000);
 
 /** Further instances that a request on a route is sent to as long as none ran or refused it. */
 constexpr std::uint32_t freeRouteAttempts = 3;
@@ -84,6 +86,7 @@
                   [this](const CallInfo &call, const Redelegation &again) {
                       delegationLog_.note(call, again, base::monotonicNow());
                   })
+        , requestKeys_(settings.onceRecords_)
         , reader_(settings, interface, executor, contexts, randomSeed())
     {}
 
@@ -110,6 +113,7 @@
     std::string freshKey(const CallInfo &call);
     void startIdempotent(EntryId id, CallInfo call);
     void startKeyed(EntryId id, CallInfo call, RequestSource source);
+    void startNamed(EntryId id, CallInfo call);
     void finishUnserved(EntryId id, const net::HttpRequest &request, net::HttpResponse refused);
     void startAtHome(EntryId id, CallInfo call,
                      const std::variant<once::Key, once::ContextKey> &key);
@@ -133,6 +137,7 @@
     InstanceSelector selector_;
     IdempotentCalls idempotent_;
     KeyedCalls keyed_;
+    details::RequestKeys requestKeys_;
     details::RequestReader reader_;
     Members members_;
     std::unordered_map<std::string, const model::Member *> memberById_;
@@ -210,17 +215,15 @@
 {
     // An issued key names the same request in every running call, so its home decides on it.
     if (call.isChild() && !once::isIssuedFor(call.keyText_, call.service_)) {
-        auto text = call.keyText_;
+        auto text = call.keyText_.empty() ? call.requestId_ : call.keyText_;
         if (text.empty())
             text = "unnamed-" + std::to_string(nextOwnKey_++);
         const once::ContextKey key{call.contextToken_, text};
         startAtHome(id, std::move(call), key);
         return;
     }
-    // A caller on a route names each of its attempts anew, so the key need not leave this daemon.
     if (interface_.hasRoutes()) {
-        auto key = home_->issueKey(call.keyCustomer_, call.service_, call.receivedAt_);
-        startAtHome(id, std::move(call), std::move(key));
+        startNamed(id, std::move(call));
         return;
     }
     if (call.keyText_.empty()) {
@@ -246,6 +249,23 @@
                decision);
 }
 
+// A caller on a route names each of its attempts anew, so the key need not leave this daemon.
+void Entry::Impl::startNamed(EntryId id, CallInfo call)
+{
+    if (const auto *known = requestKeys_.find(call.requestId_, call.receivedAt_)) {
+        auto key = *known;
+        call.service_ = key.service_; // of a split, the part that was chosen first
+        startAtHome(id, std::move(call), std::move(key));
+        return;
+    }
+    auto key = home_->issueKey(call.keyCustomer_, call.service_, call.receivedAt_);
+    if (!call.requestId_.empty() && !requestKeys_.add(call.requestId_, key, call.receivedAt_)) {
+        finishWith(id, once::NotRun{once::Reason::NoRoom, retryWithoutRoom});
+        return;
+    }
+    startAtHome(id, std::move(call), std::move(key));
+}
+
 void Entry::Impl::startAtHome(EntryId id, CallInfo call,
                               const std::variant<once::Key, once::ContextKey> &key)
 {
--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -278,6 +278,44 @@
     EXPECT_EQ(runs(), 1);
 }
 
+TEST_F(RoutedPath, aRequestThatComesTwiceRunsOnce)
+{
+    serve([this](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        backendLoop_.reactor_.schedule(base::Millis(100), [&server, id, request] {
+            server.respond(id, ownAnswer(request));
+        });
+    });
+    const HttpRequest request{.method_ = "POST",
+                              .target_ = "/write/1",
+                              .headers_ = {{"Host", "a.example"}, {"T-Request", "same"}}};
+    auto first = caller_.start(entry_->address(), request);
+    auto second = caller_.start(entry_->address(), request);
+    EXPECT_EQ(first.get()->status_, 200);
+    EXPECT_EQ(second.get()->status_, 200);
+    EXPECT_EQ(caller_.call(entry_->address(), request).status_, 200);
+    EXPECT_EQ(runs(), 1);
+}
+
+TEST_F(RoutedPath, aRequestThatWasRefusedDoesNotRunWhenItComesAgain)
+{
+    std::atomic<bool> isRefusing = true;
+    serve([&isRefusing](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        if (isRefusing)
+            server.respond(id, {.status_ = 503, .headers_ = {{"T-Not-Executed", "1"}}});
+        else
+            server.respond(id, ownAnswer(request));
+    });
+    const HttpRequest request{.method_ = "POST",
+                              .target_ = "/write/1",
+                              .headers_ = {{"Host", "a.example"}, {"T-Request", "same"}}};
+    EXPECT_EQ(caller_.call(entry_->address(), request).status_, 503);
+    isRefusing = false;
+    const auto before = runs();
+    EXPECT_EQ(caller_.call(entry_->address(), request).status_, 503);
+    EXPECT_EQ(runs(), before);
+    EXPECT_EQ(call("POST", "/write/1").status_, 200);
+}
+
 // The field is that of the product's own interface: it may come from a call of the backend server.
 TEST_F(RoutedPath, aRefusalHandedOnInAnAnswerAllowsNoSecondRun)
 {
