Send a request anew on a connection that has not refused it

When no other executor is left, a request goes to the one that refused it again, and there on the connection used last, as a rule the same. A late copy of the first refusal then has the right id and counts as the answer to the second attempt, which runs: its home delegates it a third time, or its caller is told that it has not run.

Change: a connection keeps the hashes of the ids that it has answered with another status than success, and does not carry these requests again; after 128 of them it is closed. The request goes on another connection or a new one.

--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -42,7 +42,7 @@
 
     bool place(CallId id, const model::Address &to);
     bool sendOn(ClientConnection &connection, CallId id);
-    ClientConnection *takeIdle(const model::Address &to);
+    ClientConnection *takeIdle(const model::Address &to, const HttpRequest &request);
     ClientConnection *open(const model::Address &to);
     void keepIdle(ClientConnection &connection);
     void finish(CallId id, CallResult result);
@@ -63,7 +63,7 @@
 /** Sends the call on an idle or a new connection; false if there is no way to send it. */
 bool HttpClient::Impl::place(CallId id, const model::Address &to)
 {
-    while (auto *idle = takeIdle(to)) {
+    while (auto *idle = takeIdle(to, calls_.at(id).request_)) {
         if (sendOn(*idle, id))
             return true;
     }
@@ -82,19 +82,21 @@
     return false;
 }
 
-ClientConnection *HttpClient::Impl::takeIdle(const model::Address &to)
+ClientConnection *HttpClient::Impl::takeIdle(const model::Address &to, const HttpRequest &request)
 {
     const auto found = idle_.find(to);
     if (found == idle_.end())
         return nullptr;
+    auto &idle = found->second;
     const auto now = base::monotonicNow();
-    while (!found->second.empty()) {
-        auto *connection = found->second.back();
-        if (connection->usableUntil() > now) {
-            found->second.pop_back();
+    for (auto place = idle.size(); place-- > 0;) {
+        auto *connection = idle[place];
+        if (connection->usableUntil() <= now) {
+            connection->closeConnection(); // leaves the list
+        } else if (connection->mayCarry(request)) {
+            idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(place));
             return connection;
         }
-        connection->closeConnection();
     }
     return nullptr;
 }
--- a/libs/net/src/details/ClientConnection.cpp
+++ b/libs/net/src/details/ClientConnection.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include <base/Clock.h>
+#include <base/Hash.h>
 #include <net/HttpClientOptions.h>
 #include <net/Reactor.h>
 #include <sys/socket.h>
@@ -25,6 +26,9 @@
 /** Answers to earlier requests in place of the own one; a server sends one twice at most. */
 constexpr int mostForeignAnswers = 4;
 constexpr int lastSuccess = 299;
+
+/** Refused or failed requests on one connection, 8 bytes each; it is closed after so many. */
+constexpr std::size_t mostRefusedIds = 128;
 constexpr int firstServerError = 500;
 
 /** Part of each second of a stated idle timeout in which a connection is used again. */
@@ -101,6 +105,14 @@
         reactor_.closeWatched(socket_);
 }
 
+bool ClientConnection::mayCarry(const HttpRequest &request) const
+{
+    if (refusedIds_.empty())
+        return true;
+    const auto id = base::hash64(headerValue(request.headers_, options_.echoedField_));
+    return std::find(refusedIds_.begin(), refusedIds_.end(), id) == refusedIds_.end();
+}
+
 bool ClientConnection::send(HttpRequest &request)
 {
     expectedEcho_ = options_.echoedField_.empty()
@@ -255,13 +267,15 @@
     auto response = parser_.take();
     response.matchedBy_ = matchedBy;
     hasCarriedRequest_ = true;
+    if (!expectedEcho_.empty() && response.status_ > lastSuccess)
+        refusedIds_.push_back(base::hash64(expectedEcho_));
     // A copy of an answer without an id could not be told from the answer to the next request;
     // where no ids are in use, this holds for copies of refusals at least.
     const bool isNamed = expectedEcho_.empty() ? response.status_ < firstServerError
                                                : matchedBy == MatchedBy::Id;
     // A request that is not written to its end would run into the next one.
-    const bool isReusable = parser_.keepsAlive() && !hasSurplus && isNamed && foreignAnswers_ == 0
-                            && output_.isDone();
+    const bool isReusable = refusedIds_.size() < mostRefusedIds && parser_.keepsAlive()
+                            && !hasSurplus && isNamed && foreignAnswers_ == 0 && output_.isDone();
     auto usableFor = options_.maxIdle_;
     if (const auto seconds = statedIdleSeconds(response.headers_))
         usableFor = std::min(usableFor, base::Millis(*seconds * usableMillisPerSecond));
--- a/libs/net/src/details/ClientConnection.h
+++ b/libs/net/src/details/ClientConnection.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <ace/Event_Handler.h>
 #include <base/Millis.h>
@@ -55,6 +56,9 @@
      */
     bool send(HttpRequest &request);
 
+    /** False for a request that was refused on this connection: a copy of that could come late. */
+    bool mayCarry(const HttpRequest &request) const;
+
     /** Closes the socket and tells the owner; a call is not told of its end. */
     void closeConnection();
 
@@ -114,8 +118,10 @@
     base::Millis usableUntil_;
     bool isToHead_ = false;
     bool hasCarriedRequest_ = false; ///< before the one sent last
-    int interimAnswers_ = 0;         ///< before the answer to the request sent last
-    int foreignAnswers_ = 0;         ///< likewise, to other requests
+    std::vector<std::uint64_t>
+            refusedIds_;     ///< hashes of the ids of requests not answered by success
+    int interimAnswers_ = 0; ///< before the answer to the request sent last
+    int foreignAnswers_ = 0; ///< likewise, to other requests
 };
 
 } // namespace net::details
--- a/libs/net/tests/HttpClientTest.cpp
+++ b/libs/net/tests/HttpClientTest.cpp
@@ -197,6 +197,36 @@
     EXPECT_EQ(result()->status_, 200);
 }
 
+TEST_F(HttpClientBytes, aRequestSentAgainIsNotAnsweredByACopyOfItsRefusal)
+{
+    const std::string refusal =
+            "HTTP/1.1 503 Service Unavailable\r\nid: a\r\nContent-Length: 0\r\n\r\n";
+    start();
+    const auto first = listener_.accept(reactor_);
+    first.receiveUntil(reactor_, "\r\n\r\n");
+    first.send(refusal);
+    ASSERT_EQ(result()->status_, 503);
+    start();
+    first.send(refusal);
+    const auto second = listener_.accept(reactor_);
+    second.receiveUntil(reactor_, "\r\n\r\n");
+    second.send("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 3\r\n\r\nown");
+    EXPECT_EQ(result()->status_, 200);
+}
+
+TEST_F(HttpClientBytes, otherRequestsUseTheConnectionOfARefusedOne)
+{
+    start();
+    const auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 503 Service Unavailable\r\nid: a\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_EQ(result()->status_, 503);
+    start({.headers_ = {{"id", "b"}}});
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nid: b\r\nContent-Length: 3\r\n\r\nown");
+    EXPECT_EQ(result()->status_, 200);
+}
+
 TEST_F(HttpClientBytes, surplusBytesEndTheConnection)
 {
     start();
