Never take an answer with an id for a request without one

Found by the review: a request without an id took any answer for its own, also one that names another request. Callers on the users' platform always send ids, so this is not what they saw.

Evidence: HttpClientBytes.aRequestWithoutAnIdIsNotAnsweredWithThatOfAnother failed before ("alien") and passes now, with all 75 net tests.

--- a/libs/net/src/details/ClientConnection.cpp
+++ b/libs/net/src/details/ClientConnection.cpp
@@ -201,10 +201,10 @@
 {
     const auto &response = parser_.response();
     const auto matchedBy = matchOfAnswer();
-    if (expectedEcho_.empty() || matchedBy == MatchedBy::Id)
+    const bool hasId = !headerValue(response.headers_, options_.echoedField_).empty();
+    if (matchedBy == MatchedBy::Id || (expectedEcho_.empty() && !hasId))
         return Claim::Own;
-    const bool hasOtherId = !headerValue(response.headers_, options_.echoedField_).empty();
-    if (hasOtherId || response.status_ <= lastSuccess)
+    if (hasId || response.status_ <= lastSuccess)
         return Claim::OtherRequest;
     // Without an id it may be the copy of an earlier refusal, or bytes that follow another answer.
     return matchedBy == MatchedBy::NewConnection && foreignAnswers_ == 0 ? Claim::Own
--- a/libs/net/tests/HttpClientTest.cpp
+++ b/libs/net/tests/HttpClientTest.cpp
@@ -227,6 +227,16 @@
     EXPECT_EQ(result()->status_, 200);
 }
 
+TEST_F(HttpClientBytes, aRequestWithoutAnIdIsNotAnsweredWithThatOfAnother)
+{
+    const auto server = usedConnection();
+    start({});
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 5\r\n\r\nalien"
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+    EXPECT_EQ(result()->body_, "own");
+}
+
 TEST_F(HttpClientBytes, surplusBytesEndTheConnection)
 {
     start();
