Let no field of a backend server's answer speak for the executor

The executor's answer to the home carries the backend server's fields before its own, and the home reads the first of a name: a server that answers with `fd-kind: not-run` or `fd-flags: replaced` has its request delegated again, though it ran. So does one whose success says that it was not executed.

Change: fields of the wire between daemons are dropped from the backend server's answer, in any case of letters. Only an answer that is no success can be a refusal; a success that says so is lost, as nothing tells which of the two holds.

--- a/libs/dock/src/details/BackendExchange.cpp
+++ b/libs/dock/src/details/BackendExchange.cpp
@@ -12,19 +12,26 @@
 constexpr int firstSuccess = 200;
 constexpr int lastSuccess = 299;
 
-/** Fields that the daemon states itself; in an answer they are of a call of the backend server. */
+/** Fields that the daemon states itself, to callers or to other daemons. */
 bool isOfDaemon(std::string_view name)
 {
-    return net::equalsIgnoringCase(name, header::outcome)
+    return net::equalsIgnoringCase(name.substr(0, header::peerPrefix.size()), header::peerPrefix)
+           || net::equalsIgnoringCase(name, header::outcome)
            || net::equalsIgnoringCase(name, header::reason)
            || net::equalsIgnoringCase(name, header::nextKey);
 }
 
+bool isSuccess(const net::HttpResponse &answer)
+{
+    return answer.status_ >= firstSuccess && answer.status_ <= lastSuccess;
+}
+
 /** Whether the answer says that the backend server has not run the request. */
-bool isRefusal(const net::Headers &headers, const CallInterface &interface)
+bool isRefusal(const net::HttpResponse &answer, const CallInterface &interface)
 {
+    const auto &headers = answer.headers_;
     if (!interface.notExecuted_.empty())
-        return !net::headerValue(headers, interface.notExecuted_).empty();
+        return !isSuccess(answer) && !net::headerValue(headers, interface.notExecuted_).empty();
     // A refusal with a reason is a daemon's, of a call that the backend server made.
     return net::headerValue(headers, header::outcome) == "not-run"
            && net::headerValue(headers, header::reason).empty();
@@ -88,13 +95,18 @@
 {
     if (!result)
         return endOfFailure(result.error());
-    if (isRefusal(result->headers_, interface))
+    if (isRefusal(*result, interface))
         return {once::NotRun{once::Reason::BackendRefused, {}}, admission::Outcome::Shed};
     if (!interface.expectedInstance_.empty() && result->status_ == statusMisdirected)
         return {once::NotRun{once::Reason::BackendUnavailable, {}}, admission::Outcome::Failed};
-    const bool isSuccess = result->status_ >= firstSuccess && result->status_ <= lastSuccess;
-    if (isSuccess && !interface.signature_.empty()
-        && net::headerValue(result->headers_, interface.signature_).empty())
+    const auto has = [&result](const std::string &name) {
+        return !name.empty() && !net::headerValue(result->headers_, name).empty();
+    };
+    // A success without signature is not the server's; one that was not executed contradicts
+    // itself.
+    if (isSuccess(*result)
+        && ((!interface.signature_.empty() && !has(interface.signature_))
+            || has(interface.notExecuted_)))
         return {once::Unknown{once::Reason::AnswerLost}, admission::Outcome::Failed};
     return {once::Complete{answerOf(std::move(*result))}, admission::Outcome::Ok};
 }
--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -330,6 +330,31 @@
     EXPECT_EQ(runs(), 1);
 }
 
+TEST_F(RoutedPath, fieldsOfTheWireBetweenDaemonsInAnAnswerAllowNoSecondRun)
+{
+    for (const auto &[name, value] : {std::pair("fd-kind", "not-run"), {"FD-Flags", "replaced"}}) {
+        serve([name, value](net::HttpServer &server, net::ExchangeId id,
+                            const HttpRequest &request) {
+            auto answer = ownAnswer(request);
+            answer.headers_.push_back({name, value});
+            server.respond(id, std::move(answer));
+        });
+        EXPECT_EQ(call("POST", "/write/1").status_, 200) << name;
+        EXPECT_EQ(runs(), 1) << name;
+    }
+}
+
+TEST_F(RoutedPath, aSuccessIsNoRefusal)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        auto answer = ownAnswer(request);
+        answer.headers_.push_back({"T-Not-Executed", "0"});
+        server.respond(id, std::move(answer));
+    });
+    EXPECT_EQ(call("POST", "/write/1").status_, 502);
+    EXPECT_EQ(runs(), 1);
+}
+
 TEST_F(RoutedPath, theRouteBoundsTheTimeThatACallerAsksFor)
 {
     serve([](net::HttpServer &, net::ExchangeId, const HttpRequest &) {});
