Ask the configuration in force before a request is run again

Found by the review: the class of a request was fixed when it was read. A request that was read as idempotent and lost its answer was run again although the daemon already served a configuration in which its path must run once.

Change: before a request that may have run is sent again, the configuration in force is asked; if it must run once by now, the call ends with the answer or the uncertainty that there is.

Evidence: RoutedPath.aRequestIsNotRepeatedOnceItsRouteRunsOnce failed before and passes now, with all 61 dock tests.

--- a/libs/dock/include/dock/IdempotentCalls.h
+++ b/libs/dock/include/dock/IdempotentCalls.h
@@ -29,13 +29,15 @@
 {
 public:
     using Done = std::function<void(const once::Outcome &, const CallReport &)>;
+    using MustRunOnce = std::function<bool(const CallInfo &)>;
 
     /**
      * All that is passed in must outlive this object. With repeatsFailures a request is also sent
-     * to another instance when a backend server answers that it failed.
+     * to another instance when a backend server answers that it failed. Before a request that may
+     * have run is sent again, mustRunOnce is asked, as the configuration may have changed.
      */
     IdempotentCalls(net::Reactor &reactor, retry::Core &retry, InstanceSelector &selector,
-                    AttemptSender &sender, bool repeatsFailures);
+                    AttemptSender &sender, MustRunOnce mustRunOnce, bool repeatsFailures);
     ~IdempotentCalls();
 
     /** Starts a call; done is called once, unless the call is cancelled before. */
@@ -64,6 +66,7 @@
     void startAttempt(const retry::StartAttempt &order);
     void sendAttempt(const retry::StartAttempt &order);
     void attemptDone(retry::CallId id, const std::string &instance, SendResult result);
+    bool endsAfterRun(retry::CallId id, const Call &call);
     void finish(retry::CallId id, const once::Outcome &outcome);
     once::Outcome failureOutcome(const Call &call) const;
     bool isWorthRepeating(const once::Complete &whole, const admission::AnswerLevels &levels) const;
@@ -72,6 +75,7 @@
     retry::Core &retry_;
     InstanceSelector &selector_;
     AttemptSender &sender_;
+    MustRunOnce mustRunOnce_;
     const bool repeatsFailures_;
     std::map<retry::CallId, Call> calls_;
     retry::CallId nextId_ = 1;
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -79,7 +79,12 @@
                     [this](const CallInfo &call, admission::Level level) {
                         executor_.observeLevel(call.contextToken_, call.service_, level);
                     })
-        , idempotent_(reactor, retryIdempotent_, selector_, sender_, interface.hasRoutes())
+        , idempotent_(
+                  reactor, retryIdempotent_, selector_, sender_,
+                  [this](const CallInfo &call) {
+                      return !isBaseline() && reader_.mustRunOnce(call);
+                  },
+                  interface.hasRoutes())
         , keyed_(
                   reactor, *home_, retryKeyed_, selector_, sender_,
                   [this](const std::string &id) { return findMember(id); },
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -28,11 +28,12 @@
 
 IdempotentCalls::IdempotentCalls(net::Reactor &reactor, retry::Core &retry,
                                  InstanceSelector &selector, AttemptSender &sender,
-                                 bool repeatsFailures)
+                                 MustRunOnce mustRunOnce, bool repeatsFailures)
     : reactor_(reactor)
     , retry_(retry)
     , selector_(selector)
     , sender_(sender)
+    , mustRunOnce_(std::move(mustRunOnce))
     , repeatsFailures_(repeatsFailures)
 {}
 
@@ -132,6 +133,8 @@
         if (!isUnsent)
             call.info_.repeat_ = retry::RepeatKind::Rerun;
         call.lastRefusal_ = {once::Reason::NoInstance, {}};
+        if (!isUnsent && endsAfterRun(id, call))
+            return;
         perform(retry_.handle(event, base::monotonicNow()));
         return;
     }
@@ -150,8 +153,11 @@
         event.result_ = retry::AttemptResult::Failed;
         call.failure_ = whole;
     }
-    if (event.result_ == retry::AttemptResult::Lost
-        || event.result_ == retry::AttemptResult::Failed)
+    const bool mayHaveRun = event.result_ == retry::AttemptResult::Lost
+                            || event.result_ == retry::AttemptResult::Failed;
+    if (mayHaveRun && endsAfterRun(id, call))
+        return;
+    if (mayHaveRun)
         call.info_.repeat_ = retry::RepeatKind::Rerun;
     else if (event.reachedBackend_ && call.info_.repeat_ != retry::RepeatKind::Rerun)
         call.info_.repeat_ = retry::RepeatKind::AfterRefusal;
@@ -162,6 +168,16 @@
         perform(commands);
 }
 
+/** Ends a call that may have run if a newer configuration says that it must run once. */
+bool IdempotentCalls::endsAfterRun(retry::CallId id, const Call &call)
+{
+    if (!mustRunOnce_(call.info_))
+        return false;
+    retry_.handle(retry::CallEnded{id}, base::monotonicNow());
+    finish(id, failureOutcome(call));
+    return true;
+}
+
 /**
  * Whether another instance may do better than this answer. Not while the service or one that it
  * calls sheds load: the failure is then likely a call refused further down, and would come again.
--- a/libs/dock/src/details/RequestReader.cpp
+++ b/libs/dock/src/details/RequestReader.cpp
@@ -194,6 +194,16 @@
     return call;
 }
 
+bool RequestReader::mustRunOnce(const CallInfo &call) const
+{
+    const auto &request = call.request_;
+    if (!interface_.hasRoutes())
+        return !config_->classify(call.service_, request.method_, pathOf(request.target_))
+                        .idempotent_;
+    const auto *route = config_->route(hostOf(request.headers_), pathOf(request.target_));
+    return route != nullptr && !route->class_.idempotent_;
+}
+
 void RequestReader::inheritFrom(CallInfo &call, const retry::RunningCall &parent) const
 {
     call.customer_ = parent.customer_;
--- a/libs/dock/src/details/RequestReader.h
+++ b/libs/dock/src/details/RequestReader.h
@@ -51,6 +51,10 @@
      */
     std::optional<CallInfo> read(net::HttpRequest &request, std::string name);
 
+    /** Whether the configuration in force says so of a request that was read under an earlier one.
+     */
+    bool mustRunOnce(const CallInfo &call) const;
+
 private:
     /** Where a request goes to. */
     struct Destination
--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -355,6 +355,19 @@
     EXPECT_EQ(runs(), 1);
 }
 
+TEST_F(RoutedPath, aRequestIsNotRepeatedOnceItsRouteRunsOnce)
+{
+    serve([this](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        auto config = std::make_shared<model::Config>(*routedConfig());
+        config->revision_ = 2;
+        config->routes_["a.example"]["/read/once/"] = route("once", "/read/once/", false);
+        entry_->task_->deliver(dock::ConfigInForce{config});
+        server.respond(id, ownAnswer(request, 500));
+    });
+    EXPECT_EQ(call("GET", "/read/once/1").status_, 500);
+    EXPECT_EQ(runs(), 1);
+}
+
 TEST_F(RoutedPath, theRouteBoundsTheTimeThatACallerAsksFor)
 {
     serve([](net::HttpServer &, net::ExchangeId, const HttpRequest &) {});
