--- a/libs/net/src/details/ClientConnection.h
+++ b/libs/net/src/details/ClientConnection.h
@@ -117,11 +117,10 @@
     State state_;
     base::Millis usableUntil_;
     bool isToHead_ = false;
-    bool hasCarriedRequest_ = false; ///< before the one sent last
-    std::vector<std::uint64_t>
-            refusedIds_;     ///< hashes of the ids of requests not answered by success
-    int interimAnswers_ = 0; ///< before the answer to the request sent last
-    int foreignAnswers_ = 0; ///< likewise, to other requests
+    bool hasCarriedRequest_ = false;        ///< before the one sent last
+    std::vector<std::uint64_t> refusedIds_; ///< hashes; of requests not answered by success
+    int interimAnswers_ = 0;                ///< before the answer to the request sent last
+    int foreignAnswers_ = 0;                ///< likewise, to other requests
 };
 
 } // namespace net::details
