--- a/libs/dock/src/details/BackendExchange.cpp
+++ b/libs/dock/src/details/BackendExchange.cpp
@@ -27,11 +27,10 @@
 }
 
 /** Whether the answer says that the backend server has not run the request. */
-bool isRefusal(const net::HttpResponse &answer, const CallInterface &interface)
+bool saysNotRun(const net::Headers &headers, const CallInterface &interface)
 {
-    const auto &headers = answer.headers_;
     if (!interface.notExecuted_.empty())
-        return !isSuccess(answer) && !net::headerValue(headers, interface.notExecuted_).empty();
+        return !net::headerValue(headers, interface.notExecuted_).empty();
     // A refusal with a reason is a daemon's, of a call that the backend server made.
     return net::headerValue(headers, header::outcome) == "not-run"
            && net::headerValue(headers, header::reason).empty();
@@ -95,18 +94,15 @@
 {
     if (!result)
         return endOfFailure(result.error());
-    if (isRefusal(*result, interface))
+    const bool isRefused = saysNotRun(result->headers_, interface);
+    if (isRefused && !isSuccess(*result))
         return {once::NotRun{once::Reason::BackendRefused, {}}, admission::Outcome::Shed};
     if (!interface.expectedInstance_.empty() && result->status_ == statusMisdirected)
         return {once::NotRun{once::Reason::BackendUnavailable, {}}, admission::Outcome::Failed};
-    const auto has = [&result](const std::string &name) {
-        return !name.empty() && !net::headerValue(result->headers_, name).empty();
-    };
-    // A success without signature is not the server's; one that was not executed contradicts
-    // itself.
-    if (isSuccess(*result)
-        && ((!interface.signature_.empty() && !has(interface.signature_))
-            || has(interface.notExecuted_)))
+    const bool lacksSignature = !interface.signature_.empty()
+                                && net::headerValue(result->headers_, interface.signature_).empty();
+    // Without signature it is not the server's, and a refused success contradicts itself.
+    if (isSuccess(*result) && (lacksSignature || isRefused))
         return {once::Unknown{once::Reason::AnswerLost}, admission::Outcome::Failed};
     return {once::Complete{answerOf(std::move(*result))}, admission::Outcome::Ok};
 }
--- a/libs/dock/tests/FailureTest.cpp
+++ b/libs/dock/tests/FailureTest.cpp
@@ -139,6 +139,15 @@
     EXPECT_EQ(runs(), 1);
 }
 
+TEST_F(Failures, aSuccessIsNoRefusal)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &) {
+        server.respond(id, {.status_ = 200, .headers_ = {{"Fuchsiadock-Outcome", "not-run"}}});
+    });
+    EXPECT_EQ(outcomeOf(caller_.call(entry_->address(), redeem(issueKey()))), "unknown");
+    EXPECT_EQ(runs(), 1);
+}
+
 TEST_F(Failures, aCallersOwnKeyGetsNoRetries)
 {
     serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &) {
