--- a/libs/dock/include/dock/IdempotentCalls.h
+++ b/libs/dock/include/dock/IdempotentCalls.h
@@ -66,7 +66,7 @@
     void startAttempt(const retry::StartAttempt &order);
     void sendAttempt(const retry::StartAttempt &order);
     void attemptDone(retry::CallId id, const std::string &instance, SendResult result);
-    bool endsAfterRun(retry::CallId id, const Call &call);
+    void giveUp(retry::CallId id, const Call &call);
     void finish(retry::CallId id, const once::Outcome &outcome);
     once::Outcome failureOutcome(const Call &call) const;
     bool isWorthRepeating(const once::Complete &whole, const admission::AnswerLevels &levels) const;
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -100,12 +100,16 @@
         return;
     auto &call = found->second;
     call.attempt_ = order.attempt_;
+    // The configuration may have changed since the request was read.
+    if ((call.mayHaveRun_ || call.failure_) && mustRunOnce_(call.info_)) {
+        giveUp(order.call_, call);
+        return;
+    }
     const auto now = base::monotonicNow();
     const auto selected = selector_.select(call.info_, order.avoid_, call.tried_, now);
     if (!selected) {
         call.lastRefusal_ = selected.error();
-        retry_.handle(retry::CallEnded{order.call_}, now);
-        finish(order.call_, failureOutcome(call));
+        giveUp(order.call_, call);
         return;
     }
     const auto id = order.call_;
@@ -133,8 +137,6 @@
         if (!isUnsent)
             call.info_.repeat_ = retry::RepeatKind::Rerun;
         call.lastRefusal_ = {once::Reason::NoInstance, {}};
-        if (!isUnsent && endsAfterRun(id, call))
-            return;
         perform(retry_.handle(event, base::monotonicNow()));
         return;
     }
@@ -153,11 +155,8 @@
         event.result_ = retry::AttemptResult::Failed;
         call.failure_ = whole;
     }
-    const bool mayHaveRun = event.result_ == retry::AttemptResult::Lost
-                            || event.result_ == retry::AttemptResult::Failed;
-    if (mayHaveRun && endsAfterRun(id, call))
-        return;
-    if (mayHaveRun)
+    if (event.result_ == retry::AttemptResult::Lost
+        || event.result_ == retry::AttemptResult::Failed)
         call.info_.repeat_ = retry::RepeatKind::Rerun;
     else if (event.reachedBackend_ && call.info_.repeat_ != retry::RepeatKind::Rerun)
         call.info_.repeat_ = retry::RepeatKind::AfterRefusal;
@@ -168,14 +167,10 @@
         perform(commands);
 }
 
-/** Ends a call that may have run if a newer configuration says that it must run once. */
-bool IdempotentCalls::endsAfterRun(retry::CallId id, const Call &call)
+void IdempotentCalls::giveUp(retry::CallId id, const Call &call)
 {
-    if (!mustRunOnce_(call.info_))
-        return false;
     retry_.handle(retry::CallEnded{id}, base::monotonicNow());
     finish(id, failureOutcome(call));
-    return true;
 }
 
 /**
--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -368,6 +368,24 @@
     EXPECT_EQ(runs(), 1);
 }
 
+TEST_F(RoutedPath, aRequestThatRanIsNotRepeatedAfterARefusalOnceItsRouteRunsOnce)
+{
+    std::atomic<int> arrivals = 0;
+    serve([&](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        if (arrivals++ == 0) {
+            server.respond(id, ownAnswer(request, 500));
+            return;
+        }
+        auto config = std::make_shared<model::Config>(*routedConfig());
+        config->revision_ = 2;
+        config->routes_["a.example"]["/read/once/"] = route("once", "/read/once/", false);
+        entry_->task_->deliver(dock::ConfigInForce{config});
+        server.respond(id, {.status_ = 503, .headers_ = {{"T-Not-Executed", "1"}}});
+    });
+    EXPECT_EQ(call("GET", "/read/once/1").status_, 500);
+    EXPECT_EQ(arrivals, 2);
+}
+
 TEST_F(RoutedPath, theRouteBoundsTheTimeThatACallerAsksFor)
 {
     serve([](net::HttpServer &, net::ExchangeId, const HttpRequest &) {});
