--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -332,15 +332,15 @@
 
 TEST_F(RoutedPath, fieldsOfTheWireBetweenDaemonsInAnAnswerAllowNoSecondRun)
 {
-    for (const auto &[name, value] : {std::pair("fd-kind", "not-run"), {"FD-Flags", "replaced"}}) {
-        serve([name, value](net::HttpServer &server, net::ExchangeId id,
-                            const HttpRequest &request) {
+    for (const auto &field :
+         {net::Header{"fd-kind", "not-run"}, net::Header{"FD-Flags", "replaced"}}) {
+        serve([field](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
             auto answer = ownAnswer(request);
-            answer.headers_.push_back({name, value});
+            answer.headers_.push_back(field);
             server.respond(id, std::move(answer));
         });
-        EXPECT_EQ(call("POST", "/write/1").status_, 200) << name;
-        EXPECT_EQ(runs(), 1) << name;
+        EXPECT_EQ(call("POST", "/write/1").status_, 200) << field.name_;
+        EXPECT_EQ(runs(), 1) << field.name_;
     }
 }
 
