Let cancelled calls end no connection between daemons

Cause: nghttp2's server counts stream resets against a limit meant for strangers, 1,000 at once and 33 a second, and ends the connection beyond it.

Change: the server's limit is a million. A peer is a daemon of the same system; its memory and streams stay bounded as before.

Evidence: CancelledCalls.doNotEndTheConnectionOfOthers failed before and passes now.

--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -17,6 +17,13 @@
 constexpr std::size_t readChunkBytes = 64 * 1024;
 constexpr std::size_t outputTargetBytes = 256 * 1024;
 constexpr std::uint32_t maxConcurrentStreams = 8192;
+
+/**
+ * Streams that a daemon may reset on one connection, at once and a second. Each cancelled call is
+ * one; the library's limit of 33 a second ends the connection, and with it the calls of other
+ * callers.
+ */
+constexpr std::uint64_t mostStreamResets = 1'000'000;
 constexpr std::int32_t streamWindowBytes = 1024 * 1024;
 constexpr std::int32_t connectionWindowBytes = 16 * 1024 * 1024;
 
@@ -72,6 +79,17 @@
     return instance;
 }
 
+const nghttp2_option *Http2Connection::serverOptions()
+{
+    static const nghttp2_option *instance = [] {
+        nghttp2_option *result = nullptr;
+        nghttp2_option_new(&result);
+        nghttp2_option_set_stream_reset_rate_limit(result, mostStreamResets, mostStreamResets);
+        return result;
+    }();
+    return instance;
+}
+
 void Http2Connection::startServer()
 {
     start(false, true);
@@ -93,7 +111,7 @@
     isConnecting_ = isConnecting;
     isServer_ = isServer;
     if (isServer)
-        nghttp2_session_server_new(&session_, callbacks(), this);
+        nghttp2_session_server_new2(&session_, callbacks(), this, serverOptions());
     else
         nghttp2_session_client_new(&session_, callbacks(), this);
     const nghttp2_settings_entry settings[] = {
--- a/libs/net/src/details/Http2Connection.h
+++ b/libs/net/src/details/Http2Connection.h
@@ -89,6 +89,7 @@
     bool takeData(Http2Stream &message, std::size_t size);
 
     static nghttp2_session_callbacks *callbacks();
+    static const nghttp2_option *serverOptions();
     static int onHeader(nghttp2_session *, const nghttp2_frame *, const std::uint8_t *, std::size_t,
                         const std::uint8_t *, std::size_t, std::uint8_t, void *);
     static int onData(nghttp2_session *, std::uint8_t, std::int32_t, const std::uint8_t *,
--- a/libs/net/tests/Http2Frame.h
+++ b/libs/net/tests/Http2Frame.h
@@ -9,6 +9,7 @@
 inline constexpr char headersFrame = 1;
 inline constexpr char resetFrame = 3;
 inline constexpr char settingsFrame = 4;
+inline constexpr char goAwayFrame = 7;
 inline constexpr char acknowledgement = 1;
 inline constexpr char endHeaders = 4;
 
--- a/libs/net/tests/NetTest.cpp
+++ b/libs/net/tests/NetTest.cpp
@@ -10,6 +10,9 @@
 
 #include <gtest/gtest.h>
 
+#include "Http2Frame.h"
+#include "RawSocket.h"
+
 using base::Millis;
 using model::Address;
 using net::CallResult;
@@ -242,6 +245,31 @@
     }
 }
 
+TEST_F(CancelledCalls, doNotEndTheConnectionOfOthers)
+{
+    for (const auto &[target, result] : results_)
+        EXPECT_TRUE(result) << target;
+}
+
+// The end of a connection names the last stream by what the library had read, not by what has run.
+TEST(PeerClient, aRequestThatWasWrittenIsLostWhenTheEndOfTheConnectionNamesAnEarlierOne)
+{
+    net::Reactor reactor;
+    RawListener listener;
+    net::PeerClient client(reactor);
+    std::optional<CallResult> result;
+    client.send(listener.address(), {}, callTimeout,
+                [&result](CallResult ended) { result = std::move(ended); });
+    const auto server = listener.accept(reactor);
+    server.receiveUntil(reactor, "PRI");
+    const std::string lastStreamAndError(8, '\0');
+    server.send(http2::frame(http2::settingsFrame, 0, 0, "")
+                + http2::frame(http2::goAwayFrame, 0, 0, lastStreamAndError));
+    runUntil(reactor, [&result] { return result.has_value(); });
+    ASSERT_FALSE(*result);
+    EXPECT_EQ(result->error().kind_, FailureKind::Lost);
+}
+
 TEST(Reactor, canBeDestroyedWhileAWakeUpIsPending)
 {
     net::Reactor reactor;
