--- a/review/standins.py
+++ b/review/standins.py
@@ -338,6 +338,7 @@
         self.zone, self.service = zone, service
         self.app_address, self.store_address, self.memory_mb = app_address, store_address, memory_mb
         self.process = None
+        self.log = None  # a file or pipe for the log, instead of one in the folder
         ports = free_ports(6)
         self.outbound, self.inbound, self.ready, self.control = (
             f"{HOST}:{port}" for port in ports[:4])
@@ -363,7 +364,7 @@
         settings.write_text(text)
         words = [str(settings) if word.startswith("/etc/") else word
                  for word in role["run"].split(" ")]
-        log = open(self.folder / f"{self.name}.log", "ab")
+        log = self.log or open(self.folder / f"{self.name}.log", "ab")
         self.process = subprocess.Popen(words, cwd=ROOT, stdout=log, stderr=log)
         log.close()
         self.record(f"{self.name}: started")
@@ -415,11 +416,12 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     async def add(self, name, zone, service, slots, work_s, store_address=None, memory_mb=260,
-                  **options):
+                  log=None, **options):
         endpoint = Endpoint(self.record, name, service, slots, work_s, **options)
         await endpoint.start()
         daemon = Daemon(self.record, self.folder, name, zone, service, endpoint.address,
                         store_address or self.store.address, memory_mb)
+        daemon.log = log
         endpoint.control = daemon.control
         self.endpoints.append(endpoint)
         self.daemons.append(daemon)
