Log where each request stands that a drain leaves, and what is not written

E102, E103 and E104 now count the open requests of callers and of the backend server, and the answers to callers and to daemons that are not yet written. E108 names each request that is still open at the end: the daemon it was sent to, its age, and the time it had left. E109 names a signal during the drain.

For this, the entry keeps what serves a request as a variant, instead of a function that can only cancel it. No decision changes.

--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <dock/CallInfo.h>
+#include <dock/OpenRequest.h>
 #include <model/Config.h>
 #include <model/Member.h>
 #include <net/HttpRequest.h>
@@ -98,6 +99,9 @@
     /** Number of requests in progress that are not child calls of the local backend server. */
     std::size_t activeRootCount() const;
 
+    /** The requests in progress, for logs. */
+    std::vector<OpenRequest> openRequests() const;
+
     /** Number of re-delegations of non-idempotent requests, by the reason that allowed them. */
     const std::map<std::string, std::uint64_t> &redelegations() const;
 
--- a/libs/dock/include/dock/IdempotentCalls.h
+++ b/libs/dock/include/dock/IdempotentCalls.h
@@ -48,6 +48,9 @@
 
     std::size_t activeCount() const { return calls_.size(); }
 
+    /** Id of the instance that the request was last sent to; empty if it is at none. */
+    std::string executorOf(retry::CallId id) const;
+
 private:
     struct Call
     {
--- a/libs/dock/include/dock/KeyedCalls.h
+++ b/libs/dock/include/dock/KeyedCalls.h
@@ -49,6 +49,9 @@
     /** Number of records that may still need an executor. */
     std::size_t activeCount() const { return records_.size(); }
 
+    /** Id of the instance that the request was last sent to; empty if it is at none. */
+    std::string executorOf(once::WaiterId id) const;
+
 private:
     struct Waiter
     {
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -22,6 +22,8 @@
 #include <retry/ContextTable.h>
 #include <settings/Settings.h>
 
+#include "details/DrainLog.h"
+
 namespace dock {
 
 namespace {
@@ -72,6 +74,8 @@
     void handle(const DataTaskMessage &message);
     void beginDrain();
     void checkDrain();
+    std::string openWork() const;
+    std::string unsentAnswers() const;
     net::HttpResponse noMemoryRefusal() const;
     void logRefusedMessages();
     void sendStatus();
@@ -229,7 +233,7 @@
         return;
     isDraining_ = true;
     drainStart_ = base::monotonicNow();
-    events::log(events::drainBegan, "running=" + std::to_string(executor_.activeCount()));
+    events::log(events::drainBegan, openWork());
     dataServer_->closeAfterResponses();
     entry_.drain();
     checkDrain();
@@ -249,13 +253,16 @@
         executor_.drain();
     const bool isIdle = hasHandedOver && executor_.activeCount() == 0 && entry_.activeCount() == 0;
     if (isIdle && elapsed >= minDrainTime) {
-        events::log(events::drainEnded, "after=" + std::to_string(elapsed.count()) + "ms");
+        events::log(events::drainEnded,
+                    "after=" + std::to_string(elapsed.count()) + "ms" + unsentAnswers());
         entry_.close();
         sendMessage_(DrainEnded{});
         return;
     }
     if (elapsed >= std::max(minDrainTime, settings_.drainTimeout_)) {
-        events::log(events::drainTimedOut, "running=" + std::to_string(executor_.activeCount()));
+        events::log(events::drainTimedOut, openWork() + " after=" + std::to_string(elapsed.count())
+                                                   + "ms" + unsentAnswers());
+        details::logRequestsLeft(entry_.openRequests(), base::monotonicNow());
         entry_.close();
         sendMessage_(DrainEnded{});
         return;
@@ -263,6 +270,20 @@
     reactor_.schedule(drainCheckInterval, [this] { checkDrain(); });
 }
 
+std::string DataTask::Impl::openWork() const
+{
+    const auto callers = entry_.activeRootCount();
+    return "callers=" + std::to_string(callers)
+           + " calls=" + std::to_string(entry_.activeCount() - callers)
+           + " running=" + std::to_string(executor_.activeCount());
+}
+
+std::string DataTask::Impl::unsentAnswers() const
+{
+    return " unsentAnswers=" + std::to_string(dataServer_->unsentCount())
+           + " unsentToDaemons=" + std::to_string(peerServer_->unsentCount());
+}
+
 net::HttpResponse DataTask::Impl::noMemoryRefusal() const
 {
     return refusal(statusUnavailable, "no-memory", noMemoryRetryAfter, {},
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -95,16 +95,34 @@
         , reader_(settings, interface, executor, contexts, randomSeed())
     {}
 
+    /** A request that an idempotent call serves. */
+    struct IdempotentWork
+    {
+        retry::CallId call_ = 0;
+    };
+
+    /** A request that waits for a record of the home. */
+    struct KeyedWork
+    {
+        once::WaiterId waiter_ = 0;
+    };
+
+    /** A request forwarded to the home of its key. */
+    struct ForwardedWork
+    {
+        net::CallId call_ = 0;
+    };
+
+    using Work = std::variant<std::monostate, IdempotentWork, KeyedWork, ForwardedWork>;
+
     /** A request in progress. */
     struct OpenRequest
     {
         Respond respond_;
         CallInfo call_; ///< without header fields and body
+        Work work_;
     };
 
-    /** Cancels the work in progress for one request. */
-    using CancelFunction = std::function<void()>;
-
     static once::HomeSettings homeSettings(const settings::Settings &settings);
     static retry::RetrySettings retrySettings(const settings::Settings &settings,
                                               const CallInterface &interface);
@@ -124,6 +142,9 @@
     void startAtHome(EntryId id, CallInfo call,
                      const std::variant<once::Key, once::ContextKey> &key);
     void forward(EntryId id, const CallInfo &call, const once::Key &key);
+    void setWork(EntryId id, Work work);
+    void cancelWork(const Work &work);
+    std::string executorOf(const Work &work) const;
     void finish(EntryId id, net::HttpResponse response);
     void forwarded(EntryId id, net::CallResult result);
     void finishWithOutcome(EntryId id, const once::Outcome &outcome, const CallReport &report = {});
@@ -148,7 +169,6 @@
     Members members_;
     std::unordered_map<std::string, const model::Member *> memberById_;
     std::unordered_map<EntryId, OpenRequest> openRequests_;
-    std::unordered_map<EntryId, CancelFunction> cancelFunctions_;
     EntryId nextId_ = 1;
     std::uint64_t nextUnnamedCall_ = 1;
     details::FailureLog failureLog_;
@@ -202,9 +222,7 @@
             std::move(call), [this, id](const once::Outcome &outcome, const CallReport &report) {
                 finishWithOutcome(id, outcome, report);
             });
-    cancelFunctions_[id] = [this, started] {
-        idempotentCalls_.cancel(started);
-    };
+    setWork(id, IdempotentWork{started});
 }
 
 // An issued key is honoured even if the class is idempotent here: a daemon with another
@@ -280,9 +298,7 @@
                               [this, id](const once::Outcome &outcome, const CallReport &report) {
                                   finishWithOutcome(id, outcome, report);
                               });
-    cancelFunctions_[id] = [this, started] {
-        keyedCalls_.cancel(started);
-    };
+    setWork(id, KeyedWork{started});
 }
 
 void Entry::Impl::forward(EntryId id, const CallInfo &call, const once::Key &key)
@@ -300,9 +316,7 @@
     const auto sent =
             client_.send(member->peerAddress_, std::move(request), timeLeft,
                          [this, id](net::CallResult result) { forwarded(id, std::move(result)); });
-    cancelFunctions_[id] = [this, sent] {
-        client_.cancel(sent);
-    };
+    setWork(id, ForwardedWork{sent});
 }
 
 // The home has recorded the request, so this daemon only passes the response on.
@@ -328,9 +342,40 @@
                             needsKey(call) ? issueNextKey(call) : std::string()));
 }
 
+void Entry::Impl::setWork(EntryId id, Work work)
+{
+    if (const auto found = openRequests_.find(id); found != openRequests_.end())
+        found->second.work_ = work;
+}
+
+void Entry::Impl::cancelWork(const Work &work)
+{
+    std::visit(base::Overloaded{
+                       [](std::monostate) {},
+                       [this](const IdempotentWork &one) { idempotentCalls_.cancel(one.call_); },
+                       [this](const KeyedWork &one) { keyedCalls_.cancel(one.waiter_); },
+                       [this](const ForwardedWork &one) { client_.cancel(one.call_); },
+               },
+               work);
+}
+
+/** Id of the daemon that a request was last sent to; empty if it is at none. */
+std::string Entry::Impl::executorOf(const Work &work) const
+{
+    return std::visit(
+            base::Overloaded{
+                    [](std::monostate) { return std::string(); },
+                    [this](const IdempotentWork &one) {
+                        return idempotentCalls_.executorOf(one.call_);
+                    },
+                    [this](const KeyedWork &one) { return keyedCalls_.executorOf(one.waiter_); },
+                    [](const ForwardedWork &) { return std::string("home"); },
+            },
+            work);
+}
+
 void Entry::Impl::finish(EntryId id, net::HttpResponse response)
 {
-    cancelFunctions_.erase(id);
     auto node = openRequests_.extract(id);
     if (!node.empty())
         node.mapped().respond_(std::move(response));
@@ -393,9 +438,8 @@
 
 void Entry::cancel(EntryId id)
 {
-    impl_->openRequests_.erase(id);
-    if (auto node = impl_->cancelFunctions_.extract(id); !node.empty())
-        node.mapped()();
+    if (const auto node = impl_->openRequests_.extract(id); !node.empty())
+        impl_->cancelWork(node.mapped().work_);
 }
 
 std::vector<std::string> Entry::issueKeys(const std::string &customer, const std::string &service,
@@ -426,8 +470,7 @@
             children.push_back(id);
     }
     for (const auto id : children) {
-        if (auto node = impl_->cancelFunctions_.extract(id); !node.empty())
-            node.mapped()();
+        impl_->cancelWork(impl_->openRequests_.at(id).work_);
         impl_->finishWithOutcome(id, once::Unknown{once::Reason::Cancelled});
     }
 }
@@ -487,6 +530,15 @@
                           [](const auto &entry) { return !entry.second.call_.isChild(); }));
 }
 
+std::vector<OpenRequest> Entry::openRequests() const
+{
+    std::vector<OpenRequest> requests;
+    requests.reserve(impl_->openRequests_.size());
+    for (const auto &[id, open] : impl_->openRequests_)
+        requests.push_back({open.call_, impl_->executorOf(open.work_)});
+    return requests;
+}
+
 const std::map<std::string, std::uint64_t> &Entry::redelegations() const
 {
     return impl_->redelegationLog_.counts();
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -66,6 +66,13 @@
     retry_.handle(retry::CallEnded{id}, base::monotonicNow());
 }
 
+std::string IdempotentCalls::executorOf(retry::CallId id) const
+{
+    const auto found = calls_.find(id);
+    const bool isSent = found != calls_.end() && found->second.send_ != 0;
+    return isSent ? found->second.triedInstances_.back() : std::string();
+}
+
 void IdempotentCalls::perform(const std::vector<retry::Command> &commands)
 {
     for (const auto &command : commands) {
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -1,5 +1,7 @@
 #include <dock/KeyedCalls.h>
 
+#include <algorithm>
+
 #include <base/Clock.h>
 #include <base/Hash.h>
 #include <base/Overloaded.h>
@@ -82,6 +84,14 @@
     dispatch(once::ContextEnded{token});
 }
 
+std::string KeyedCalls::executorOf(once::WaiterId id) const
+{
+    const auto found = std::find_if(records_.begin(), records_.end(),
+                                    [id](const auto &entry) { return entry.second.waiter_ == id; });
+    const bool isSent = found != records_.end() && !found->second.triedInstances_.empty();
+    return isSent ? found->second.triedInstances_.back() : std::string();
+}
+
 void KeyedCalls::dispatch(const once::HomeEvent &event)
 {
     perform(home_.handle(event, base::monotonicNow()));
--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -14,6 +14,8 @@
 inline constexpr Event settingsRead = {105, Severity::Info, "settings-read"};
 inline constexpr Event settingsRefused = {106, Severity::Error, "settings-refused"};
 inline constexpr Event memoryShort = {107, Severity::Warning, "memory-short"};
+inline constexpr Event requestLeft = {108, Severity::Warning, "request-left"};
+inline constexpr Event signalInDrain = {109, Severity::Warning, "signal-in-drain"};
 
 // 2xx: the local backend server
 inline constexpr Event backendAnnounced = {200, Severity::Info, "backend-announced"};
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -64,6 +64,9 @@
     /** Closes each connection after its next response, so that callers use other instances. */
     void closeAfterResponses();
 
+    /** Number of responses that are not yet completely written. */
+    std::size_t unsentCount() const;
+
     /** The bound port, also if port 0 was requested. */
     std::uint16_t port() const;
 
--- a/libs/net/include/net/PeerServer.h
+++ b/libs/net/include/net/PeerServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -34,6 +35,9 @@
     /** Sends the complete response; ignored if the stream is closed. */
     void respond(ExchangeId id, HttpResponse response);
 
+    /** Number of connections whose output is not yet completely written. */
+    std::size_t unsentCount() const;
+
     /** The bound port, also if port 0 was requested. */
     std::uint16_t port() const;
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include <net/HttpServer.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <unordered_map>
@@ -225,6 +226,14 @@
     impl_->closesAfterResponses_ = true;
 }
 
+std::size_t HttpServer::unsentCount() const
+{
+    const auto &waiting = impl_->awaitingCaller_;
+    return static_cast<std::size_t>(
+            std::count_if(waiting.begin(), waiting.end(),
+                          [](const auto *connection) { return connection->isWriting(); }));
+}
+
 std::uint16_t HttpServer::port() const
 {
     ACE_INET_Addr address;
--- a/libs/net/src/PeerServer.cpp
+++ b/libs/net/src/PeerServer.cpp
@@ -1,5 +1,6 @@
 #include <net/PeerServer.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <optional>
@@ -212,6 +213,14 @@
     connection->respond(stream, std::move(response));
 }
 
+std::size_t PeerServer::unsentCount() const
+{
+    const auto &connections = impl_->connections_;
+    return static_cast<std::size_t>(
+            std::count_if(connections.begin(), connections.end(),
+                          [](const auto &entry) { return entry.first->hasUnsentOutput(); }));
+}
+
 std::uint16_t PeerServer::port() const
 {
     ACE_INET_Addr address;
--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -161,6 +161,12 @@
     return 0;
 }
 
+bool Http2Connection::hasUnsentOutput() const
+{
+    return !isClosed_
+           && (outputOffset_ < output_.size() || nghttp2_session_want_write(session_) != 0);
+}
+
 void Http2Connection::scheduleFlush()
 {
     if (isFlushPending_ || isClosed_)
--- a/libs/net/src/details/Http2Connection.h
+++ b/libs/net/src/details/Http2Connection.h
@@ -49,6 +49,9 @@
     int handle_input(ACE_HANDLE) override;
     int handle_output(ACE_HANDLE) override;
 
+    /** Whether frames wait to be written to the socket. */
+    bool hasUnsentOutput() const;
+
 protected:
     /** A complete message has been received (END_STREAM). */
     virtual void messageReceived(std::int32_t stream, Http2Stream &&message) = 0;
--- a/libs/net/src/details/ServerConnection.h
+++ b/libs/net/src/details/ServerConnection.h
@@ -75,6 +75,9 @@
     /** Whether the connection waits for its caller, to send a request or read the response. */
     bool isWaitingForCaller() const { return state_ != State::Serving; }
 
+    /** Whether a response is not yet completely written. */
+    bool isWriting() const { return state_ == State::Writing; }
+
     /** Whether no request is partly received and no response is being written. */
     bool isIdle() const;
 
--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -1,6 +1,7 @@
 #include "DaemonCommand.h"
 
 #include <csignal>
+#include <cstring>
 #include <filesystem>
 #include <iostream>
 #include <optional>
@@ -57,6 +58,8 @@
     const timespec pollInterval = {0, drainPollNanos};
     while (ended.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
         const auto signal = sigtimedwait(&signals, nullptr, &pollInterval);
+        if (signal > 0)
+            events::log(events::signalInDrain, std::string("signal=") + ::strsignal(signal));
         if (signal > 0 && signal != SIGHUP)
             return false;
     }
