--- a/tools/bench/ChildProcess.cpp
+++ b/tools/bench/ChildProcess.cpp
@@ -18,29 +18,36 @@
 
 constexpr auto pollInterval = std::chrono::milliseconds(10);
 
-std::vector<char *> argumentsOf(std::vector<std::string> &command)
+/** Null-terminated array of pointers into the strings. */
+std::vector<char *> pointersTo(std::vector<std::string> &strings)
 {
-    std::vector<char *> arguments;
-    for (std::string &part : command) {
-        arguments.push_back(part.data());
+    std::vector<char *> pointers;
+    for (std::string &one : strings) {
+        pointers.push_back(one.data());
     }
-    arguments.push_back(nullptr);
-    return arguments;
+    pointers.push_back(nullptr);
+    return pointers;
 }
 
 } // namespace
 
 base::Result<std::unique_ptr<ChildProcess>> ChildProcess::start(std::vector<std::string> command,
-                                                                const std::string &outputFile)
+                                                                const std::string &outputFile,
+                                                                std::vector<std::string> variables)
 {
+    for (char **inherited = environ; *inherited != nullptr; ++inherited) {
+        variables.emplace_back(*inherited);
+    }
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 1, outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      0600);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    std::vector<char *> arguments = argumentsOf(command);
+    std::vector<char *> arguments = pointersTo(command);
+    std::vector<char *> environment = pointersTo(variables);
     pid_t pid = 0;
-    const int error = posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+    const int error = posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(),
+                                  environment.data());
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
         return base::fail("start-failed", command[0] + ": " + std::strerror(error));
--- a/tools/bench/ChildProcess.h
+++ b/tools/bench/ChildProcess.h
@@ -14,9 +14,13 @@
 class ChildProcess
 {
 public:
-    /** Starts a program with stdout and stderr appended to a file; fails with "start-failed". */
-    static base::Result<std::unique_ptr<ChildProcess>> start(std::vector<std::string> command,
-                                                             const std::string &outputFile);
+    /**
+     * Starts a program with stdout and stderr appended to a file; fails with "start-failed". The
+     * variables ("NAME=value") are added to the environment of this process.
+     */
+    static base::Result<std::unique_ptr<ChildProcess>>
+    start(std::vector<std::string> command, const std::string &outputFile,
+          std::vector<std::string> variables = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
