Take the drain's end from the platform's grace period

Callers saw requests end with a closed connection 5.2 s after SIGTERM of their daemon, though the platform would have waited 10 s. The template said drainTimeoutMs 5200 on every deployment, made for a grace_s of 6; requests that are taken until 2.2 s after SIGTERM have up to 5 s.

The deploy file now hands grace_s to the daemon as FUCHSIADOCK_GRACE_SECONDS, which replaces drainTimeoutMs by that time less the 0.8 s in which the process leaves, as before. A value that is no number ends the daemon with an error that names the variable. E100 tells the timeout in force. It is a variable of the environment, and not a placeholder of the template, so that settings files without it keep their meaning.

--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -1,6 +1,7 @@
 #include "DaemonCommand.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <cstring>
 #include <filesystem>
 #include <iostream>
@@ -13,6 +14,7 @@
 #include <events/Catalogue.h>
 #include <events/Log.h>
 #include <platform/Binding.h>
+#include <settings/Environment.h>
 #include <settings/Loader.h>
 
 namespace fuchsiadock {
@@ -72,13 +74,25 @@
         std::cerr << fault.text() << "\n";
 }
 
+/** Reads the settings file, and what the environment replaces of it. */
+settings::LoadResult loadSettings(const std::string &file)
+{
+    auto loaded = settings::loadFile(file);
+    if (!loaded)
+        return loaded;
+    if (auto fault = settings::applyEnvironment(*loaded,
+                                                [](const char *name) { return std::getenv(name); }))
+        return tl::unexpected(std::vector<settings::Fault>{std::move(*fault)});
+    return loaded;
+}
+
 /**
  * Reads the settings file again. A changed log level applies at once, all other changes at the next
  * start.
  */
 void reload(const settings::Settings &settings, const std::string &file)
 {
-    const auto loaded = settings::loadFile(file);
+    const auto loaded = loadSettings(file);
     if (!loaded) {
         for (const auto &fault : loaded.error())
             events::log(events::settingsRefused, fault.text());
@@ -132,10 +146,11 @@
         events::log(events::startFailed, started.error().message_);
         return exitFailed;
     }
-    events::log(events::started, "data=" + settings.dataAddress_.text()
-                                         + " peer=" + settings.peerAddress_.text()
-                                         + " control=" + settings.controlAddress_.text()
-                                         + " admin=" + settings.adminAddress_.text());
+    events::log(events::started,
+                "data=" + settings.dataAddress_.text() + " peer=" + settings.peerAddress_.text()
+                        + " control=" + settings.controlAddress_.text()
+                        + " admin=" + settings.adminAddress_.text()
+                        + " drainTimeout=" + std::to_string(settings.drainTimeout_.count()) + "ms");
     auto ended = daemon.ended();
     waitForTermination(settings, file, signals);
     daemon.beginDrain();
@@ -162,7 +177,7 @@
             return exitUsage;
         }
         const auto file = arguments["settings"].as<std::string>();
-        const auto loaded = settings::loadFile(file);
+        const auto loaded = loadSettings(file);
         if (!loaded) {
             printFaults(loaded.error());
             return exitUsage;
