End a drain by what each accepted request still needs

Callers lost answers around SIGTERM in ways that no timeout mends: an answer that its caller still read was cut off 2.5 s after SIGTERM (14,003,804 of 16,777,216 bytes arrived), one whose caller had sent further bytes was taken along by a reset (127,434 of 2,097,152 bytes), and what was open at the timeout ended with a closed connection and no word. The drain ended by a count of requests, which leaves out answers that are not delivered, or by its clock.

libs/drain decides now, free of I/O, from the open work of all kinds and the time, with one property: nothing that was accepted is open at the end without an answer. A connection that closes after its answer ends its own side first, and closes when the caller has, or has stopped reading for a second; before, it was closed at once, and a close with unread input is a reset. Answers to other daemons count until their bytes are written. At the timeout, each request is answered: not run if it was never sent, else unknown. The steps of a drain that was paused come one at a time, so that answers which arrived meanwhile go out.

--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -90,6 +90,12 @@
     /** Refuses all new requests at once, as the process is about to exit. */
     void close();
 
+    /**
+     * Answers all requests in progress with what is known of them: not run if they were never sent,
+     * else unknown. Cancels the idempotent ones.
+     */
+    void answerOpenRequests();
+
     /** Removes expired admission levels and return times; to be called about once a second. */
     void prune();
 
--- a/libs/dock/include/dock/IdempotentCalls.h
+++ b/libs/dock/include/dock/IdempotentCalls.h
@@ -48,6 +48,9 @@
 
     std::size_t activeCount() const { return calls_.size(); }
 
+    /** Whether an attempt is in progress, or one may have run. */
+    bool mayHaveRun(retry::CallId id) const;
+
     /** Id of the instance that the request was last sent to; empty if it is at none. */
     std::string executorOf(retry::CallId id) const;
 
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -1,5 +1,6 @@
 #include <dock/DataTask.h>
 
+#include <optional>
 #include <unordered_map>
 
 #include <base/Clock.h>
@@ -12,6 +13,7 @@
 #include <dock/Executor.h>
 #include <dock/HeaderNames.h>
 #include <dock/Recorder.h>
+#include <drain/Core.h>
 #include <events/Catalogue.h>
 #include <events/Log.h>
 #include <net/ByteBudget.h>
@@ -34,9 +36,6 @@
 /** Messages that do not end are aborted within this time, which frees memory. */
 constexpr base::Millis noMemoryRetryAfter(1000);
 
-/** Callers need this time to detect the drain, by two probes that are a second apart. */
-constexpr base::Millis minDrainTime(2200);
-
 } // namespace
 
 struct DataTask::Impl
@@ -74,8 +73,9 @@
     void handle(const DataTaskMessage &message);
     void beginDrain();
     void checkDrain();
-    std::string openWork() const;
-    std::string unsentAnswers() const;
+    void perform(drain::Step step);
+    drain::OpenWork openWork() const;
+    std::string openWorkText() const;
     net::HttpResponse noMemoryRefusal() const;
     void logRefusedMessages();
     void sendStatus();
@@ -95,8 +95,7 @@
     std::unique_ptr<net::HttpServer> dataServer_;
     std::unique_ptr<net::PeerServer> peerServer_;
     base::Millis drainStart_;
-    bool isDraining_ = false;
-    bool isExecutorDraining_ = false;
+    std::optional<drain::Core> drain_; ///< set while the daemon drains
     std::uint64_t loggedRefusals_ = 0; ///< refusals of the budget that have been logged
 };
 
@@ -229,11 +228,11 @@
 
 void DataTask::Impl::beginDrain()
 {
-    if (isDraining_)
+    if (drain_)
         return;
-    isDraining_ = true;
     drainStart_ = base::monotonicNow();
-    events::log(events::drainBegan, openWork());
+    drain_.emplace(drain::Schedule{settings_.drainTimeout_, settings_.drainHandover_}, drainStart_);
+    events::log(events::drainBegan, openWorkText());
     dataServer_->closeAfterResponses();
     entry_.drain();
     checkDrain();
@@ -241,47 +240,54 @@
 
 void DataTask::Impl::checkDrain()
 {
-    const auto elapsed = base::monotonicNow() - drainStart_;
-    // A request accepted from now on could still be running when the process has to exit.
-    if (elapsed >= minDrainTime)
+    const auto steps = drain_->advance(openWork(), base::monotonicNow());
+    for (const auto step : steps)
+        perform(step);
+    if (steps.empty() || steps.back() != drain::Step::End)
+        reactor_.schedule(drainCheckInterval, [this] { checkDrain(); });
+}
+
+void DataTask::Impl::perform(drain::Step step)
+{
+    switch (step) {
+    case drain::Step::RefuseCallers:
         entry_.refuseRootRequests();
-    // Until the handover, the backend server runs requests of other daemons, while this daemon
-    // waits for the requests of its own callers.
-    const bool hasHandedOver = elapsed >= settings_.drainHandover_
-                               || (elapsed >= minDrainTime && entry_.activeRootCount() == 0);
-    if (hasHandedOver && !std::exchange(isExecutorDraining_, true))
+        return;
+    case drain::Step::HandOver:
         executor_.drain();
-    const bool isIdle = hasHandedOver && executor_.activeCount() == 0 && entry_.activeCount() == 0;
-    if (isIdle && elapsed >= minDrainTime) {
-        events::log(events::drainEnded,
-                    "after=" + std::to_string(elapsed.count()) + "ms" + unsentAnswers());
-        entry_.close();
-        sendMessage_(DrainEnded{});
         return;
-    }
-    if (elapsed >= std::max(minDrainTime, settings_.drainTimeout_)) {
-        events::log(events::drainTimedOut, openWork() + " after=" + std::to_string(elapsed.count())
-                                                   + "ms" + unsentAnswers());
+    case drain::Step::TakeBack:
+        return;
+    case drain::Step::AnswerRest:
+        events::log(events::drainTimedOut, openWorkText());
         details::logRequestsLeft(entry_.openRequests(), base::monotonicNow());
         entry_.close();
+        entry_.answerOpenRequests();
+        return;
+    case drain::Step::End:
+        events::log(events::drainEnded, openWorkText());
+        entry_.close();
         sendMessage_(DrainEnded{});
         return;
     }
-    reactor_.schedule(drainCheckInterval, [this] { checkDrain(); });
 }
 
-std::string DataTask::Impl::openWork() const
+drain::OpenWork DataTask::Impl::openWork() const
 {
-    const auto callers = entry_.activeRootCount();
-    return "callers=" + std::to_string(callers)
-           + " calls=" + std::to_string(entry_.activeCount() - callers)
-           + " running=" + std::to_string(executor_.activeCount());
+    const auto callerRequests = entry_.activeRootCount();
+    return {.callerRequests_ = callerRequests,
+            .backendCalls_ = entry_.activeCount() - callerRequests,
+            .runs_ = executor_.activeCount(),
+            .undeliveredAnswers_ = dataServer_->undeliveredCount() + peerServer_->unsentCount()};
 }
 
-std::string DataTask::Impl::unsentAnswers() const
+std::string DataTask::Impl::openWorkText() const
 {
-    return " unsentAnswers=" + std::to_string(dataServer_->unsentCount())
-           + " unsentToDaemons=" + std::to_string(peerServer_->unsentCount());
+    const auto work = openWork();
+    return "after=" + std::to_string((base::monotonicNow() - drainStart_).count()) + "ms callers="
+           + std::to_string(work.callerRequests_) + " calls=" + std::to_string(work.backendCalls_)
+           + " running=" + std::to_string(work.runs_)
+           + " undelivered=" + std::to_string(work.undeliveredAnswers_);
 }
 
 net::HttpResponse DataTask::Impl::noMemoryRefusal() const
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -144,6 +144,7 @@
     void forward(EntryId id, const CallInfo &call, const once::Key &key);
     void setWork(EntryId id, Work work);
     void cancelWork(const Work &work);
+    once::Outcome abandon(const Work &work);
     std::string executorOf(const Work &work) const;
     void finish(EntryId id, net::HttpResponse response);
     void forwarded(EntryId id, net::CallResult result);
@@ -359,6 +360,18 @@
                work);
 }
 
+/** Cancels the work as the process is about to exit; the outcome is what is known by now. */
+once::Outcome Entry::Impl::abandon(const Work &work)
+{
+    const auto *idempotent = std::get_if<IdempotentWork>(&work);
+    if (idempotent != nullptr && !idempotentCalls_.mayHaveRun(idempotent->call_)) {
+        cancelWork(work);
+        return once::NotRun{once::Reason::Draining, retryAfterClosed};
+    }
+    cancelWork(work);
+    return once::Unknown{once::Reason::Draining};
+}
+
 /** Id of the daemon that a request was last sent to; empty if it is at none. */
 std::string Entry::Impl::executorOf(const Work &work) const
 {
@@ -513,6 +526,20 @@
     impl_->isClosed_ = true;
 }
 
+void Entry::answerOpenRequests()
+{
+    std::vector<EntryId> ids;
+    for (const auto &[id, open] : impl_->openRequests_)
+        ids.push_back(id);
+    for (const auto id : ids) {
+        const auto found = impl_->openRequests_.find(id);
+        if (found == impl_->openRequests_.end())
+            continue;
+        const auto outcome = impl_->abandon(found->second.work_);
+        impl_->finishWithOutcome(id, outcome);
+    }
+}
+
 void Entry::prune()
 {
     impl_->selector_.prune(base::monotonicNow());
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -66,6 +66,15 @@
     retry_.handle(retry::CallEnded{id}, base::monotonicNow());
 }
 
+bool IdempotentCalls::mayHaveRun(retry::CallId id) const
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end())
+        return true;
+    const auto &call = found->second;
+    return call.send_ != 0 || call.mayHaveRun_ || call.failedAnswer_;
+}
+
 std::string IdempotentCalls::executorOf(retry::CallId id) const
 {
     const auto found = calls_.find(id);
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -64,8 +64,8 @@
     /** Closes each connection after its next response, so that callers use other instances. */
     void closeAfterResponses();
 
-    /** Number of responses that are not yet completely written. */
-    std::size_t unsentCount() const;
+    /** Number of responses that are not written, or that the caller may not have received. */
+    std::size_t undeliveredCount() const;
 
     /** The bound port, also if port 0 was requested. */
     std::uint16_t port() const;
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -226,12 +226,12 @@
     impl_->closesAfterResponses_ = true;
 }
 
-std::size_t HttpServer::unsentCount() const
+std::size_t HttpServer::undeliveredCount() const
 {
     const auto &waiting = impl_->awaitingCaller_;
     return static_cast<std::size_t>(
             std::count_if(waiting.begin(), waiting.end(),
-                          [](const auto *connection) { return connection->isWriting(); }));
+                          [](const auto *connection) { return connection->isDelivering(); }));
 }
 
 std::uint16_t HttpServer::port() const
--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -1,5 +1,6 @@
 #include "details/Http2Connection.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -163,8 +164,14 @@
 
 bool Http2Connection::hasUnsentOutput() const
 {
-    return !isClosed_
-           && (outputOffset_ < output_.size() || nghttp2_session_want_write(session_) != 0);
+    if (isClosed_)
+        return false;
+    // A body that waits for the peer's flow control window is no output of the session.
+    const auto hasUnsentBody = [](const auto &entry) {
+        return entry.second.outgoingOffset_ < entry.second.outgoingBody_.size();
+    };
+    return outputOffset_ < output_.size() || nghttp2_session_want_write(session_) != 0
+           || std::any_of(streams_.begin(), streams_.end(), hasUnsentBody);
 }
 
 void Http2Connection::scheduleFlush()
--- a/libs/net/src/details/Http2Connection.h
+++ b/libs/net/src/details/Http2Connection.h
@@ -49,7 +49,7 @@
     int handle_input(ACE_HANDLE) override;
     int handle_output(ACE_HANDLE) override;
 
-    /** Whether frames wait to be written to the socket. */
+    /** Whether frames or bodies wait to be written to the socket. */
     bool hasUnsentOutput() const;
 
 protected:
--- a/libs/net/src/details/ServerConnection.cpp
+++ b/libs/net/src/details/ServerConnection.cpp
@@ -5,7 +5,9 @@
 #include <cerrno>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <net/Reactor.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace net::details {
@@ -20,11 +22,11 @@
  */
 constexpr std::size_t maxPipelinedBytes = 4 * 1024;
 
-/** Bytes of a rejected request that are read and discarded. */
+/** Bytes after the last response that are read and discarded. */
 constexpr std::size_t maxDiscardedBytes = 256 * 1024;
 
-/** Time for a caller to read the response to a request that was rejected before its end. */
-constexpr base::Millis lingerTimeout(1000);
+/** A caller that reads nothing of its last response for this time is given up. */
+constexpr base::Millis lingerInterval(1000);
 
 constexpr int statusBadRequest = 400;
 constexpr int statusTooLarge = 413;
@@ -69,6 +71,13 @@
     return head;
 }
 
+/** Bytes written to the socket that its peer has not acknowledged; 0 if that is not known. */
+std::size_t undeliveredBytes(int socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 HttpResponse plainResponse(int status)
 {
     return {.status_ = status, .body_ = std::string(reasonPhrase(status)) + "\n"};
@@ -187,7 +196,6 @@
 void ServerConnection::reject(HttpResponse response)
 {
     state_ = State::Serving;
-    isRejecting_ = true;
     unparsed_ = std::string();
     static_cast<void>(parser_.take()); // frees the memory of the partial request
     respond(std::move(response), true);
@@ -231,12 +239,8 @@
     output_ = {};
     reservation_.release();
     reservation_.reserve(limits_.budget_, unparsed_.size());
-    if (isRejecting_) {
-        linger();
-        return;
-    }
     if (closesAfterResponse_) {
-        closeConnection();
+        linger();
         return;
     }
     state_ = State::Reading;
@@ -256,13 +260,32 @@
 {
     ::shutdown(socket_, SHUT_WR);
     state_ = State::Lingering;
+    unparsed_ = std::string();
+    undeliveredBytes_ = undeliveredBytes(socket_);
     updateWatch();
-    reactor_.schedule(lingerTimeout, [this, alive = std::weak_ptr(alive_)] {
-        if (!alive.expired())
-            closeConnection();
+    checkDeliveryLater();
+}
+
+void ServerConnection::checkDeliveryLater()
+{
+    reactor_.schedule(lingerInterval, [this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired() && state_ == State::Lingering)
+            checkDelivery();
     });
 }
 
+/** Closes the connection unless its caller has received more of the response since last time. */
+void ServerConnection::checkDelivery()
+{
+    const auto before = std::exchange(undeliveredBytes_, undeliveredBytes(socket_));
+    if (undeliveredBytes_ == 0 || undeliveredBytes_ == before) {
+        closeConnection();
+        return;
+    }
+    owner_.activityChanged(*this);
+    checkDeliveryLater();
+}
+
 void ServerConnection::updateWatch()
 {
     ACE_Reactor_Mask mask = NULL_MASK;
--- a/libs/net/src/details/ServerConnection.h
+++ b/libs/net/src/details/ServerConnection.h
@@ -75,8 +75,8 @@
     /** Whether the connection waits for its caller, to send a request or read the response. */
     bool isWaitingForCaller() const { return state_ != State::Serving; }
 
-    /** Whether a response is not yet completely written. */
-    bool isWriting() const { return state_ == State::Writing; }
+    /** Whether a response is being written, or its delivery is awaited before closing. */
+    bool isDelivering() const { return state_ == State::Writing || state_ == State::Lingering; }
 
     /** Whether no request is partly received and no response is being written. */
     bool isIdle() const;
@@ -91,7 +91,7 @@
         Reading,
         Serving, ///< awaits respond()
         Writing,
-        Lingering, ///< response sent; input is discarded until the caller closes
+        Lingering, ///< last response sent; input is discarded until the caller closes
         Closed,
     };
 
@@ -99,6 +99,8 @@
     void parse(std::string_view bytes);
     void reject(HttpResponse response);
     void linger();
+    void checkDeliveryLater();
+    void checkDelivery();
     void write();
     void finishResponse();
     void updateWatch();
@@ -110,12 +112,12 @@
     RequestParser parser_;
     std::string unparsed_; ///< received, but not yet consumed by the parser
     Output output_;
-    ByteReservation reservation_;    ///< request and response, until the response is written
-    std::size_t discardedBytes_ = 0; ///< while lingering
+    ByteReservation reservation_;      ///< request and response, until the response is written
+    std::size_t discardedBytes_ = 0;   ///< while lingering
+    std::size_t undeliveredBytes_ = 0; ///< at the last check while lingering
     State state_ = State::Reading;
     bool isHeadRequest_ = false;
     bool closesAfterResponse_ = false;
-    bool isRejecting_ = false; ///< the rest of the request is discarded
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
