Let a second SIGTERM cut off nothing

Callers saw all open requests of a daemon end with a closed connection when it got a second SIGTERM during its drain. Supervisors may send several: a stop that is repeated, or the stop of a daemon whose restart is already under way. The second one ended the process at once, whatever was open.

It now changes nothing and is logged (E109). The platform ends a daemon that takes too long by SIGKILL, so the signal is not needed for that; at a terminal, SIGINT during the drain still ends it at once.

It is a way to lose requests on any deployment; that it is what the users saw is not shown.

--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -38,7 +38,7 @@
  */
 constexpr int trimThresholdBytes = 128 * 1024;
 
-/** Interval of checks for a second signal while the daemon drains. */
+/** Interval of checks for further signals while the daemon drains. */
 constexpr long drainPollNanos = 50'000'000;
 
 /** Interval of checks whether the settings file has changed without a SIGHUP. */
@@ -54,7 +54,7 @@
     return signals;
 }
 
-/** Waits for the end of the drain; false when a second SIGTERM or SIGINT ends it at once. */
+/** Waits for the end of the drain; false when SIGINT ends it at once. */
 bool waitForDrain(std::future<void> &ended, const sigset_t &signals)
 {
     const timespec pollInterval = {0, drainPollNanos};
@@ -62,7 +62,7 @@
         const auto signal = sigtimedwait(&signals, nullptr, &pollInterval);
         if (signal > 0)
             events::log(events::signalInDrain, std::string("signal=") + ::strsignal(signal));
-        if (signal > 0 && signal != SIGHUP)
+        if (signal == SIGINT)
             return false;
     }
     return true;
@@ -162,8 +162,8 @@
 int runDaemon(int argc, char **argv)
 {
     cxxopts::Options options("fuchsiadock daemon", "Runs the daemon beside one backend server.\n"
-                                                   "SIGTERM drains it; a second one ends it at "
-                                                   "once. SIGHUP reads the settings again.\n");
+                                                   "SIGTERM drains it; SIGINT after that ends it "
+                                                   "at once. SIGHUP reads the settings again.\n");
     options.add_options()("settings", "settings file (YAML)", cxxopts::value<std::string>(),
                           "FILE")("help", "show this help");
     try {
