Take back what waits at other daemons before a drain ends

The home of a request gave it up without telling the executor, which alone can say that it has not run.

An executor that has not sent one to its backend server refuses it for good, and the caller gets 503, not run, with a Retry-After; one that runs is waited for. The executor's own queue is returned as not run as well, so that its homes can send it elsewhere. A lost recall changes nothing: the outcome is asked for as before. An older daemon answers a recall with 400, which counts as lost.

--- a/libs/dock/include/dock/Attempt.h
+++ b/libs/dock/include/dock/Attempt.h
@@ -16,6 +16,7 @@
 enum class AttemptKind : std::uint8_t {
     Run,          ///< run the request
     QueryOutcome, ///< only report the outcome of the sub-key
+    Recall,       ///< refuse the sub-key unless it has been sent to the backend server
 };
 
 /** One attempt to run a request at one instance, as sent from the entry to the executor. */
--- a/libs/dock/include/dock/AttemptSender.h
+++ b/libs/dock/include/dock/AttemptSender.h
@@ -52,8 +52,8 @@
     /** Sends an attempt; done is called once, unless it is cancelled before. */
     SendId send(const Selected &to, Attempt attempt, Done done);
 
-    /** Queries an outcome; not reported to routing, as the backend server is not involved. */
-    SendId queryOutcome(const model::Member &to, Attempt attempt, Done done);
+    /** Sends a query or recall; not reported to routing, as no backend server is involved. */
+    SendId sendControl(const model::Member &to, Attempt attempt, Done done);
 
     /** Cancels an attempt whose answer is not needed any more. */
     void cancel(SendId id);
@@ -63,7 +63,7 @@
     {
         std::string instance_;
         admission::Priority routingPriority_;
-        bool isOutcomeQuery_ = false;
+        bool isControl_ = false;
         bool isLocal_ = false;
         AttemptId attempt_ = 0;
         net::CallId call_ = 0;
@@ -71,7 +71,7 @@
     };
 
     SendId startPending(const model::Member &to, const admission::Priority &routingPriority,
-                        bool isOutcomeQuery, Done done);
+                        bool isControl, Done done);
     void transmit(SendId id, const model::Member &to, Attempt attempt);
     void complete(SendId id, SendResult result);
     void reportToRouting(const Pending &pending, const SendResult &result);
--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -90,6 +90,9 @@
     /** Refuses all new requests at once, as the process is about to exit. */
     void close();
 
+    /** Takes back what has not started of the callers' requests that must run once. */
+    void takeBack();
+
     /**
      * Answers all requests in progress with what is known of them: not run if they were never sent,
      * else unknown. Cancels the idempotent ones.
--- a/libs/dock/include/dock/Executor.h
+++ b/libs/dock/include/dock/Executor.h
@@ -81,6 +81,9 @@
     /** Refuses new attempts from now on. */
     void drain();
 
+    /** Refuses the attempts that wait for the backend server, as not run. */
+    void returnQueue();
+
     /** Applies the shares and limits of the customers in a configuration. */
     void configure(const model::Config &config);
 
--- a/libs/dock/include/dock/KeyedCalls.h
+++ b/libs/dock/include/dock/KeyedCalls.h
@@ -40,6 +40,9 @@
     /** Removes a waiter whose caller has closed the connection. */
     void cancel(once::WaiterId id);
 
+    /** Ends a request as notRun if it has not started; it is not started any more then. */
+    void withdraw(once::WaiterId id, const once::NotRun &notRun);
+
     /** Ends all calls as unknown, before the home is replaced by another incarnation's. */
     void abandonAll();
 
@@ -80,6 +83,7 @@
     void selectInstance(const retry::StartAttempt &order);
     void delegate(const once::Delegate &order);
     void queryOutcome(const once::QueryOutcome &order);
+    void recall(const once::Recall &order);
     void release(const once::Release &order);
     void reportNotSent(const once::SubKey &subKey);
     void delegationDone(const once::Delegate &order, SendResult result);
--- a/libs/dock/src/AttemptCodec.cpp
+++ b/libs/dock/src/AttemptCodec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 #include <dock/HeaderNames.h>
 
@@ -13,6 +14,7 @@
 
 constexpr std::string_view kindRun = "run";
 constexpr std::string_view kindOutcomeQuery = "ask";
+constexpr std::string_view kindRecall = "recall";
 constexpr std::string_view outcomeComplete = "complete";
 constexpr std::string_view outcomeNotRun = "not-run";
 constexpr std::string_view outcomeUnknown = "unknown";
@@ -24,6 +26,28 @@
 constexpr std::uint64_t maxBudget = 1000;
 constexpr std::uint64_t maxDepth = 1000;
 
+std::string_view textOf(AttemptKind kind)
+{
+    switch (kind) {
+    case AttemptKind::Run:
+        return kindRun;
+    case AttemptKind::QueryOutcome:
+        return kindOutcomeQuery;
+    case AttemptKind::Recall:
+        return kindRecall;
+    }
+    return {};
+}
+
+std::optional<AttemptKind> parseKind(std::string_view text)
+{
+    for (const auto kind : {AttemptKind::Run, AttemptKind::QueryOutcome, AttemptKind::Recall}) {
+        if (textOf(kind) == text)
+            return kind;
+    }
+    return std::nullopt;
+}
+
 void add(net::Headers &headers, const std::string &name, std::string value)
 {
     headers.push_back({name, std::move(value)});
@@ -103,8 +127,7 @@
 {
     auto request = std::move(attempt.request_);
     auto &headers = request.headers_;
-    add(headers, header::kind,
-        std::string(attempt.kind_ == AttemptKind::Run ? kindRun : kindOutcomeQuery));
+    add(headers, header::kind, std::string(textOf(attempt.kind_)));
     add(headers, header::service, attempt.service_);
     add(headers, header::requestClass, attempt.requestClass_);
     add(headers, header::peerCustomer, attempt.customer_);
@@ -126,9 +149,10 @@
     Attempt attempt;
     const auto &headers = request.headers_;
     const auto kind = headerValue(headers, header::kind);
-    if (kind != kindRun && kind != kindOutcomeQuery)
-        return base::fail("bad-attempt", header::kind + " must be run or ask");
-    attempt.kind_ = kind == kindRun ? AttemptKind::Run : AttemptKind::QueryOutcome;
+    const auto parsed = parseKind(kind);
+    if (!parsed)
+        return base::fail("bad-attempt", header::kind + " must be run, ask or recall");
+    attempt.kind_ = *parsed;
     attempt.service_ = headerValue(headers, header::service);
     attempt.requestClass_ = headerValue(headers, header::requestClass);
     attempt.customer_ = headerValue(headers, header::peerCustomer);
@@ -147,8 +171,8 @@
         attempt.subKey_ = std::move(*subKey);
         attempt.settledBelow_ = numberOr(headerValue(headers, header::settledBelow), 0);
     }
-    if (attempt.kind_ == AttemptKind::QueryOutcome && !attempt.subKey_)
-        return base::fail("bad-attempt", "an outcome query requires " + header::subKey);
+    if (attempt.kind_ != AttemptKind::Run && !attempt.subKey_)
+        return base::fail("bad-attempt", "an outcome query or recall requires " + header::subKey);
     request.headers_ = withoutPeerFields(std::move(request.headers_));
     attempt.request_ = std::move(request);
     return attempt;
--- a/libs/dock/src/AttemptSender.cpp
+++ b/libs/dock/src/AttemptSender.cpp
@@ -95,7 +95,7 @@
     return id;
 }
 
-SendId AttemptSender::queryOutcome(const model::Member &to, Attempt attempt, Done done)
+SendId AttemptSender::sendControl(const model::Member &to, Attempt attempt, Done done)
 {
     const auto id = startPending(to, {}, true, std::move(done));
     transmit(id, to, std::move(attempt));
@@ -103,13 +103,13 @@
 }
 
 SendId AttemptSender::startPending(const model::Member &to,
-                                   const admission::Priority &routingPriority, bool isOutcomeQuery,
+                                   const admission::Priority &routingPriority, bool isControl,
                                    Done done)
 {
     const auto id = nextId_++;
     pending_[id] = {.instance_ = to.id_,
                     .routingPriority_ = routingPriority,
-                    .isOutcomeQuery_ = isOutcomeQuery,
+                    .isControl_ = isControl,
                     .isLocal_ = to.id_ == selfId_,
                     .done_ = std::move(done)};
     return id;
@@ -145,7 +145,7 @@
         localExecutor_.cancel(pending.attempt_);
     else
         client_.cancel(pending.call_);
-    if (!pending.isOutcomeQuery_)
+    if (!pending.isControl_)
         routing_.handle(routing::CallFailed{pending.instance_, routing::FailureKind::Cancelled},
                         base::monotonicNow());
 }
@@ -155,7 +155,7 @@
     auto node = pending_.extract(id);
     if (node.empty())
         return;
-    if (!node.mapped().isOutcomeQuery_)
+    if (!node.mapped().isControl_)
         reportToRouting(node.mapped(), result);
     node.mapped().done_(std::move(result));
 }
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -257,6 +257,8 @@
         executor_.drain();
         return;
     case drain::Step::TakeBack:
+        entry_.takeBack();
+        executor_.returnQueue();
         return;
     case drain::Step::AnswerRest:
         events::log(events::drainTimedOut, openWorkText());
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -526,6 +526,18 @@
     impl_->isClosed_ = true;
 }
 
+void Entry::takeBack()
+{
+    std::vector<once::WaiterId> waiters;
+    for (const auto &[id, open] : impl_->openRequests_) {
+        const auto *keyed = std::get_if<Impl::KeyedWork>(&open.work_);
+        if (keyed != nullptr && !open.call_.isChild())
+            waiters.push_back(keyed->waiter_);
+    }
+    for (const auto waiter : waiters)
+        impl_->keyedCalls_.withdraw(waiter, once::NotRun{once::Reason::Draining, retryAfterClosed});
+}
+
 void Entry::answerOpenRequests()
 {
     std::vector<EntryId> ids;
--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -44,6 +44,10 @@
         impl_->perform(impl_->once_->handle(once::OutcomeQueried{id, *attempt.subKey_}, now));
         return id;
     }
+    if (attempt.kind_ == AttemptKind::Recall) {
+        impl_->perform(impl_->once_->handle(once::Recalled{id, *attempt.subKey_}, now));
+        return id;
+    }
     if (attempt.subKey_) {
         const once::Delegated event{id, *attempt.subKey_, attempt.settledBelow_, attempt.timeLeft_};
         impl_->delegatedAttempt_ = std::move(attempt);
@@ -131,6 +135,11 @@
     impl_->applyBackend(impl_->backend_);
 }
 
+void Executor::returnQueue()
+{
+    impl_->returnQueue();
+}
+
 void Executor::configure(const model::Config &config)
 {
     impl_->customers_ = config.customers_;
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/** Timeout of an outcome query; the home repeats the query. */
-constexpr base::Millis outcomeQueryTimeout(1000);
+/** Timeout of an outcome query, which the home repeats, or recall. */
+constexpr base::Millis controlTimeout(1000);
 
 /** Digest that detects the use of one key for different requests. */
 std::uint64_t digestOf(const net::HttpRequest &request)
@@ -70,6 +70,11 @@
         dispatch(once::CallerDisconnected{id});
 }
 
+void KeyedCalls::withdraw(once::WaiterId id, const once::NotRun &notRun)
+{
+    dispatch(once::Withdrawn{id, notRun});
+}
+
 void KeyedCalls::abandonAll()
 {
     const auto now = base::monotonicNow();
@@ -106,6 +111,7 @@
                            [this](const once::ChooseExecutor &order) { chooseExecutor(order); },
                            [this](const once::Delegate &order) { delegate(order); },
                            [this](const once::QueryOutcome &order) { queryOutcome(order); },
+                           [this](const once::Recall &order) { recall(order); },
                            [this](const once::Release &order) { release(order); },
                    },
                    command);
@@ -260,12 +266,29 @@
         return;
     }
     Attempt attempt{.kind_ = AttemptKind::QueryOutcome,
-                    .timeLeft_ = outcomeQueryTimeout,
+                    .timeLeft_ = controlTimeout,
                     .subKey_ = order.subKey_};
-    sender_.queryOutcome(*member, std::move(attempt),
-                         [this, subKey = order.subKey_](SendResult result) {
-                             executorAnswered(subKey, std::move(result));
-                         });
+    sender_.sendControl(*member, std::move(attempt),
+                        [this, subKey = order.subKey_](SendResult result) {
+                            executorAnswered(subKey, std::move(result));
+                        });
+}
+
+void KeyedCalls::recall(const once::Recall &order)
+{
+    const auto *member = findMember_(order.subKey_.executor_.id_);
+    if (member == nullptr)
+        return;
+    Attempt attempt{
+            .kind_ = AttemptKind::Recall, .timeLeft_ = controlTimeout, .subKey_ = order.subKey_};
+    // Unless it was refused, the answer to the delegation tells what becomes of the request.
+    sender_.sendControl(
+            *member, std::move(attempt), [this, subKey = order.subKey_](const SendResult &result) {
+                const bool isRefused = result && !result->isReplaced_
+                                       && std::holds_alternative<once::NotRun>(result->outcome_);
+                if (isRefused)
+                    executorAnswered(subKey, result);
+            });
 }
 
 void KeyedCalls::executorAnswered(const once::SubKey &subKey, SendResult result)
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -331,6 +331,20 @@
         perform(admission_.handle(admission::Cancelled{id}, base::monotonicNow()));
 }
 
+void Executor::Impl::returnQueue()
+{
+    std::vector<RunId> queued;
+    for (const auto &[id, run] : runs_) {
+        if (run.startedAt_ == base::Millis(0))
+            queued.push_back(id);
+    }
+    const auto now = base::monotonicNow();
+    for (const auto id : queued) {
+        perform(admission_.handle(admission::Cancelled{id}, now));
+        refuse(id, NotRun{Reason::Draining, {}});
+    }
+}
+
 void Executor::Impl::perform(const std::vector<once::ExecutorCommand> &commands)
 {
     for (const auto &command : commands) {
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -95,6 +95,7 @@
     void reply(AttemptId waiter, const once::Outcome &outcome, bool isReplaced = false);
     void admit(const once::Admit &order);
     void abandon(RunId id);
+    void returnQueue();
     void perform(const std::vector<admission::Command> &commands);
     void perform(const std::vector<once::ExecutorCommand> &commands);
 
--- a/libs/dock/tests/AttemptCodecTest.cpp
+++ b/libs/dock/tests/AttemptCodecTest.cpp
@@ -68,6 +68,18 @@
     RC_ASSERT(*decoded == attempt);
 }
 
+TEST(AttemptCodec, queriesAndRecallsRequireASubKey)
+{
+    for (const auto kind : {dock::AttemptKind::QueryOutcome, dock::AttemptKind::Recall}) {
+        Attempt attempt{.kind_ = kind, .timeLeft_ = base::Millis(1000)};
+        EXPECT_FALSE(dock::decodeAttempt(dock::encodeAttempt(attempt)));
+        attempt.subKey_ = once::SubKey{{"home", 7}, 9, {"executor", 8}};
+        const auto decoded = dock::decodeAttempt(dock::encodeAttempt(attempt));
+        ASSERT_TRUE(decoded);
+        EXPECT_EQ(decoded->kind_, kind);
+    }
+}
+
 TEST(AttemptCodec, answerRoundTrip)
 {
     const once::Outcome outcomes[] = {once::NotRun{once::Reason::Overloaded, base::Millis(20)},
--- a/libs/faultmatrix/tests/Daemon.h
+++ b/libs/faultmatrix/tests/Daemon.h
@@ -97,6 +97,7 @@
     void route(once::RecordId id, const retry::StartAttempt &start);
     void delegate(const once::Delegate &command);
     void queryOutcome(const once::QueryOutcome &command);
+    void recall(const once::Recall &command);
     void release(once::RecordId id);
     void onExecutorResult(const once::SubKey &subKey, std::optional<once::RecordId> id,
                           const RemoteResult &result);
@@ -105,6 +106,7 @@
     void onDelegate(const once::Delegate &command, const CallerRequest &request,
                     std::uint32_t calleeBudget, std::uint32_t depth, const Respond &respond);
     void onQuery(const once::SubKey &subKey, const Respond &respond);
+    void onRecall(const once::SubKey &subKey, const Respond &respond);
     void dispatchToExecutor(const once::ExecutorEvent &event);
     void execute(const std::vector<once::ExecutorCommand> &commands);
     void admit(const once::Admit &admit);
--- a/libs/faultmatrix/tests/DaemonAsExecutor.cpp
+++ b/libs/faultmatrix/tests/DaemonAsExecutor.cpp
@@ -41,6 +41,13 @@
     dispatchToExecutor(once::OutcomeQueried{waiter, subKey});
 }
 
+void Daemon::onRecall(const once::SubKey &subKey, const Respond &respond)
+{
+    const once::WaiterId waiter = nextId_++;
+    waiters_[waiter] = Waiter{respond, {}};
+    dispatchToExecutor(once::Recalled{waiter, subKey});
+}
+
 void Daemon::dispatchToExecutor(const once::ExecutorEvent &event)
 {
     execute(executor_->handle(event, network_.now()));
--- a/libs/faultmatrix/tests/DaemonAsHome.cpp
+++ b/libs/faultmatrix/tests/DaemonAsHome.cpp
@@ -9,6 +9,7 @@
                            [&](const once::ChooseExecutor &one) { choose(one); },
                            [&](const once::Delegate &one) { delegate(one); },
                            [&](const once::QueryOutcome &one) { queryOutcome(one); },
+                           [&](const once::Recall &one) { recall(one); },
                            [&](const once::Release &one) { release(one.record_); },
                    },
                    command);
@@ -152,6 +153,27 @@
     }
 }
 
+void Daemon::recall(const once::Recall &command)
+{
+    for (std::size_t other = 0; other < cluster_.daemons_.size(); ++other) {
+        auto &executor = *cluster_.daemons_[other];
+        if (executor.self_.id_ != command.subKey_.executor_.id_)
+            continue;
+        network_.call(
+                {id_, other, std::nullopt, std::nullopt, base::Millis(500)},
+                [&executor, command](const Respond &respond) {
+                    executor.onRecall(command.subKey_, respond);
+                },
+                [=, this](const RemoteResult &result) {
+                    const bool isRefused =
+                            result && !result->isReplaced_
+                            && std::holds_alternative<once::NotRun>(result->outcome_);
+                    if (isRefused)
+                        onExecutorResult(command.subKey_, std::nullopt, result);
+                });
+    }
+}
+
 /** Handles the result of a message to an executor: a delegation if id is set, else a query. */
 void Daemon::onExecutorResult(const once::SubKey &subKey, std::optional<once::RecordId> id,
                               const RemoteResult &result)
--- a/libs/once/include/once/ExecutorEvent.h
+++ b/libs/once/include/once/ExecutorEvent.h
@@ -31,6 +31,15 @@
     bool operator==(const OutcomeQueried &) const = default;
 };
 
+/** A home recalls a sub-key: it is refused unless it has been sent to the backend server. */
+struct Recalled
+{
+    WaiterId waiter_ = 0;
+    SubKey subKey_;
+
+    bool operator==(const Recalled &) const = default;
+};
+
 /** The exchange that waited for the outcome has ended. */
 struct WaiterDisconnected
 {
@@ -79,7 +88,7 @@
 };
 
 /** Input of an Executor. */
-using ExecutorEvent = std::variant<Delegated, OutcomeQueried, WaiterDisconnected, Admitted, Refused,
-                                   BackendAnswered, BackendLost>;
+using ExecutorEvent = std::variant<Delegated, OutcomeQueried, Recalled, WaiterDisconnected,
+                                   Admitted, Refused, BackendAnswered, BackendLost>;
 
 } // namespace once
--- a/libs/once/include/once/HomeCommand.h
+++ b/libs/once/include/once/HomeCommand.h
@@ -55,6 +55,17 @@
     bool operator==(const QueryOutcome &) const = default;
 };
 
+/**
+ * Tell the executor of a sub-key to refuse it unless it has been sent to the backend server.
+ * Answered by ExecutorReplied if it was refused; otherwise, and if it is lost, not at all.
+ */
+struct Recall
+{
+    SubKey subKey_;
+
+    bool operator==(const Recall &) const = default;
+};
+
 /** The request of the record may be freed. */
 struct Release
 {
@@ -64,6 +75,6 @@
 };
 
 /** Command of a Home to its owner. */
-using HomeCommand = std::variant<Reply, ChooseExecutor, Delegate, QueryOutcome, Release>;
+using HomeCommand = std::variant<Reply, ChooseExecutor, Delegate, QueryOutcome, Recall, Release>;
 
 } // namespace once
--- a/libs/once/include/once/HomeEvent.h
+++ b/libs/once/include/once/HomeEvent.h
@@ -48,6 +48,15 @@
     bool operator==(const CallerDisconnected &) const = default;
 };
 
+/** The request must not start any more: if it has not, it is burned and answered with notRun_. */
+struct Withdrawn
+{
+    WaiterId waiter_ = 0;
+    NotRun notRun_;
+
+    bool operator==(const Withdrawn &) const = default;
+};
+
 /** Routing chose an executor; answers ChooseExecutor. */
 struct Chosen
 {
@@ -113,7 +122,7 @@
 };
 
 /** Input of a Home. */
-using HomeEvent = std::variant<Request, CallerDisconnected, Chosen, NotChosen, ExecutorReplied,
-                               SendFailed, ExecutorReplaced, ContextEnded, WakeUp>;
+using HomeEvent = std::variant<Request, CallerDisconnected, Withdrawn, Chosen, NotChosen,
+                               ExecutorReplied, SendFailed, ExecutorReplaced, ContextEnded, WakeUp>;
 
 } // namespace once
--- a/libs/once/src/Executor.cpp
+++ b/libs/once/src/Executor.cpp
@@ -23,6 +23,7 @@
 
     void on(const Delegated &event, Commands &out);
     void on(const OutcomeQueried &event, Commands &out);
+    void on(const Recalled &event, Commands &out);
     void on(const WaiterDisconnected &event, Commands &out);
     void on(const Admitted &event, Commands &out);
     void on(const Refused &event, Commands &out);
@@ -114,6 +115,29 @@
     refuse(event.waiter_, event.subKey_, *home, NotRun{Reason::NeverArrived, {}}, out);
 }
 
+void Executor::Impl::on(const Recalled &event, Commands &out)
+{
+    auto *home = findCurrentHome(event.waiter_, event.subKey_, out);
+    if (!home)
+        return;
+    auto *record = table_.find(event.subKey_);
+    if (!record && event.subKey_.number_ >= home->minNewNumber_) {
+        refuse(event.waiter_, event.subKey_, *home, NotRun{Reason::NeverArrived, {}}, out);
+        return;
+    }
+    if (record && std::holds_alternative<Queued>(record->state_)) {
+        const NotRun notRun{Reason::Cancelled, {}};
+        decide(event.subKey_, *record, notRun, out);
+        out.push_back(Abandon{event.subKey_});
+        out.push_back(Reply{event.waiter_, notRun});
+        return;
+    }
+    const auto *decided = record ? std::get_if<Decided>(&record->state_) : nullptr;
+    const bool isRefused = decided && std::holds_alternative<NotRun>(decided->outcome_);
+    out.push_back(Reply{event.waiter_,
+                        isRefused ? decided->outcome_ : Outcome(Unknown{Reason::StillRunning})});
+}
+
 bool Executor::Impl::joinExisting(WaiterId waiter, const SubKey &subKey, const TrackedHome &home,
                                   Commands &out)
 {
--- a/libs/once/src/details/HomeCore.cpp
+++ b/libs/once/src/details/HomeCore.cpp
@@ -73,11 +73,26 @@
     const auto found = waiters_.find(event.waiter_);
     if (found == waiters_.end())
         return;
-    auto &waiting = table_.find(found->second)->waiting_;
-    std::erase_if(waiting, [&](const Waiter &one) { return one.waiter_ == event.waiter_; });
+    auto &record = *table_.find(found->second);
+    std::erase_if(record.waiting_, [&](const Waiter &one) { return one.waiter_ == event.waiter_; });
     waiters_.erase(found);
 }
 
+void HomeCore::on(const Withdrawn &event, HomeCommands &out)
+{
+    const auto found = waiters_.find(event.waiter_);
+    if (found == waiters_.end())
+        return;
+    const auto id = found->second;
+    auto &record = *table_.find(id);
+    if (std::holds_alternative<Choosing>(record.state_)) {
+        burn(id, record, event.notRun_, out);
+        return;
+    }
+    record.withdrawnAs_ = event.notRun_;
+    recall(record, out);
+}
+
 void HomeCore::on(const Chosen &event, HomeCommands &out)
 {
     auto *record = table_.find(event.record_);
--- a/libs/once/src/details/HomeCore.h
+++ b/libs/once/src/details/HomeCore.h
@@ -37,6 +37,7 @@
 
     void on(const Request &event, HomeCommands &out);
     void on(const CallerDisconnected &event, HomeCommands &out);
+    void on(const Withdrawn &event, HomeCommands &out);
     void on(const Chosen &event, HomeCommands &out);
     void on(const NotChosen &event, HomeCommands &out);
     void on(const ExecutorReplied &event, HomeCommands &out);
@@ -58,6 +59,7 @@
                             HomeCommands &out);
     void scheduleQuery(RecordId id, Running &running);
     void concludeRecord(RecordId id, const HomeRecord &record, HomeCommands &out);
+    void recall(const HomeRecord &record, HomeCommands &out);
     void replyAll(HomeRecord &record, const Outcome &outcome, HomeCommands &out);
     void replyOverdue(HomeRecord &record, HomeCommands &out);
     void handleTimer(RecordId id, HomeCommands &out);
--- a/libs/once/src/details/HomeRecord.h
+++ b/libs/once/src/details/HomeRecord.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -54,8 +55,9 @@
     HomeState state_;
     std::uint64_t digest_ = 0;
     base::Millis expiry_;
-    base::Millis startBy_;      ///< latest deadline of all waiters so far
-    std::uint32_t attempt_ = 0; ///< 0 until the first executor is chosen
+    base::Millis startBy_;              ///< latest deadline of all waiters so far
+    std::uint32_t attempt_ = 0;         ///< 0 until the first executor is chosen
+    std::optional<NotRun> withdrawnAs_; ///< outcome if the executor has not run it
     std::vector<Waiter> waiting_;
 
     bool isDecided() const
--- a/libs/once/src/details/HomeSteps.cpp
+++ b/libs/once/src/details/HomeSteps.cpp
@@ -93,6 +93,10 @@
         burn(id, record, NotRun{Reason::Cancelled, {}}, out);
         return;
     }
+    if (record.withdrawnAs_) {
+        burn(id, record, NotRun(*record.withdrawnAs_), out);
+        return;
+    }
     timers_.add(record.startBy_, id);
     out.push_back(ChooseExecutor{.record_ = id,
                                  .waiter_ = 0,
@@ -113,6 +117,13 @@
     timers_.add(running.nextQueryAt_, id);
 }
 
+/** Takes the request back if it has not started at its executor. */
+void HomeCore::recall(const HomeRecord &record, HomeCommands &out)
+{
+    if (const auto *running = std::get_if<std::unique_ptr<Running>>(&record.state_))
+        out.push_back(Recall{(*running)->subKey_});
+}
+
 void HomeCore::replyAll(HomeRecord &record, const Outcome &outcome, HomeCommands &out)
 {
     for (const auto &[waiter, deadline] : record.waiting_) {
--- a/libs/once/tests/ExecutorTest.cpp
+++ b/libs/once/tests/ExecutorTest.cpp
@@ -82,6 +82,44 @@
     EXPECT_FALSE(starts(subKey(1)));
 }
 
+TEST_F(ExecutorTest, recallRefusesWhatHasNotStarted)
+{
+    EXPECT_TRUE(starts(subKey(1)));
+    const Outcome notRun = NotRun{Reason::Cancelled};
+    EXPECT_EQ(
+            handleEvent(Recalled{9, subKey(1)}),
+            (std::vector<ExecutorCommand>{Reply{1, notRun}, Abandon{subKey(1)}, Reply{9, notRun}}));
+    EXPECT_EQ(handleEvent(Admitted{subKey(1)}), (std::vector<ExecutorCommand>{Abandon{subKey(1)}}));
+    EXPECT_FALSE(starts(subKey(1)));
+}
+
+TEST_F(ExecutorTest, recallBeforeDelegationRefusesTheSubKey)
+{
+    EXPECT_EQ(handleEvent(Recalled{9, subKey(1)}),
+              (std::vector<ExecutorCommand>{Reply{9, NotRun{Reason::NeverArrived}}}));
+    EXPECT_FALSE(starts(subKey(1)));
+}
+
+TEST_F(ExecutorTest, recallLeavesARunningRequestToItsAnswer)
+{
+    EXPECT_TRUE(starts(subKey(1)));
+    handleEvent(Admitted{subKey(1)});
+    const std::vector<ExecutorCommand> running{Reply{9, Unknown{Reason::StillRunning}}};
+    EXPECT_EQ(handleEvent(Recalled{9, subKey(1)}), running);
+    EXPECT_EQ(handleEvent(BackendAnswered{subKey(1), answer}).at(0),
+              ExecutorCommand(Reply{1, Complete{answer}}));
+    EXPECT_EQ(handleEvent(Recalled{9, subKey(1)}), running);
+}
+
+TEST_F(ExecutorTest, recallOfAnEvictedSubKeyIsNotARefusal)
+{
+    runToEnd(subKey(5));
+    now_ = now_ + smallSettings().finishedRetention_;
+    handleEvent(WaiterDisconnected{});
+    EXPECT_EQ(handleEvent(Recalled{9, subKey(5)}),
+              (std::vector<ExecutorCommand>{Reply{9, Unknown{Reason::StillRunning}}}));
+}
+
 TEST_F(ExecutorTest, refusesToStartAfterTheDeadline)
 {
     EXPECT_TRUE(starts(subKey(1)));
--- a/libs/once/tests/HomeTest.cpp
+++ b/libs/once/tests/HomeTest.cpp
@@ -103,6 +103,48 @@
     EXPECT_TRUE(handleEvent(ExecutorReplied{first, Complete{answer}}).empty());
 }
 
+TEST_F(HomeTest, withdrawnRequestIsRecalledAndNotDelegatedAgain)
+{
+    const NotRun draining{Reason::Draining, Millis(200)};
+    const auto key = issue();
+    const auto subKey = delegate(key);
+    EXPECT_EQ(handleEvent(Withdrawn{1, draining}), (std::vector<HomeCommand>{Recall{subKey}}));
+    const auto commands = handleEvent(ExecutorReplied{subKey, NotRun{Reason::Cancelled}});
+    EXPECT_EQ(commands.at(0), HomeCommand(Reply{1, draining}));
+    EXPECT_EQ(repeat(key), Outcome(NotRun{Reason::KeyBurned}));
+    EXPECT_TRUE(handleEvent(Withdrawn{1, draining}).empty());
+}
+
+TEST_F(HomeTest, withdrawnRequestThatRunsGetsItsAnswer)
+{
+    const auto subKey = delegate(issue());
+    handleEvent(Withdrawn{1, {Reason::Draining, {}}});
+    EXPECT_EQ(handleEvent(ExecutorReplied{subKey, Complete{answer}}).at(0),
+              HomeCommand(Reply{1, Complete{answer}}));
+}
+
+TEST_F(HomeTest, withdrawnRequestWithoutExecutorIsBurned)
+{
+    const auto key = issue();
+    const auto chosen = std::get<ChooseExecutor>(handleEvent(request(key)).at(0));
+    const NotRun draining{Reason::Draining, Millis(200)};
+    EXPECT_EQ(handleEvent(Withdrawn{1, draining}).at(0), HomeCommand(Reply{1, draining}));
+    EXPECT_TRUE(handleEvent(Chosen{chosen.record_, executorA}).empty());
+    EXPECT_EQ(repeat(key), Outcome(NotRun{Reason::KeyBurned}));
+}
+
+// A lost message leaves open whether the request has arrived, so it is asked for as before.
+TEST_F(HomeTest, withdrawnRequestAfterALossIsStillQueried)
+{
+    const auto key = issue();
+    const auto subKey = delegate(key);
+    handleEvent(SendFailed{subKey, SendFailure::Lost});
+    EXPECT_EQ(handleEvent(Withdrawn{1, {Reason::Draining, {}}}),
+              (std::vector<HomeCommand>{Recall{subKey}}));
+    now_ = home_.nextWakeUp();
+    EXPECT_EQ(handleEvent(WakeUp{}), (std::vector<HomeCommand>{QueryOutcome{subKey}}));
+}
+
 TEST_F(HomeTest, burnedKeyIsNeverRun)
 {
     const auto key = issue();
