Send no queue to a backend server that has left its service

Whether it serves was asked when a request arrived, not when it starts.

What still waits 1.5 s after the backend server has said that it leaves is returned as not run, and its home sends it to another instance. That is below the 2 s that users grant, and leaves a short queue where it is. The queue is returned by the same step as at the end of the daemon's own drain.

--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -1,5 +1,7 @@
 #include <dock/Executor.h>
 
+#include <utility>
+
 #include <admission/EntryLevels.h>
 #include <base/Clock.h>
 #include <events/Catalogue.h>
@@ -29,6 +31,7 @@
 Executor::~Executor()
 {
     impl_->reactor_.cancel(impl_->timer_);
+    impl_->reactor_.cancel(impl_->leavingTimer_);
 }
 
 AttemptId Executor::accept(Attempt attempt, AnswerFunction answer)
@@ -95,6 +98,7 @@
 void Executor::announce(const BackendServer &backend)
 {
     impl_->lastAnnounced_ = base::monotonicNow();
+    impl_->reactor_.cancel(std::exchange(impl_->leavingTimer_, 0));
     if (impl_->backend_.serving_ == model::ServingState::Absent)
         events::log(events::backendAnnounced,
                     "service=" + backend.service_ + " slots=" + std::to_string(backend.slots_));
@@ -112,6 +116,7 @@
 void Executor::backendLeft()
 {
     events::log(events::backendLeft, "service=" + impl_->backend_.service_);
+    impl_->backendLeaves();
     auto backend = impl_->backend_;
     backend.serving_ = model::ServingState::Draining;
     impl_->applyBackend(std::move(backend));
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -39,6 +39,12 @@
  */
 constexpr double usedShareOfRetryBudget = 0.8;
 
+/**
+ * A leaving backend server is still sent the requests that wait for it for this time. Users grant 2
+ * s or more.
+ */
+constexpr base::Millis leavingQueueTime(1500);
+
 /** Time without an announcement after which the backend server is treated as absent. */
 constexpr base::Millis announcementTimeout(5000);
 
@@ -345,6 +351,12 @@
     }
 }
 
+void Executor::Impl::backendLeaves()
+{
+    if (leavingTimer_ == 0)
+        leavingTimer_ = reactor_.schedule(leavingQueueTime, [this] { returnQueue(); });
+}
+
 void Executor::Impl::perform(const std::vector<once::ExecutorCommand> &commands)
 {
     for (const auto &command : commands) {
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -96,6 +96,7 @@
     void admit(const once::Admit &order);
     void abandon(RunId id);
     void returnQueue();
+    void backendLeaves();
     void perform(const std::vector<admission::Command> &commands);
     void perform(const std::vector<once::ExecutorCommand> &commands);
 
@@ -128,6 +129,7 @@
     RunId nextRun_ = 1;
     AttemptId nextWaiter_ = 1;
     net::TimerId timer_ = 0;
+    net::TimerId leavingTimer_ = 0; ///< set once the backend server has said that it leaves
     base::Millis tickDue_;
 };
 
