Take requests out of the queue when their callers have left

The home knew that nobody waited, and did not tell the executor where they were queued.

The home now recalls a request when its last caller has left. What has not started is refused for good at its executor; what runs goes on. A repetition of the key that arrives meanwhile is delegated anew, once the executor has refused the first.

--- a/libs/once/src/details/HomeCore.cpp
+++ b/libs/once/src/details/HomeCore.cpp
@@ -68,7 +68,7 @@
                found);
 }
 
-void HomeCore::on(const CallerDisconnected &event, HomeCommands &)
+void HomeCore::on(const CallerDisconnected &event, HomeCommands &out)
 {
     const auto found = waiters_.find(event.waiter_);
     if (found == waiters_.end())
@@ -76,6 +76,8 @@
     auto &record = *table_.find(found->second);
     std::erase_if(record.waiting_, [&](const Waiter &one) { return one.waiter_ == event.waiter_; });
     waiters_.erase(found);
+    if (record.waiting_.empty())
+        recall(record, out);
 }
 
 void HomeCore::on(const Withdrawn &event, HomeCommands &out)
--- a/libs/once/tests/HomeTest.cpp
+++ b/libs/once/tests/HomeTest.cpp
@@ -145,6 +145,27 @@
     EXPECT_EQ(handleEvent(WakeUp{}), (std::vector<HomeCommand>{QueryOutcome{subKey}}));
 }
 
+TEST_F(HomeTest, requestIsRecalledWhenItsLastCallerHasLeft)
+{
+    const auto key = issue();
+    const auto subKey = delegate(key);
+    handleEvent(request(key));
+    EXPECT_TRUE(handleEvent(CallerDisconnected{1}).empty());
+    EXPECT_EQ(handleEvent(CallerDisconnected{2}), (std::vector<HomeCommand>{Recall{subKey}}));
+    handleEvent(ExecutorReplied{subKey, NotRun{Reason::Cancelled}});
+    EXPECT_EQ(repeat(key), Outcome(NotRun{Reason::KeyBurned}));
+}
+
+TEST_F(HomeTest, repetitionAfterARecallIsDelegatedAnew)
+{
+    const auto key = issue();
+    const auto subKey = delegate(key);
+    handleEvent(CallerDisconnected{1});
+    EXPECT_TRUE(handleEvent(request(key)).empty());
+    const auto commands = handleEvent(ExecutorReplied{subKey, NotRun{Reason::Cancelled}});
+    EXPECT_EQ(std::get<ChooseExecutor>(commands.at(0)).attempt_, 2u);
+}
+
 TEST_F(HomeTest, burnedKeyIsNeverRun)
 {
     const auto key = issue();
