Refuse an answer whose head holds the status line of another

A response with a status line in its reason phrase or in a field is malformed now, so that the request counts as lost. A cut at any other place leaves a line that is no field, which was refused before. A field may still name the protocol ("Via: HTTP/1.1 proxy").

--- a/libs/net/src/details/MessageParser.cpp
+++ b/libs/net/src/details/MessageParser.cpp
@@ -28,6 +28,33 @@
     return {text.data(), text.size()};
 }
 
+bool isDigit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+/**
+ * Whether the text contains a status line: the head of a response that was cut off, and the
+ * response behind it would be read as one message.
+ */
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view protocol = "HTTP/1.";
+    constexpr std::size_t versionDigit = protocol.size();
+    constexpr std::size_t statusBegin = versionDigit + 2;
+    constexpr std::size_t statusEnd = statusBegin + 3;
+    for (auto found = text.find(protocol); found != std::string_view::npos;
+         found = text.find(protocol, found + 1)) {
+        const auto line = text.substr(found, statusEnd);
+        const bool isStatusLine = line.size() == statusEnd && isDigit(line[versionDigit])
+                                  && line[versionDigit + 1] == ' '
+                                  && std::all_of(line.begin() + statusBegin, line.end(), isDigit);
+        if (isStatusLine)
+            return true;
+    }
+    return false;
+}
+
 /** Collects the header fields and body of a request or response. */
 template<bool isRequest, typename Message>
 class Collector : public http::basic_parser<isRequest>
@@ -52,10 +79,12 @@
         }
     }
 
-    void on_response_impl(int status, BoostView, int, error_code &) override
+    void on_response_impl(int status, BoostView reason, int, error_code &error) override
     {
         if constexpr (!isRequest)
             message_.status_ = status;
+        if (containsStatusLine(viewOf(reason)))
+            error = http::error::bad_reason;
     }
 
     void on_field_impl(http::field name, BoostView text, BoostView value,
@@ -68,6 +97,10 @@
             error = http::error::header_limit;
             return;
         }
+        if (!isRequest && containsStatusLine(viewOf(value))) {
+            error = http::error::bad_value;
+            return;
+        }
         if (name == http::field::expect)
             expectsContinue_ = equalsIgnoringCase(viewOf(value), "100-continue");
         message_.headers_.push_back({std::string(viewOf(text)), std::string(viewOf(value))});
--- a/libs/net/tests/HttpClientTest.cpp
+++ b/libs/net/tests/HttpClientTest.cpp
@@ -139,6 +139,64 @@
     }
 }
 
+TEST_F(HttpClientBytes, responseCutInItsHeadIsLostWhereverItIsCut)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 12\r\n\r\n";
+    for (std::size_t size = 0; size <= head.size(); ++size) {
+        start();
+        auto server = listener_.accept(reactor_);
+        server.receiveUntil(reactor_, "\r\n\r\n");
+        server.send(head.substr(0, size));
+        server.close();
+        ASSERT_FALSE(result()) << head.substr(0, size);
+        EXPECT_EQ(result().error().kind_, FailureKind::Lost);
+    }
+}
+
+TEST_F(HttpClientBytes, cutHeadIsNotMixedWithTheResponseBehindIt)
+{
+    const std::string own = "HTTP/1.1 200 OK\r\nid: a\r\nConnection: close\r\n"
+                            "Content-Length: 3\r\n\r\nown";
+    for (const std::string id : {"z", "a"}) {
+        const auto refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nid: " + id
+                             + "\r\nLoad: 16,0\r\nContent-Length: 20\r\n\r\n";
+        for (std::size_t size = 1; size <= refusal.size(); ++size) {
+            start();
+            const auto server = listener_.accept(reactor_);
+            server.receiveUntil(reactor_, "\r\n\r\n");
+            server.send(refusal.substr(0, size) + own);
+            const bool isRefusalWithOwnId = size == refusal.size() && id == "a";
+            if (isRefusalWithOwnId || !result())
+                continue;
+            EXPECT_EQ(result()->status_, 200) << refusal.substr(0, size);
+            EXPECT_EQ(result()->body_, "own");
+        }
+    }
+}
+
+TEST_F(HttpClientBytes, statusLineInAFieldIsNoResponse)
+{
+    for (const std::string value : {"16,0HTTP/1.1 200 OK", "HTTP/1.0 503 Service Unavailable"}) {
+        start();
+        const auto server = listener_.accept(reactor_);
+        server.receiveUntil(reactor_, "\r\n\r\n");
+        server.send("HTTP/1.1 200 OK\r\nid: a\r\nLoad: " + value + "\r\nContent-Length: 0\r\n\r\n");
+        ASSERT_FALSE(result()) << value;
+    }
+}
+
+TEST_F(HttpClientBytes, protocolNameInAFieldIsAccepted)
+{
+    for (const std::string value : {"HTTP/1.1 proxy", "1.1 cache", "HTTP/1.1"}) {
+        start();
+        const auto server = listener_.accept(reactor_);
+        server.receiveUntil(reactor_, "\r\n\r\n");
+        server.send("HTTP/1.1 200 OK\r\nid: a\r\nVia: " + value
+                    + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_TRUE(result()) << value;
+    }
+}
+
 TEST_F(HttpClientBytes, refusalWithoutIdIsAcceptedOnANewConnectionAndClosesIt)
 {
     start();
