Serve requests that a caller has sent ahead before closing its connection

A connection that is to be closed now serves what its caller has sent first: within the time in which new requests are served, with the backend server's answer, after that with 503. It closes after the last one.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -61,7 +61,10 @@
     /** Sends the complete response; ignored if the caller has disconnected. */
     void respond(ExchangeId id, HttpResponse response);
 
-    /** Closes each connection after its next response, so that callers use other instances. */
+    /**
+     * Closes each connection after its next response, so that callers use other instances. Where a
+     * caller has sent further requests, they are served first.
+     */
     void closeAfterResponses();
 
     /** Number of responses that are not written, or that the caller may not have received. */
--- a/libs/net/src/details/ServerConnection.cpp
+++ b/libs/net/src/details/ServerConnection.cpp
@@ -205,7 +205,8 @@
 {
     if (state_ != State::Serving)
         return;
-    closesAfterResponse_ = closesAfterResponse_ || closesAfter;
+    // Requests that the caller has sent ahead are served before the connection is closed.
+    closesAfterResponse_ = closesAfterResponse_ || (closesAfter && unparsed_.empty());
     auto head = serializeHead(response, closesAfterResponse_);
     reservation_.reserve(limits_.budget_, head.size() + response.body_.size());
     output_ = Output(std::move(head), isHeadRequest_ ? std::string() : std::move(response.body_));
--- a/libs/net/src/details/ServerConnection.h
+++ b/libs/net/src/details/ServerConnection.h
@@ -66,7 +66,10 @@
                      ServerConnectionOwner &owner);
     ~ServerConnection() override;
 
-    /** Sends the response to the latest request; with closesAfter, closes the connection after. */
+    /**
+     * Sends the response to the latest request; with closesAfter, closes the connection after it
+     * unless the caller has sent more.
+     */
     void respond(HttpResponse response, bool closesAfter);
 
     /** Closes the socket and notifies the owner. */
