Give the entry's implementation files of its own

Its state and internal operations move to details/EntryImpl, as the executor's are, and the public functions stay.

--- /dev/null
+++ b/libs/dock/src/details/EntryImpl.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+
+#include <dock/AttemptSender.h>
+#include <dock/CallInterface.h>
+#include <dock/CallerAnswer.h>
+#include <dock/Entry.h>
+#include <dock/IdempotentCalls.h>
+#include <dock/InstanceSelector.h>
+#include <dock/KeyedCalls.h>
+#include <dock/Recorder.h>
+#include <net/HttpClient.h>
+#include <once/Home.h>
+#include <retry/Core.h>
+#include <routing/Core.h>
+#include <settings/Settings.h>
+
+#include "details/FailureLog.h"
+#include "details/RedelegationLog.h"
+#include "details/RequestKeys.h"
+#include "details/RequestReader.h"
+
+namespace dock {
+
+/** Short, as another daemon can serve the request at once. */
+inline constexpr base::Millis retryAfterClosed(200);
+
+/** State and internal operations of an entry. */
+struct Entry::Impl
+{
+    Impl(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
+         net::PeerClient &client, Executor &executor, retry::ContextTable &contexts,
+         const CallInterface &interface);
+
+    /** A request that an idempotent call serves. */
+    struct IdempotentWork
+    {
+        retry::CallId call_ = 0;
+    };
+
+    /** A request that waits for a record of the home. */
+    struct KeyedWork
+    {
+        once::WaiterId waiter_ = 0;
+    };
+
+    /** A request forwarded to the home of its key. */
+    struct ForwardedWork
+    {
+        net::CallId call_ = 0;
+    };
+
+    using Work = std::variant<std::monostate, IdempotentWork, KeyedWork, ForwardedWork>;
+
+    /** A request in progress. */
+    struct OpenRequest
+    {
+        Respond respond_;
+        CallInfo call_; ///< without header fields and body
+        Work work_;
+    };
+
+    static once::HomeSettings homeSettings(const settings::Settings &settings);
+    static retry::RetrySettings retrySettings(const settings::Settings &settings,
+                                              const CallInterface &interface);
+    net::HttpResponse drainingRefusal() const;
+    bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
+    bool needsKey(const CallInfo &call) const;
+    const model::Member *findMember(const std::string &id) const;
+    std::string issueNextKey(const CallInfo &call);
+    void startIdempotent(EntryId id, CallInfo call);
+    void startKeyed(EntryId id, CallInfo call, RequestSource source);
+    void startWithRequestId(EntryId id, CallInfo call);
+    void finishUnserved(EntryId id, const net::HttpRequest &request, net::HttpResponse refused);
+    void startAtHome(EntryId id, CallInfo call,
+                     const std::variant<once::Key, once::ContextKey> &key);
+    void forward(EntryId id, const CallInfo &call, const once::Key &key);
+    void setWork(EntryId id, Work work);
+    void cancelWork(const Work &work);
+    once::Outcome abandon(const Work &work);
+    std::string executorOf(const Work &work) const;
+    void finish(EntryId id, net::HttpResponse response);
+    void forwarded(EntryId id, net::CallResult result);
+    void finishWithOutcome(EntryId id, const once::Outcome &outcome, const CallReport &report = {});
+
+    const settings::Settings &settings_;
+    const CallInterface &interface_;
+    const AnswerFormat answerFormat_;
+    once::Incarnation self_;
+    net::PeerClient &client_;
+    Executor &executor_;
+    routing::Core routing_;
+    std::optional<once::Home> home_;
+    retry::Core retryIdempotent_;
+    retry::Core retryKeyed_;
+    Recorder recorder_;
+    AttemptSender sender_;
+    InstanceSelector selector_;
+    IdempotentCalls idempotentCalls_;
+    KeyedCalls keyedCalls_;
+    details::RequestKeys requestKeys_;
+    details::RequestReader reader_;
+    Members members_;
+    std::unordered_map<std::string, const model::Member *> memberById_;
+    std::unordered_map<EntryId, OpenRequest> openRequests_;
+    EntryId nextId_ = 1;
+    std::uint64_t nextUnnamedCall_ = 1;
+    details::FailureLog failureLog_;
+    details::RedelegationLog redelegationLog_;
+    bool isDraining_ = false;
+    bool isRefusingRoots_ = false;
+    bool isClosed_ = false;
+};
+
+} // namespace dock
