Log where a configuration came from and who reads the log

A daemon that goes on with old routes could not be told from one whose readers are silent: the log named the revision in force, and neither its source nor who was expected to read the platform's log.

E405 names the source of each newer revision, E503 each change between reading the log and relying on others.

--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -135,6 +135,8 @@
     }
     if (config->revision_ <= revision_)
         return;
+    events::log(events::configReceived,
+                "revision=" + std::to_string(config->revision_) + " from=" + from);
     if (revision_ == 0)
         firstConfigTime_ = base::monotonicNow();
     revision_ = config->revision_;
@@ -146,8 +148,14 @@
 void PlatformSource::setMembers(std::shared_ptr<const std::vector<model::Member>> members)
 {
     members_ = std::move(members);
-    config_->setNotified(!model::isElectedFor(readerDuty, *members_, settings_.id_,
-                                              settings_.dataCentre_, readersPerDataCentre));
+    const bool isReader = model::isElectedFor(readerDuty, *members_, settings_.id_,
+                                              settings_.dataCentre_, readersPerDataCentre);
+    if (isReader != isReader_) {
+        isReader_ = isReader;
+        events::log(events::logReaderChanged,
+                    std::string("reads=") + (isReader ? "true" : "false") + " cause=members");
+    }
+    config_->setNotified(!isReader);
     if (catchUpTimer_ == 0 && isBehind())
         catchUpTimer_ = reactor_.schedule(catchUpDelay, [this] { catchUp(); });
 }
--- a/libs/dock/src/details/PlatformSource.h
+++ b/libs/dock/src/details/PlatformSource.h
@@ -106,6 +106,7 @@
     int catchUpAttempts_ = 0;               ///< since a member has had a higher revision
     model::Revision requestedRevision_ = 0; ///< of the pending request for a configuration; 0: none
     base::Random random_;
+    bool isReader_ = true; ///< reads the log itself instead of being notified by others
     bool isDraining_ = false;
 };
 
--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -36,10 +36,12 @@
 
 inline constexpr Event generationRaised = {403, Severity::Warning, "generation-raised"};
 inline constexpr Event configRefused = {404, Severity::Warning, "config-refused"};
+inline constexpr Event configReceived = {405, Severity::Info, "config-received"};
 
 // 5xx: the platform's log
 inline constexpr Event logLost = {500, Severity::Warning, "log-lost"};
 inline constexpr Event logRegained = {501, Severity::Info, "log-regained"};
 inline constexpr Event meetingFailed = {502, Severity::Warning, "meeting-failed"};
+inline constexpr Event logReaderChanged = {503, Severity::Info, "log-reader-changed"};
 
 } // namespace events
