Rely on other daemons only while they confirm the configuration

What callers saw: two of four daemons were cut off from the platform's store for 5.5 s, and the operator moved a route.

Cause: a daemon that is not an elected reader relied on the readers with no sign that they still read. The election asks who is a member, and neither who reaches the store nor who runs. All that stood behind the readers came later than the 2 s allowed: membership after some 4 s, a read of one's own every 30 s. So the same holds for readers that are paused or killed.

Change: follow::ReadDuty, free of I/O. A daemon relies on others only while it holds evidence of less than 1.1 s that its revision is the newest, which readers get from the log and others by asking; the age counts from the inquiry and grows with each hop. Without it, it reads for itself, by rank, 1.6 s after its last evidence at the latest. Readers wait 600 ms instead of 2.5 s. Related paths: an announcement whose sender is gone makes the receiver read the log; the first of two answers no longer clears the guard of the other; connections to the store that were idle for 2 s are not used again; the clock of the evidence counts pauses of the machine.

LostReaders (virtual time; 4, 95 and 300 daemons; cut, paused, killed) fails when the age is set to the old 30 s.

The tests of follow::Core follow its new interface. Two of them described the read every 30 s, which is gone; ReadDutyTest and LostReadersTest are stricter in their place.

--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -23,10 +23,15 @@
 /** Path on the control port to which daemons send announcements of new revisions. */
 const std::string announcementPath = "/config-news";
 
-/** Daemons per data centre that wait for records of the log; one of them may be partitioned. */
-constexpr std::size_t readersPerDataCentre = 2;
+/** Path on the control port at which daemons ask whether their revision is the newest. */
+const std::string confirmationPath = "/config-confirmation";
+
+/** Orders the daemons of a data centre by who reads the log. */
 constexpr const char *readerDuty = "config-reader";
 
+/** A daemon in the same data centre answers at once, unless it is paused or gone. */
+constexpr base::Millis inquiryTimeout(250);
+
 /**
  * Delay before a revision that other members have is requested from them, as this daemon's own read
  * of the log is expected to return it first: the time of a few responses of the log.
@@ -62,6 +67,13 @@
     options.seed_ = randomSeed;
     config_ = std::make_unique<follow::FollowService>(
             reactor, *log_, binding.configTopic_, options,
+            follow::PeerAccess{.inquire_ = [this](const auto &address,
+                                                  auto done) { inquire(address, std::move(done)); },
+                               .fetchConfig_ =
+                                       [this](const follow::FetchConfig &fetch) {
+                                           fetchConfig(fetch.from_, fetch.revision_,
+                                                       RevisionOrigin::OwnDataCentre);
+                                       }},
             [this](const std::vector<logclient::KeyedRecord> &records) { onRecords(records); });
     rendezvous_ = std::make_unique<rendezvous::KeyedRendezvous>(
             reactor, *log_,
@@ -141,6 +153,7 @@
         firstConfigTime_ = base::monotonicNow();
     revision_ = config->revision_;
     configRecord_ = record;
+    config_->setRevision(revision_);
     hooks_.onConfig_(std::make_shared<const model::Config>(std::move(*config)));
     announceRevision(origin);
 }
@@ -148,18 +161,24 @@
 void PlatformSource::setMembers(std::shared_ptr<const std::vector<model::Member>> members)
 {
     members_ = std::move(members);
-    const bool isReader = model::isElectedFor(readerDuty, *members_, settings_.id_,
-                                              settings_.dataCentre_, readersPerDataCentre);
-    if (isReader != isReader_) {
-        isReader_ = isReader;
-        events::log(events::logReaderChanged,
-                    std::string("reads=") + (isReader ? "true" : "false") + " cause=members");
-    }
-    config_->setNotified(!isReader);
+    config_->setPeers(peers());
     if (catchUpTimer_ == 0 && isBehind())
         catchUpTimer_ = reactor_.schedule(catchUpDelay, [this] { catchUp(); });
 }
 
+follow::Peers PlatformSource::peers() const
+{
+    follow::Peers peers;
+    for (const auto *member :
+         model::higherRanked(readerDuty, *members_, settings_.id_, settings_.dataCentre_))
+        peers.higherRanked_.push_back(member->controlAddress_);
+    peers.members_ = static_cast<std::size_t>(
+            std::count_if(members_->begin(), members_->end(), [this](const model::Member &member) {
+                return member.dataCentre_ == settings_.dataCentre_;
+            }));
+    return peers;
+}
+
 bool PlatformSource::isBehind() const
 {
     return std::any_of(members_->begin(), members_->end(), [this](const model::Member &member) {
@@ -193,20 +212,59 @@
     }
     if (++catchUpAttempts_ > 1)
         config_->catchUp();
-    requestConfig(chooseNewest().controlAddress_, RevisionOrigin::OwnDataCentre);
+    requestConfig(chooseNewest().controlAddress_, RevisionOrigin::OwnDataCentre, {});
     catchUpTimer_ = reactor_.schedule(peerRequestTimeout, [this] { catchUp(); });
 }
 
-void PlatformSource::requestConfig(const model::Address &address, RevisionOrigin from)
+void PlatformSource::requestConfig(const model::Address &address, RevisionOrigin from,
+                                   std::function<void()> onFailure)
+{
+    client_.send(
+            address, {.target_ = configPath}, peerRequestTimeout,
+            [this, address, from, onFailure = std::move(onFailure)](const net::CallResult &result) {
+                if (result && result->status_ == statusOk)
+                    applyIfNewer(result->body_, address.text(), from);
+                else if (onFailure)
+                    onFailure();
+            });
+}
+
+/** Requests a revision that another daemon has, unless it is in force or requested already. */
+void PlatformSource::fetchConfig(const model::Address &address, model::Revision revision,
+                                 RevisionOrigin from)
 {
-    client_.send(address, {.target_ = configPath}, peerRequestTimeout,
-                 [this, address, from](const net::CallResult &result) {
-                     requestedRevision_ = 0;
-                     if (result && result->status_ == statusOk)
-                         applyIfNewer(result->body_, address.text(), from);
+    if (revision <= std::max(revision_, requestedRevision_))
+        return;
+    requestedRevision_ = revision;
+    requestConfig(address, from, [this, revision] {
+        if (requestedRevision_ == revision)
+            requestedRevision_ = 0;
+        // The daemon may have exited; the log has the revision, too.
+        if (revision > revision_)
+            config_->catchUp();
+    });
+}
+
+void PlatformSource::inquire(const model::Address &address, follow::PeerAccess::AnswerHandler done)
+{
+    client_.send(address, {.target_ = confirmationPath}, inquiryTimeout,
+                 [done = std::move(done)](const net::CallResult &result) {
+                     if (!result || result->status_ != statusOk) {
+                         done(std::nullopt);
+                         return;
+                     }
+                     const auto confirmation = follow::Confirmation::parse(result->body_);
+                     done(confirmation ? std::optional(*confirmation) : std::nullopt);
                  });
 }
 
+net::HttpResponse PlatformSource::confirm() const
+{
+    if (const auto confirmation = config_->confirmation())
+        return {.body_ = confirmation->encode()};
+    return {.status_ = statusNotFound};
+}
+
 void PlatformSource::announceRevision(RevisionOrigin from)
 {
     if (members_ == nullptr)
@@ -237,12 +295,9 @@
                     "from=news cause=\"" + announcement.error().message_ + "\"");
         return {.status_ = statusBadRequest, .body_ = announcement.error().message_ + "\n"};
     }
-    if (announcement->revision_ > std::max(revision_, requestedRevision_)) {
-        requestedRevision_ = announcement->revision_;
-        requestConfig(announcement->controlAddress_, announcement->mustForward_
-                                                             ? RevisionOrigin::OtherDataCentre
-                                                             : RevisionOrigin::OwnDataCentre);
-    }
+    fetchConfig(announcement->controlAddress_, announcement->revision_,
+                announcement->mustForward_ ? RevisionOrigin::OtherDataCentre
+                                           : RevisionOrigin::OwnDataCentre);
     return {};
 }
 
@@ -256,6 +311,8 @@
 {
     if (request.target_ == announcementPath)
         return receiveAnnouncement(request.body_);
+    if (request.target_ == confirmationPath)
+        return confirm();
     if (request.target_ != configPath)
         return std::nullopt;
     if (revision_ == 0)
--- a/libs/dock/src/details/PlatformSource.h
+++ b/libs/dock/src/details/PlatformSource.h
@@ -9,6 +9,8 @@
 #include <base/Error.h>
 #include <dock/BackendMessage.h>
 #include <dock/PlatformBinding.h>
+#include <follow/PeerAccess.h>
+#include <follow/Peers.h>
 #include <heartbeat/Tracker.h>
 #include <model/Member.h>
 #include <model/Revision.h>
@@ -73,7 +75,12 @@
     void onRecords(const std::vector<logclient::KeyedRecord> &records);
     void applyIfNewer(const std::string &record, const std::string &from, RevisionOrigin origin);
     void catchUp();
-    void requestConfig(const model::Address &address, RevisionOrigin from);
+    void requestConfig(const model::Address &address, RevisionOrigin from,
+                       std::function<void()> onFailure);
+    void fetchConfig(const model::Address &address, model::Revision revision, RevisionOrigin from);
+    void inquire(const model::Address &address, follow::PeerAccess::AnswerHandler done);
+    net::HttpResponse confirm() const;
+    follow::Peers peers() const;
     bool isBehind() const;
     const model::Member &chooseNewest();
     void announceRevision(RevisionOrigin from);
@@ -104,9 +111,8 @@
     base::Millis firstConfigTime_; ///< time at which the first configuration came into force
     net::TimerId catchUpTimer_ = 0;
     int catchUpAttempts_ = 0;               ///< since a member has had a higher revision
-    model::Revision requestedRevision_ = 0; ///< of the pending request for a configuration; 0: none
+    model::Revision requestedRevision_ = 0; ///< newest one requested after an announcement; 0: none
     base::Random random_;
-    bool isReader_ = true; ///< reads the log itself instead of being notified by others
     bool isDraining_ = false;
 };
 
--- a/libs/follow/include/follow/Command.h
+++ b/libs/follow/include/follow/Command.h
@@ -8,6 +8,7 @@
 #include <base/Millis.h>
 #include <follow/Event.h>
 #include <logclient/KeyedRecord.h>
+#include <model/Address.h>
 
 namespace follow {
 
@@ -30,13 +31,30 @@
     bool operator==(const ReadFrom &) const = default;
 };
 
-/** Requests a ReadDue event after a delay. */
-struct ScheduleRead
+/** Asks another daemon for a confirmation. Answered by exactly one InquiryEnded event. */
+struct Inquire
 {
-    ReadId read_ = 0;
-    base::Millis delay_;
+    InquiryId inquiry_ = 0;
+    model::Address to_;
 
-    bool operator==(const ScheduleRead &) const = default;
+    bool operator==(const Inquire &) const = default;
+};
+
+/** Fetches the configuration of another daemon, which has a newer one. */
+struct FetchConfig
+{
+    model::Address from_;
+    model::Revision revision_ = 0;
+
+    bool operator==(const FetchConfig &) const = default;
+};
+
+/** Requests a TimerExpired event at a time; replaces an earlier WakeAt. */
+struct WakeAt
+{
+    base::Millis time_;
+
+    bool operator==(const WakeAt &) const = default;
 };
 
 /** Delivers records, those of a key in the order of writing; a record may be delivered twice. */
@@ -56,6 +74,17 @@
     bool operator==(const LogStateChanged &) const = default;
 };
 
-using Command = std::variant<ReadNewest, ReadFrom, ScheduleRead, DeliverRecords, LogStateChanged>;
+/** This daemon starts to read the log for itself, or to rely on others. */
+struct DutyChanged
+{
+    bool isReading_ = false;
+    bool isElected_ = false;   ///< by rank; otherwise as nobody else confirms the revision
+    base::Millis evidenceAge_; ///< Millis::max() if there has been none
+
+    bool operator==(const DutyChanged &) const = default;
+};
+
+using Command = std::variant<ReadNewest, ReadFrom, Inquire, FetchConfig, WakeAt, DeliverRecords,
+                             LogStateChanged, DutyChanged>;
 
 } // namespace follow
--- a/libs/follow/include/follow/Event.h
+++ b/libs/follow/include/follow/Event.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 
+#include <follow/Confirmation.h>
+#include <follow/Peers.h>
 #include <logclient/KeyedPage.h>
 
 namespace follow {
@@ -10,6 +13,9 @@
 /** Identifies one read, so that the result of an abandoned read is ignored. */
 using ReadId = std::uint64_t;
 
+/** Identifies one inquiry at another daemon. */
+using InquiryId = std::uint64_t;
+
 /** Starts reading; the first event. */
 struct Started
 {};
@@ -21,25 +27,34 @@
     logclient::KeyedResult result_;
 };
 
-/** The delay of a ScheduleRead command has elapsed. */
-struct ReadDue
-{
-    ReadId read_ = 0;
-};
+/** The time of a WakeAt command has come. */
+struct TimerExpired
+{};
 
 /** Another daemon has read a newer record than this one. */
 struct PeerAhead
 {};
 
-/**
- * Whether other daemons notify this one of new records. If so, it only polls the log at long
- * intervals, in case no notification arrives.
- */
-struct PeerNotifications
+/** The daemons of the data centre changed, or their order. */
+struct PeersChanged
+{
+    Peers peers_;
+};
+
+/** A revision is in force at this daemon, wherever it came from. */
+struct RevisionInForce
+{
+    model::Revision revision_ = 0;
+};
+
+/** Answer to an Inquire command; no confirmation if the daemon has none or did not answer. */
+struct InquiryEnded
 {
-    bool isNotified_ = false;
+    InquiryId inquiry_ = 0;
+    std::optional<Confirmation> confirmation_;
 };
 
-using Event = std::variant<Started, ReadEnded, ReadDue, PeerAhead, PeerNotifications>;
+using Event = std::variant<Started, ReadEnded, TimerExpired, PeerAhead, PeersChanged,
+                           RevisionInForce, InquiryEnded>;
 
 } // namespace follow
--- a/libs/follow/include/follow/FollowService.h
+++ b/libs/follow/include/follow/FollowService.h
@@ -2,10 +2,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include <follow/Confirmation.h>
 #include <follow/Options.h>
+#include <follow/PeerAccess.h>
+#include <follow/Peers.h>
 #include <logclient/KeyedRecord.h>
 
 namespace logclient {
@@ -20,7 +24,8 @@
 /**
  * Executes the commands of a Core on one topic of a keyed log, which must outlive it.
  *
- * To be called on the reactor's thread only; the handler never runs inside a call.
+ * To be called on the reactor's thread only; the handlers never run inside a call, except the
+ * functions of PeerAccess.
  */
 class FollowService
 {
@@ -28,7 +33,7 @@
     using RecordsHandler = std::function<void(const std::vector<logclient::KeyedRecord> &)>;
 
     FollowService(net::Reactor &reactor, logclient::KeyedLog &log, std::string topic,
-                  const Options &options, RecordsHandler onRecords);
+                  const Options &options, PeerAccess peers, RecordsHandler onRecords);
     ~FollowService();
     FollowService(const FollowService &) = delete;
     FollowService &operator=(const FollowService &) = delete;
@@ -36,8 +41,14 @@
     /** Starts over at once, on another connection, as another daemon has a newer record. */
     void catchUp();
 
-    /** Sets whether other daemons notify this one of new records, so that it need not long-poll. */
-    void setNotified(bool isNotified);
+    /** Replaces the other daemons of the data centre. */
+    void setPeers(Peers peers);
+
+    /** Sets the revision in force. */
+    void setRevision(model::Revision revision);
+
+    /** The answer to a daemon that asks; nothing if this daemon has no evidence. */
+    std::optional<Confirmation> confirmation() const;
 
 private:
     struct Impl;
--- a/libs/follow/src/Core.cpp
+++ b/libs/follow/src/Core.cpp
@@ -1,29 +1,34 @@
 #include <follow/Core.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace follow {
 
 Core::Core(const Options &options)
     : options_(options)
+    , duty_(options)
     , backoff_(options.firstRetryDelay_, options.maxRetryDelay_, options.seed_)
 {}
 
-std::vector<Command> Core::handle(const Event &event)
+std::vector<Command> Core::handle(const Event &event, base::Millis now)
 {
+    now_ = now;
     std::visit([this](const auto &alternative) { on(alternative); }, event);
+    advance();
     return std::exchange(commands_, {});
 }
 
 void Core::on(const Started &)
 {
-    readNewest({});
+    startOver();
 }
 
 void Core::on(const ReadEnded &event)
 {
-    if (event.read_ != currentRead_)
+    if (event.read_ != currentRead_ || !isReadOutstanding_)
         return;
+    isReadOutstanding_ = false;
     if (event.result_) {
         backoff_.reset();
         setReachable(true, {});
@@ -31,54 +36,89 @@
         return;
     }
     if (std::holds_alternative<logclient::Trimmed>(event.result_.error())) {
-        readNewest({});
+        startOver();
         return;
     }
     scheduleRetry(event.result_.error());
 }
 
-void Core::on(const ReadDue &event)
+// Also if it is early, another timer has to be requested.
+void Core::on(const TimerExpired &)
 {
-    if (event.read_ != currentRead_)
-        return;
-    if (isReadingNewest_)
-        readNewest(afterKey_);
-    else
-        readNext();
+    wakeAt_ = base::Millis::max();
 }
 
 // The outstanding read may hang on a dead connection, so it is abandoned.
 void Core::on(const PeerAhead &)
 {
-    readNewest({});
+    startOver();
 }
 
-void Core::on(const PeerNotifications &event)
+void Core::on(const PeersChanged &event)
 {
-    if (event.isNotified_ == isNotified_)
-        return;
-    isNotified_ = event.isNotified_;
-    if (!isComplete_ || isReadingNewest_)
+    duty_.setPeers(event.peers_, now_);
+}
+
+void Core::on(const RevisionInForce &event)
+{
+    duty_.setRevision(event.revision_);
+}
+
+void Core::on(const InquiryEnded &event)
+{
+    if (auto fetch = duty_.onAnswer(event, now_))
+        commands_.emplace_back(std::move(*fetch));
+}
+
+/** Takes all steps that are due, after any event. */
+void Core::advance()
+{
+    for (auto &inquiry : duty_.advance(now_))
+        commands_.emplace_back(std::move(inquiry));
+    reportDuty();
+    if (!isReadOutstanding_ && now_ >= nextRead_ && (mustRead_ || duty_.isReading()))
+        read();
+    wakeForNextStep();
+}
+
+void Core::reportDuty()
+{
+    if (duty_.isReading() == reportedReading_)
         return;
-    if (isNotified_)
-        commands_.emplace_back(ScheduleRead{++currentRead_, options_.notifiedReadInterval_});
-    else
-        readNext();
+    reportedReading_ = duty_.isReading();
+    commands_.emplace_back(
+            DutyChanged{reportedReading_, duty_.isElected(), duty_.evidenceAge(now_)});
 }
 
-void Core::readNewest(std::string after)
+/** Abandons the outstanding read, if any, and reads all keys as soon as possible. */
+void Core::startOver()
 {
+    isReadOutstanding_ = false;
     isReadingNewest_ = true;
-    isFirstPage_ = after.empty();
-    afterKey_ = std::move(after);
-    commands_.emplace_back(ReadNewest{++currentRead_, afterKey_});
+    afterKey_.clear();
+    nextRead_ = now_;
+    mustRead_ = true;
 }
 
-void Core::readNext()
+void Core::read()
 {
-    isReadingNewest_ = false;
-    const auto wait = isNotified_ ? base::Millis(0) : options_.longPollTimeout_;
-    commands_.emplace_back(ReadFrom{++currentRead_, nextOffset_, wait});
+    isReadOutstanding_ = true;
+    readStartedAt_ = now_;
+    ++currentRead_;
+    if (isReadingNewest_) {
+        if (afterKey_.empty())
+            snapshotAt_ = now_;
+        commands_.emplace_back(ReadNewest{currentRead_, afterKey_});
+    } else {
+        readWait_ = nextWait();
+        commands_.emplace_back(ReadFrom{currentRead_, nextOffset_, readWait_});
+    }
+}
+
+/** Old evidence is renewed at once, by a read that does not wait. */
+base::Millis Core::nextWait() const
+{
+    return duty_.evidenceAge(now_) > options_.readWait_ / 2 ? base::Millis() : options_.readWait_;
 }
 
 void Core::handlePage(const logclient::KeyedPage &page)
@@ -87,24 +127,26 @@
         commands_.emplace_back(DeliverRecords{page.records_});
     // The pages are not a consistent snapshot: reading continues from the end of the topic as of
     // the first page, so that changes made since then are read as well.
-    if (!isReadingNewest_ || isFirstPage_)
+    if (!isReadingNewest_ || afterKey_.empty())
         nextOffset_ = page.next_;
     if (isReadingNewest_ && page.hasMore_ && !page.records_.empty()) {
-        readNewest(page.records_.back().key_);
+        afterKey_ = page.records_.back().key_;
         return;
     }
+    // An empty answer after the whole wait was given when the wait had elapsed at the log.
+    const bool hasWaited = page.records_.empty() && now_ - readStartedAt_ >= readWait_;
+    duty_.confirm(isReadingNewest_ ? snapshotAt_
+                                   : readStartedAt_ + (hasWaited ? readWait_ : base::Millis()));
     isComplete_ = true;
     isReadingNewest_ = false;
-    if (isNotified_)
-        commands_.emplace_back(ScheduleRead{++currentRead_, options_.notifiedReadInterval_});
-    else
-        readNext();
+    mustRead_ = false;
 }
 
 void Core::scheduleRetry(const logclient::LogError &error)
 {
     setReachable(false, text(error));
-    commands_.emplace_back(ScheduleRead{currentRead_, backoff_.nextDelay()});
+    nextRead_ =
+            now_ + backoff_.nextDelay() * (duty_.isElected() ? 1 : options_.standInRetryFactor_);
 }
 
 void Core::setReachable(bool isReachable, std::string detail)
@@ -115,4 +157,15 @@
     commands_.emplace_back(LogStateChanged{isReachable, std::move(detail)});
 }
 
+void Core::wakeForNextStep()
+{
+    auto next = duty_.nextStep();
+    if (!isReadOutstanding_ && (mustRead_ || duty_.isReading()))
+        next = std::min(next, nextRead_);
+    if (next == wakeAt_ || next == base::Millis::max())
+        return;
+    wakeAt_ = next;
+    commands_.emplace_back(WakeAt{next});
+}
+
 } // namespace follow
--- a/libs/follow/src/FollowService.cpp
+++ b/libs/follow/src/FollowService.cpp
@@ -1,6 +1,10 @@
 #include <follow/FollowService.h>
 
-#include <base/Overloaded.h>
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+#include <base/Clock.h>
 #include <events/Catalogue.h>
 #include <events/Log.h>
 #include <follow/Core.h>
@@ -12,33 +16,49 @@
 struct FollowService::Impl : std::enable_shared_from_this<FollowService::Impl>
 {
     Impl(net::Reactor &reactor, logclient::KeyedLog &log, std::string topic, const Options &options,
-         RecordsHandler onRecords)
+         PeerAccess peers, RecordsHandler onRecords)
         : reactor_(reactor)
         , log_(log)
         , topic_(std::move(topic))
         , core_(options)
+        , peers_(std::move(peers))
         , onRecords_(std::move(onRecords))
     {}
+    ~Impl() { reactor_.cancel(timer_); }
 
-    void dispatch(const Event &event);
+    void dispatch(Event event);
     void execute(const ReadNewest &command);
     void execute(const ReadFrom &command);
-    void execute(const ScheduleRead &command);
+    void execute(const Inquire &command);
+    void execute(const FetchConfig &command) { peers_.fetchConfig_(command); }
+    void execute(const WakeAt &command);
     void execute(const DeliverRecords &command) { onRecords_(command.records_); }
     void execute(const LogStateChanged &change);
+    void execute(const DutyChanged &change);
     logclient::KeyedDone completionHandler(ReadId read);
 
     net::Reactor &reactor_;
     logclient::KeyedLog &log_;
     const std::string topic_;
     Core core_;
+    PeerAccess peers_;
     RecordsHandler onRecords_;
+    std::deque<Event> events_;
+    bool isDispatching_ = false;
+    net::TimerId timer_ = 0;
 };
 
-void FollowService::Impl::dispatch(const Event &event)
+/** Events that occur while commands are executed wait until all of those are done. */
+void FollowService::Impl::dispatch(Event event)
 {
-    for (const auto &command : core_.handle(event))
-        std::visit([this](const auto &alternative) { execute(alternative); }, command);
+    events_.push_back(std::move(event));
+    if (std::exchange(isDispatching_, true))
+        return;
+    for (; !events_.empty(); events_.pop_front()) {
+        for (const auto &command : core_.handle(events_.front(), base::elapsedNow()))
+            std::visit([this](const auto &alternative) { execute(alternative); }, command);
+    }
+    isDispatching_ = false;
 }
 
 logclient::KeyedDone FollowService::Impl::completionHandler(ReadId read)
@@ -59,11 +79,22 @@
     log_.readFrom(topic_, command.offset_, command.wait_, completionHandler(command.read_));
 }
 
-void FollowService::Impl::execute(const ScheduleRead &command)
+void FollowService::Impl::execute(const Inquire &command)
 {
-    reactor_.schedule(command.delay_, [weak = weak_from_this(), read = command.read_] {
+    peers_.inquire_(command.to_, [weak = weak_from_this(), inquiry = command.inquiry_](
+                                         std::optional<Confirmation> confirmation) {
         if (const auto self = weak.lock())
-            self->dispatch(ReadDue{read});
+            self->dispatch(InquiryEnded{inquiry, confirmation});
+    });
+}
+
+void FollowService::Impl::execute(const WakeAt &command)
+{
+    reactor_.cancel(timer_);
+    const auto delay = std::max(base::Millis(), command.time_ - base::elapsedNow());
+    timer_ = reactor_.schedule(delay, [this] {
+        timer_ = 0;
+        dispatch(TimerExpired{});
     });
 }
 
@@ -75,9 +106,23 @@
         events::log(events::logLost, "topic=" + topic_ + " cause=\"" + change.detail_ + "\"");
 }
 
+void FollowService::Impl::execute(const DutyChanged &change)
+{
+    auto detail = std::string("topic=") + topic_ + " reads=" + (change.isReading_ ? "yes" : "no")
+                  + " cause=";
+    if (!change.isReading_)
+        detail += "confirmed-by-others";
+    else
+        detail += change.isElected_ ? "elected" : "not-confirmed";
+    if (change.evidenceAge_ < base::Millis::max())
+        detail += " evidenceAge=" + std::to_string(change.evidenceAge_.count()) + "ms";
+    events::log(events::logReaderChanged, detail);
+}
+
 FollowService::FollowService(net::Reactor &reactor, logclient::KeyedLog &log, std::string topic,
-                             const Options &options, RecordsHandler onRecords)
-    : impl_(std::make_shared<Impl>(reactor, log, std::move(topic), options, std::move(onRecords)))
+                             const Options &options, PeerAccess peers, RecordsHandler onRecords)
+    : impl_(std::make_shared<Impl>(reactor, log, std::move(topic), options, std::move(peers),
+                                   std::move(onRecords)))
 {
     reactor.post([weak = impl_->weak_from_this()] {
         if (const auto self = weak.lock())
@@ -92,9 +137,19 @@
     impl_->dispatch(PeerAhead{});
 }
 
-void FollowService::setNotified(bool isNotified)
+void FollowService::setPeers(Peers peers)
+{
+    impl_->dispatch(PeersChanged{std::move(peers)});
+}
+
+void FollowService::setRevision(model::Revision revision)
+{
+    impl_->dispatch(RevisionInForce{revision});
+}
+
+std::optional<Confirmation> FollowService::confirmation() const
 {
-    impl_->dispatch(PeerNotifications{isNotified});
+    return impl_->core_.confirmation(base::elapsedNow());
 }
 
 } // namespace follow
--- a/libs/model/include/model/Election.h
+++ b/libs/model/include/model/Election.h
@@ -18,4 +18,11 @@
 bool isElectedFor(std::string_view role, const std::vector<Member> &members,
                   const std::string &selfId, const std::string &dataCentre, std::size_t count);
 
+/**
+ * The members of a data centre that rank before a daemon for a role, best first: by rendezvous
+ * weight, then by id.
+ */
+std::vector<const Member *> higherRanked(std::string_view role, const std::vector<Member> &members,
+                                         const std::string &selfId, const std::string &dataCentre);
+
 } // namespace model
--- a/libs/model/tests/ElectionTest.cpp
+++ b/libs/model/tests/ElectionTest.cpp
@@ -50,3 +50,18 @@
     for (std::size_t i = 1; i < before.size(); ++i)
         EXPECT_NE(std::find(after.begin(), after.end(), before[i]), after.end());
 }
+
+TEST(Election, ranksMembersInOneOrder)
+{
+    const auto members = membersOf(30);
+    for (const auto &member : members) {
+        const auto higher = model::higherRanked("reader", members, member.id_, member.dataCentre_);
+        for (const auto *other : higher) {
+            EXPECT_EQ(other->dataCentre_, member.dataCentre_);
+            EXPECT_LT(model::higherRanked("reader", members, other->id_, other->dataCentre_).size(),
+                      higher.size());
+        }
+        EXPECT_EQ(isElectedFor("reader", members, member.id_, member.dataCentre_, 3),
+                  higher.size() < 3);
+    }
+}
