End a drain in the last sixth of any grace period

Cause: 0.8 s for leaving, whatever the length of the grace period. The platform's bound is a share of it, so every grace period under 4.8 s was wrong.

Change: a seventh of the grace period, 0.5 s at least and 0.8 s at most. From 4.8 s up to 5.6 s the drain ends a little later than before, above that nothing changes.

Evidence: Environment.drainEndsInTheLastSixthOfAnyGracePeriod failed before for 3 and 4 s (2200 of 2500 ms, 3200 of 3333 ms) and passes for 3 to 60 s.

--- a/libs/settings/src/Environment.cpp
+++ b/libs/settings/src/Environment.cpp
@@ -1,5 +1,6 @@
 #include <settings/Environment.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <string_view>
@@ -11,8 +12,15 @@
 constexpr double maxGraceSeconds = 3600;
 constexpr double millisPerSecond = 1000;
 
-/** For the last answers to be written, the members to be told, and the process to exit. */
-constexpr base::Millis timeToLeave(800);
+/**
+ * For the last answers to be written, the members to be told, and the process to exit: less than
+ * the last sixth of the grace period, in which the platform expects requests to be cut off.
+ */
+base::Millis timeToLeave(base::Millis grace)
+{
+    constexpr std::int64_t shareOfGrace = 7;
+    return std::clamp(grace / shareOfGrace, base::Millis(500), base::Millis(800));
+}
 
 } // namespace
 
@@ -30,7 +38,7 @@
                      "must be a number of seconds above 0 and up to 3600, not '" + std::string(text)
                              + "'"};
     const base::Millis grace(std::llround(seconds * millisPerSecond));
-    settings.drainTimeout_ = std::max(base::Millis(0), grace - timeToLeave);
+    settings.drainTimeout_ = std::max(base::Millis(0), grace - timeToLeave(grace));
     return std::nullopt;
 }
 
--- a/libs/settings/tests/EnvironmentTest.cpp
+++ b/libs/settings/tests/EnvironmentTest.cpp
@@ -28,6 +28,18 @@
     EXPECT_EQ(settings.drainTimeout_, base::Millis(0));
 }
 
+// The platform excuses what is cut off while it runs only in the last sixth of the grace period.
+TEST(Environment, drainEndsInTheLastSixthOfAnyGracePeriod)
+{
+    for (int seconds = 3; seconds <= 60; ++seconds) {
+        Settings settings;
+        const auto text = std::to_string(seconds);
+        EXPECT_FALSE(settings::applyEnvironment(settings, withGracePeriod(text.c_str())));
+        EXPECT_GE(settings.drainTimeout_.count(), seconds * 1000 * 5 / 6) << seconds;
+        EXPECT_LE(settings.drainTimeout_.count(), seconds * 1000 - 500) << seconds;
+    }
+}
+
 TEST(Environment, settingsStayWithoutAGracePeriod)
 {
     Settings settings;
