Refuse late calls of a drain that would be cut off at its end

What callers saw: during a planned stop, calls that a running request made were accepted to the end and cut off with it (504) while their endpoint was at work, requests that may not be repeated among them.

Cause: drain::Core decided when the drain takes its steps, and not whether a request that arrives meanwhile can end before the last one. Requests of callers were limited to 2.2 s, calls were not. Attempts of other daemons had the same fault until the handover.

Change: from 2.2 s on, Core::accepts takes a call or an attempt only if its deadline is before the end, or if 98 of the last 100 requests of its class took less than what is left. Others are refused at once, unsent, as not run; so a call that has a longer way to go has not run, and an attempt can run elsewhere. E301 names each request that a draining daemon refuses; those of callers had no line before.

Tests of the decision without I/O: DrainCore.*, UsualTimes.*.

--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -7,6 +7,7 @@
 
 #include <dock/CallInfo.h>
 #include <dock/OpenRequest.h>
+#include <drain/Expectation.h>
 #include <model/Config.h>
 #include <model/Member.h>
 #include <net/HttpRequest.h>
@@ -81,8 +82,11 @@
     /** Changes to another incarnation; keys issued before become invalid. */
     void setIncarnation(once::Incarnation self);
 
-    /** Stops issuing keys, as this daemon will not be running when they are used. */
-    void drain();
+    /**
+     * Stops issuing keys, as this daemon will not be running when they are used. From now on, child
+     * calls are refused unless `accepts` returns true for them.
+     */
+    void drain(drain::AcceptFunction accepts);
 
     /** Refuses new requests except child calls of requests that still run here. */
     void refuseRootRequests();
--- a/libs/dock/include/dock/Executor.h
+++ b/libs/dock/include/dock/Executor.h
@@ -13,6 +13,7 @@
 #include <dock/Attempt.h>
 #include <dock/AttemptAnswer.h>
 #include <dock/BackendServer.h>
+#include <drain/Expectation.h>
 #include <model/Config.h>
 #include <once/Incarnation.h>
 
@@ -81,6 +82,9 @@
     /** Refuses new attempts from now on. */
     void drain();
 
+    /** While this daemon drains, attempts are refused unless `accepts` returns true for them. */
+    void acceptOnly(drain::AcceptFunction accepts);
+
     /** Refuses the attempts that wait for the backend server, as not run. */
     void returnQueue();
 
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -234,7 +234,11 @@
     drain_.emplace(drain::Schedule{settings_.drainTimeout_, settings_.drainHandover_}, drainStart_);
     events::log(events::drainBegan, openWorkText());
     dataServer_->closeAfterResponses();
-    entry_.drain();
+    const auto accepts = [this](const drain::Expectation &request) {
+        return drain_->accepts(request, base::monotonicNow());
+    };
+    entry_.drain(accepts);
+    executor_.acceptOnly(accepts);
     checkDrain();
 }
 
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -45,8 +45,8 @@
         impl_->finishUnserved(id, request, refusal(statusNotFound, "unknown-service"));
         return 0;
     }
-    if (impl_->isRefusingRoots_ && !call->isChild()) {
-        impl_->finishUnserved(id, call->request_, impl_->drainingRefusal());
+    if (!impl_->mayAccept(*call)) {
+        impl_->refuseAsDraining(id, *call);
         return 0;
     }
     open.call_ = withoutContent(*call);
@@ -119,9 +119,10 @@
                          base::randomSecret());
 }
 
-void Entry::drain()
+void Entry::drain(drain::AcceptFunction accepts)
 {
     impl_->isDraining_ = true;
+    impl_->accepts_ = std::move(accepts);
 }
 
 void Entry::refuseRootRequests()
--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -140,6 +140,11 @@
     impl_->applyBackend(impl_->backend_);
 }
 
+void Executor::acceptOnly(drain::AcceptFunction accepts)
+{
+    impl_->accepts_ = std::move(accepts);
+}
+
 void Executor::returnQueue()
 {
     impl_->returnQueue();
--- a/libs/dock/src/details/EntryImpl.cpp
+++ b/libs/dock/src/details/EntryImpl.cpp
@@ -130,6 +130,23 @@
            || (!interface_.hasRoutes() && once::isIssuedFor(call.idempotencyKey_, call.service_));
 }
 
+/** Whether the drain, if there is one, still allows the request. */
+bool Entry::Impl::mayAccept(const CallInfo &call) const
+{
+    if (!call.isChild())
+        return !isRefusingRoots_;
+    return !accepts_
+           || accepts_({.timeLeft_ = call.deadline_ - call.receivedAt_,
+                        .usualTime_ = usualTimes_.of(call.class_.name_)});
+}
+
+void Entry::Impl::refuseAsDraining(EntryId id, const CallInfo &call)
+{
+    failureLog_.record(call, once::NotRun{once::Reason::Draining, retryAfterClosed}, {},
+                       base::monotonicNow());
+    finishUnserved(id, call.request_, drainingRefusal());
+}
+
 void Entry::Impl::startKeyed(EntryId id, CallInfo call, RequestSource source)
 {
     // An issued key identifies the same request in all running calls, so its home handles it.
@@ -230,9 +247,12 @@
     if (found == openRequests_.end())
         return;
     const auto &call = found->second.call_;
-    recorder_.recordFinished(call, outcome, report, base::monotonicNow());
-    failureLog_.record(call, outcome, report, base::monotonicNow());
-    const auto answered = selector_.withRetryAfter(call, outcome, base::monotonicNow());
+    const auto now = base::monotonicNow();
+    if (!std::holds_alternative<once::NotRun>(outcome))
+        usualTimes_.record(call.class_.name_, now - call.receivedAt_);
+    recorder_.recordFinished(call, outcome, report, now);
+    failureLog_.record(call, outcome, report, now);
+    const auto answered = selector_.withRetryAfter(call, outcome, now);
     finish(id, callerAnswer(answered, answerFormat_,
                             needsKey(call) ? issueNextKey(call) : std::string()));
 }
--- a/libs/dock/src/details/EntryImpl.h
+++ b/libs/dock/src/details/EntryImpl.h
@@ -14,6 +14,7 @@
 #include <dock/InstanceSelector.h>
 #include <dock/KeyedCalls.h>
 #include <dock/Recorder.h>
+#include <drain/UsualTimes.h>
 #include <net/HttpClient.h>
 #include <once/Home.h>
 #include <retry/Core.h>
@@ -71,6 +72,8 @@
     net::HttpResponse drainingRefusal() const;
     bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
     bool needsKey(const CallInfo &call) const;
+    bool mayAccept(const CallInfo &call) const;
+    void refuseAsDraining(EntryId id, const CallInfo &call);
     const model::Member *findMember(const std::string &id) const;
     std::string issueNextKey(const CallInfo &call);
     void startIdempotent(EntryId id, CallInfo call);
@@ -112,6 +115,8 @@
     std::uint64_t nextUnnamedCall_ = 1;
     details::FailureLog failureLog_;
     details::RedelegationLog redelegationLog_;
+    drain::UsualTimes usualTimes_;
+    drain::AcceptFunction accepts_; ///< set while draining
     bool isDraining_ = false;
     bool isRefusingRoots_ = false;
     bool isClosed_ = false;
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -110,6 +110,10 @@
         const bool isLeaving = isDraining_ || backend_.serving_ == model::ServingState::Draining;
         return NotRun{isLeaving ? Reason::Draining : Reason::NoInstance, {}};
     }
+    const bool canEnd =
+            !accepts_ || accepts_({attempt.timeLeft_, usualTimes_.of(attempt.requestClass_)});
+    if (!canEnd)
+        return NotRun{Reason::Draining, {}};
     const bool isOverBudget =
             arrivalBudget_ && attempt.repeat_ != RepeatKind::First
             && !arrivalBudget_->spend(attempt.repeat_, attempt.priority_, base::monotonicNow());
@@ -276,6 +280,7 @@
     const auto subKey = run.attempt_.subKey_;
     const auto waiter = run.waiter_;
     const auto serviceTime = now - run.startedAt_;
+    usualTimes_.record(run.attempt_.requestClass_, now - run.arrivedAt_);
     removeRun(id);
     if (!isBaseline())
         perform(admission_.handle(admission::Finished{id, admissionOutcome, serviceTime}, now));
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -10,6 +10,7 @@
 #include <admission/DownstreamLevels.h>
 #include <dock/CallInterface.h>
 #include <dock/Executor.h>
+#include <drain/UsualTimes.h>
 #include <net/HttpClient.h>
 #include <net/Reactor.h>
 #include <once/Executor.h>
@@ -116,6 +117,8 @@
     BackendServer backend_;
     base::Millis lastAnnounced_;
     std::map<std::string, model::Customer> customers_;
+    drain::UsualTimes usualTimes_;
+    drain::AcceptFunction accepts_; ///< set while draining
     bool isDraining_ = false;
 
     std::unordered_map<RunId, Run> runs_;
--- a/libs/drain/include/drain/Core.h
+++ b/libs/drain/include/drain/Core.h
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include <base/Millis.h>
+#include <drain/Expectation.h>
 #include <drain/OpenWork.h>
 #include <drain/Schedule.h>
 #include <drain/Step.h>
@@ -26,6 +27,12 @@
     /** The steps that are due; each step is returned once. To be called every 100 ms or sooner. */
     std::vector<Step> advance(const OpenWork &work, base::Millis now);
 
+    /**
+     * Whether to accept a request that arrives now, if its kind is still served: one that would
+     * probably be open at the end of the drain is refused, so that it runs elsewhere or not at all.
+     */
+    bool accepts(const Expectation &request, base::Millis now) const;
+
 private:
     bool isHandoverDue(const OpenWork &work, base::Millis elapsed) const;
     bool isDone(const OpenWork &work, base::Millis elapsed) const;
--- a/libs/drain/src/Core.cpp
+++ b/libs/drain/src/Core.cpp
@@ -34,6 +34,15 @@
     return elapsed >= schedule_.handover_ || (elapsed >= minDrainTime && work.callerRequests_ == 0);
 }
 
+bool Core::accepts(const Expectation &request, base::Millis now) const
+{
+    // Until callers can have noticed the drain, they have nowhere else to go.
+    if (now - startedAt_ < minDrainTime)
+        return true;
+    const auto left = startedAt_ + schedule_.timeout_ - finalWriteTime - now;
+    return request.timeLeft_ <= left || (request.usualTime_ && *request.usualTime_ <= left);
+}
+
 bool Core::isDone(const OpenWork &work, base::Millis elapsed) const
 {
     return elapsed >= minDrainTime && hasHandedOver_ && work == OpenWork();
--- a/libs/drain/tests/CoreTest.cpp
+++ b/libs/drain/tests/CoreTest.cpp
@@ -105,6 +105,33 @@
     EXPECT_EQ(times.at(Step::AnswerRest), Millis(2200));
 }
 
+TEST(DrainCore, acceptsAllRequestsUntilCallersHaveNoticed)
+{
+    const Core core(schedule, start);
+    EXPECT_TRUE(core.accepts({.timeLeft_ = Millis(60'000)}, start + Millis(2100)));
+}
+
+TEST(DrainCore, acceptsRequestsWhoseDeadlineIsBeforeItsEnd)
+{
+    const Core core(schedule, start);
+    EXPECT_TRUE(core.accepts({.timeLeft_ = Millis(2000)}, start + Millis(7000)));
+    EXPECT_FALSE(core.accepts({.timeLeft_ = Millis(2000)}, start + Millis(7001)));
+}
+
+TEST(DrainCore, acceptsRequestsThatUsuallyEndInTime)
+{
+    const Core core(schedule, start);
+    const drain::Expectation request{.timeLeft_ = Millis(10'000), .usualTime_ = Millis(1000)};
+    EXPECT_TRUE(core.accepts(request, start + Millis(8000)));
+    EXPECT_FALSE(core.accepts(request, start + Millis(8001)));
+}
+
+TEST(DrainCore, refusesLateRequestsOfWhichNothingIsKnown)
+{
+    const Core core(schedule, start);
+    EXPECT_FALSE(core.accepts({.timeLeft_ = Millis(10'000)}, start + Millis(2200)));
+}
+
 // Work comes and goes, and the process is paused, at random.
 RC_GTEST_PROP(DrainCore, leavesNothingOpenThatIsNotAnswered, ())
 {
