Read the platform's log by one daemon of each data centre, every 0.8 s

Two readers stood in for each other while a lost reader could not be noticed. Evidence now does that for any number of lost readers, so one is enough; and a wait of 0.8 s still keeps the evidence of the others under 1.1 s, as a daemon whose answer was old asks again after 0.2 s. The bound of 1.6 s until a daemon reads for itself stays.

--- a/libs/follow/include/follow/Options.h
+++ b/libs/follow/include/follow/Options.h
@@ -10,17 +10,17 @@
 /** When a Core reads a topic, and for how long it relies on the reads of others. */
 struct Options
 {
-    std::size_t minReaders_ = 2;        ///< of a data centre; the others rely on them
+    std::size_t minReaders_ = 1;        ///< of a data centre; the others rely on them
     std::size_t membersPerReader_ = 32; ///< larger data centres have one reader for so many members
 
     /**
      * Wait of one read for new records. Each answer confirms the revision in force, so this is
      * also how old the evidence of a reader becomes.
      */
-    base::Millis readWait_ = base::Millis(600);
+    base::Millis readWait_ = base::Millis(800);
 
     /** Age of the evidence from which on a daemon asks another one for newer evidence. */
-    base::Millis askAge_ = base::Millis(700);
+    base::Millis askAge_ = base::Millis(800);
     base::Millis minAskInterval_ = base::Millis(200);
     base::Millis standInAskInterval_ = base::Millis(1000); ///< of a daemon that reads meanwhile
 
--- a/libs/follow/src/ReadDuty.cpp
+++ b/libs/follow/src/ReadDuty.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /** Daemons that are asked besides the readers: those that stand in for them first. */
-constexpr std::size_t askedStandIns = 2;
+constexpr std::size_t askedStandIns = 3;
 
 } // namespace
 
