Follow the linter in the tests of followers

clang-tidy named two using declarations that nothing uses, and a function of GoogleTest's naming; an output operator does the same.

--- a/libs/follow/tests/CoreTest.cpp
+++ b/libs/follow/tests/CoreTest.cpp
@@ -15,7 +15,6 @@
 using follow::ReadEnded;
 using follow::ReadFrom;
 using follow::ReadNewest;
-using follow::RevisionInForce;
 using follow::Started;
 using follow::TimerExpired;
 using follow::WakeAt;
--- a/libs/follow/tests/LostReadersTest.cpp
+++ b/libs/follow/tests/LostReadersTest.cpp
@@ -22,9 +22,9 @@
     std::size_t daemons_; ///< in each data centre
 };
 
-void PrintTo(const Size &size, std::ostream *stream)
+std::ostream &operator<<(std::ostream &stream, const Size &size)
 {
-    *stream << size.dataCentres_ << " data centres of " << size.daemons_;
+    return stream << size.dataCentres_ << " data centres of " << size.daemons_;
 }
 
 class LostReaders : public ::testing::TestWithParam<Size>
--- a/libs/follow/tests/ReadDutyTest.cpp
+++ b/libs/follow/tests/ReadDutyTest.cpp
@@ -7,7 +7,6 @@
 using follow::Confirmation;
 using follow::FetchConfig;
 using follow::Inquire;
-using follow::InquiryEnded;
 using follow::ReadDuty;
 
 namespace {
