--- a/libs/follow/tests/LostReadersTest.cpp
+++ b/libs/follow/tests/LostReadersTest.cpp
@@ -133,8 +133,11 @@
     auto system = start(5);
     system.runFor(settleTime);
     system.resetReads();
-    system.runFor(Millis(30'000));
+    constexpr Millis calm(30'000);
+    system.runFor(calm);
     EXPECT_EQ(standIns(system), 0U);
+    EXPECT_LE(system.reads(system.daemon(0, 0)),
+              calm.count() / follow::Options().readWait_.count() + 1);
 }
 
 // The evidence of a paused daemon is as old as it was, not as old as its last answer.
