Decode customers with keys and allowances, public routes and downloads

Cause: a configuration of the platform may hold customers with access keys, a rank and an allowance, public routes, and routes of the kind 'download', which may be repeated. None of it was read.

Change: model::Customer holds digests of keys, a rank and an allowance; a class may be public; downloads are idempotent. Settings state how strictly keys and allowances are enforced. The log client knows an append on the condition that a partition ends at an offset. Nothing acts on these yet, except that downloads may be repeated.

--- a/libs/logclient/include/logclient/KeyedLog.h
+++ b/libs/logclient/include/logclient/KeyedLog.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include <base/Millis.h>
+#include <logclient/ConditionalAppend.h>
 #include <logclient/KeyedPage.h>
 #include <logclient/ReadResult.h>
 
@@ -12,6 +13,7 @@
 
 using KeyedDone = std::function<void(KeyedResult)>;
 using PutDone = std::function<void(AppendResult)>;
+using ConditionalDone = std::function<void(ConditionalResult)>;
 
 /**
  * A log with compacted topics, which retain the newest record of each key indefinitely.
@@ -34,6 +36,9 @@
     /** Writes the newest record of a key; an empty value deletes the key. */
     virtual void put(const std::string &topic, const std::string &key, const std::string &value,
                      PutDone done) = 0;
+
+    /** One append on the condition that a partition of an ordinary topic ends at an offset. */
+    virtual void appendAt(const ConditionalAppend &append, ConditionalDone done) = 0;
 };
 
 } // namespace logclient
--- a/libs/model/include/model/RequestClass.h
+++ b/libs/model/include/model/RequestClass.h
@@ -16,6 +16,7 @@
     int rank_ = 0;           ///< 0 is the highest priority; lowestRank is shed first
     bool idempotent_ = true; ///< false: runs at most once and requires an issued key
     base::Millis deadline_ = base::Millis(1000); ///< default for requests without a deadline
+    bool isPublic_ = false; ///< needs no access key, even if the configuration has customers' keys
 
     static constexpr int lowestRank = 9;
 
--- a/libs/model/src/Config.cpp
+++ b/libs/model/src/Config.cpp
@@ -58,4 +58,24 @@
     return nullptr;
 }
 
+void Config::addCustomer(Customer customer)
+{
+    requiresKeys_ = requiresKeys_ || !customer.keys_.empty();
+    std::erase_if(customerByKey_,
+                  [&](const auto &entry) { return entry.second == customer.name_; });
+    for (const auto &key : customer.keys_)
+        customerByKey_.try_emplace(key, customer.name_);
+    auto name = customer.name_;
+    customers_.insert_or_assign(std::move(name), std::move(customer));
+}
+
+const Customer *Config::customerOf(const KeyDigest &key) const
+{
+    const auto found = customerByKey_.find(key);
+    if (found == customerByKey_.end())
+        return nullptr;
+    const auto customer = customers_.find(found->second);
+    return customer != customers_.end() ? &customer->second : nullptr;
+}
+
 } // namespace model
--- a/libs/model/tests/ConfigTest.cpp
+++ b/libs/model/tests/ConfigTest.cpp
@@ -85,3 +85,15 @@
     EXPECT_EQ((model::Route{.services_ = {{"wallet", 0}, {"catalog", 1}}}.selectService(0)),
               "catalog");
 }
+
+TEST(Config, aKeyStaysWithTheCustomerThatHoldsIt)
+{
+    model::Config config;
+    const auto key = model::KeyDigest::of("k");
+    config.addCustomer({.name_ = "first", .keys_ = {key}});
+    config.addCustomer({.name_ = "second", .keys_ = {key}});
+    EXPECT_TRUE(config.requiresKeys_);
+    EXPECT_EQ(config.customerOf(key)->name_, "first");
+    config.addCustomer({.name_ = "first"});
+    EXPECT_EQ(config.customerOf(key), nullptr);
+}
--- a/libs/note/src/State.cpp
+++ b/libs/note/src/State.cpp
@@ -158,7 +158,7 @@
     const auto add = base::Overloaded{
             [&](const model::Service &v) { config.services_.emplace(v.name_, v); },
             [&](const model::RequestClass &v) { config.classes_.emplace(v.name_, v); },
-            [&](const model::Customer &v) { config.customers_.emplace(v.name_, v); },
+            [&](const model::Customer &v) { config.addCustomer(v); },
             [&](const RetryRule &v) {
                 config.retryTolerances_.emplace(v.tolerance_.requestClass_, v.tolerance_);
             },
--- a/libs/once/include/once/Reason.h
+++ b/libs/once/include/once/Reason.h
@@ -31,6 +31,9 @@
     TooManyWaiting,      ///< too many callers wait for the same answer
     CustomerLimit,       ///< the customer is at its concurrency limit
     RepeatLimit,         ///< the service is at its limit of repeats
+    AllowanceSpent,      ///< the customer has used its allowance
+    AllowanceUnknown,    ///< no daemon that allots the customer's allowance answered
+    Unconfirmed,         ///< the configuration was not confirmed recently enough
 };
 
 /** Stable text of a reason for headers and logs, such as "no-instance". */
--- a/libs/once/src/Reason.cpp
+++ b/libs/once/src/Reason.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 24> reasonTexts = {
+constexpr std::array<std::string_view, 27> reasonTexts = {
         "none",
         "bad-key",
         "no-instance",
@@ -32,8 +32,11 @@
         "too-many-waiting",
         "customer-limit",
         "repeat-limit",
+        "allowance-spent",
+        "allowance-unknown",
+        "unconfirmed",
 };
-static_assert(reasonTexts.size() == static_cast<std::size_t>(Reason::RepeatLimit) + 1);
+static_assert(reasonTexts.size() == static_cast<std::size_t>(Reason::Unconfirmed) + 1);
 
 } // namespace
 
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -7,6 +7,7 @@
 
 #include <base/Millis.h>
 #include <model/Address.h>
+#include <settings/CustomerSettings.h>
 #include <settings/PlatformSettings.h>
 
 namespace settings {
@@ -30,6 +31,7 @@
     model::Address logAddress_;
     std::optional<model::Address> metricsAddress_; ///< serves metrics without a token
     std::optional<PlatformSettings> platform_;     ///< replaces log and administration API
+    CustomerSettings customers_;
     std::vector<model::Address> seeds_;
     std::string adminToken_;
     std::string clusterSecret_;
--- a/libs/settings/src/Loader.cpp
+++ b/libs/settings/src/Loader.cpp
@@ -25,6 +25,9 @@
 };
 
 constexpr std::size_t maxNameLength = 64;
+constexpr std::int64_t maxWindowMs = 3'600'000;
+constexpr std::int64_t maxWindowSeconds = 3600;
+constexpr double maxAmount = 1e6;
 constexpr std::uint64_t bytesPerMebibyte = 1024 * 1024;
 
 Problem readString(const YAML::Node &node, std::string &target)
@@ -99,6 +102,16 @@
     return {};
 }
 
+Problem readSeconds(const YAML::Node &node, std::int64_t maximum, base::Millis &target)
+{
+    constexpr std::int64_t millisPerSecond = 1000;
+    std::int64_t value = 0;
+    if (auto problem = readNumber<std::int64_t>(node, 1, maximum, value))
+        return *problem + " (seconds)";
+    target = base::Millis(value * millisPerSecond);
+    return {};
+}
+
 Problem readMebibytes(const YAML::Node &node, std::size_t maximum, std::size_t &target)
 {
     std::size_t value = 0;
@@ -117,6 +130,16 @@
     return {};
 }
 
+Problem readAmount(const YAML::Node &node, double &target)
+{
+    double value = 0;
+    if (!node.IsScalar() || !YAML::convert<double>::decode(node, value) || value < 0
+        || value > maxAmount)
+        return "must be a number from 0 to 1000000";
+    target = value;
+    return {};
+}
+
 Problem readMode(const YAML::Node &node, Mode &target)
 {
     const std::string text = node.IsScalar() ? node.Scalar() : "";
@@ -235,6 +258,26 @@
               [](const Node &n, Settings &s) {
                   return readRatio(n, ensurePlatform(s).retryBudgetRatio_);
               }}},
+            {"revocationMs",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readMillis(n, 0, maxWindowMs, s.customers_.revocationTime_);
+              }}},
+            {"allowanceWindowSeconds",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readSeconds(n, maxWindowSeconds, s.customers_.allowanceWindow_);
+              }}},
+            {"allowanceOverrun",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readRatio(n, s.customers_.allowanceOverrun_);
+              }}},
+            {"allowanceSlack",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readAmount(n, s.customers_.allowanceSlack_);
+              }}},
             {"seeds",
              {false,
               [](const Node &n, Settings &s) {
--- a/libs/settings/tests/LoaderTest.cpp
+++ b/libs/settings/tests/LoaderTest.cpp
@@ -111,3 +111,19 @@
               (std::vector<std::string>{
                       "daemon.yaml:12: 'retryBudgetRatio' must be a number from 0 to 1"}));
 }
+
+TEST(Settings, readsHowStrictlyKeysAndAllowancesAreEnforced)
+{
+    const auto result = settings::parse(standaloneYaml
+                                                + "revocationMs: 5000\n"
+                                                  "allowanceWindowSeconds: 5\n"
+                                                  "allowanceOverrun: 0.1\n"
+                                                  "allowanceSlack: 20\n",
+                                        "f");
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->customers_,
+              (settings::CustomerSettings{base::Millis(5000), base::Millis(5000), 0.1, 20}));
+    EXPECT_FALSE(settings::parse(standaloneYaml + "allowanceWindowSeconds: 0\n", "f"));
+    EXPECT_FALSE(settings::parse(standaloneYaml + "allowanceOverrun: 2\n", "f"));
+    EXPECT_FALSE(settings::parse(standaloneYaml + "allowanceSlack: -1\n", "f"));
+}
