Let release notes give customers keys, a rank and an allowance

Cause: only the users' platform could say which keys a customer holds, how it ranks, what it may use and which routes are public.

Change: customers of a release note hold digests of keys, a rank, a rate and a burst; classes may be public. A key in plain is a fault that does not repeat the text. A note is rejected at every daemon if it gives a customer another customer's key, or leaves no customer with a key, which would open all classes. New fields are encoded only if set, so that digests of earlier states stay. `key digest` and `key new` make digests. The administration API shows the first 12 digits of a digest.

--- a/libs/admin/src/Views.cpp
+++ b/libs/admin/src/Views.cpp
@@ -16,6 +16,36 @@
     return names.at(static_cast<std::size_t>(state));
 }
 
+json classView(const model::RequestClass &c)
+{
+    json view{{"name", c.name_},
+              {"service", c.service_},
+              {"method", c.method_},
+              {"path", c.pathPrefix_},
+              {"rank", c.rank_},
+              {"idempotent", c.idempotent_},
+              {"deadlineMs", c.deadline_.count()}};
+    if (c.isPublic_)
+        view["public"] = true;
+    return view;
+}
+
+/** Of each key only the beginning of its digest, which tells the keys of a customer apart. */
+json customerView(const model::Customer &c)
+{
+    constexpr std::size_t digitsShown = 12;
+    json view{{"name", c.name_}, {"share", c.share_}, {"limit", c.maxConcurrent_}};
+    if (c.rank_)
+        view["rank"] = *c.rank_;
+    for (const auto &key : c.keys_)
+        view["keys"].push_back(key.text().substr(0, digitsShown));
+    if (c.allowance_) {
+        view["rate"] = c.allowance_->ratePerSecond_;
+        view["burst"] = c.allowance_->burst_;
+    }
+    return view;
+}
+
 json configView(const model::Config &config)
 {
     json view{{"services", json::array()},
@@ -25,16 +55,9 @@
     for (const auto &[name, service] : config.services_)
         view["services"].push_back(name);
     for (const auto &[name, c] : config.classes_)
-        view["classes"].push_back(json{{"name", name},
-                                       {"service", c.service_},
-                                       {"method", c.method_},
-                                       {"path", c.pathPrefix_},
-                                       {"rank", c.rank_},
-                                       {"idempotent", c.idempotent_},
-                                       {"deadlineMs", c.deadline_.count()}});
+        view["classes"].push_back(classView(c));
     for (const auto &[name, c] : config.customers_)
-        view["customers"].push_back(
-                json{{"name", name}, {"share", c.share_}, {"limit", c.maxConcurrent_}});
+        view["customers"].push_back(customerView(c));
     for (const auto &[name, r] : config.retryTolerances_)
         view["retries"].push_back(
                 json{{"class", name}, {"budget", r.budget_}, {"ratio", r.ratio_}});
--- a/libs/cli/include/cli/Client.h
+++ b/libs/cli/include/cli/Client.h
@@ -13,10 +13,10 @@
 bool isClientCommand(std::string_view word);
 
 /**
- * Runs `note`, `status` or `settings` with their arguments (without the program's name) and returns
- * the exit code. Blocks until the command has ended.
+ * Runs a client command with its arguments (without the program's name) and returns the exit code.
+ * Blocks until the command has ended. Only commands on keys read from `in`.
  */
-int runClient(const std::vector<std::string> &arguments, const ClientHooks &hooks,
+int runClient(const std::vector<std::string> &arguments, const ClientHooks &hooks, std::istream &in,
               std::ostream &out, std::ostream &err);
 
 /** Overload for main(): takes its arguments unchanged and uses the standard streams. */
--- a/libs/cli/src/Client.cpp
+++ b/libs/cli/src/Client.cpp
@@ -27,6 +27,8 @@
             {{"note", "list"}, details::noteList},
             {{"settings", "check"}, details::settingsCheck},
             {{"status"}, details::status},
+            {{"key", "digest"}, details::keyDigest},
+            {{"key", "new"}, details::keyNew},
     };
     return all;
 }
@@ -46,7 +48,9 @@
            "  note status ID        shows the outcome of a note and where it is in force\n"
            "  note list             lists the newest notes and the revision in force\n"
            "  status                shows the state of one daemon\n"
-           "  settings check FILE   checks a daemon's settings file\n";
+           "  settings check FILE   checks a daemon's settings file\n"
+           "  key digest            reads a customer's key and prints its digest\n"
+           "  key new               prints a new key and its digest\n";
 }
 
 bool isClientCommand(std::string_view word)
@@ -56,7 +60,7 @@
                        [&](const auto &command) { return command.words_.front() == word; });
 }
 
-int runClient(const std::vector<std::string> &arguments, const ClientHooks &hooks,
+int runClient(const std::vector<std::string> &arguments, const ClientHooks &hooks, std::istream &in,
               std::ostream &out, std::ostream &err)
 {
     for (const auto &command : commands()) {
@@ -64,7 +68,7 @@
             continue;
         const auto wordCount = static_cast<std::ptrdiff_t>(command.words_.size());
         const Words rest(arguments.begin() + wordCount, arguments.end());
-        return command.run_({rest, hooks, out, err});
+        return command.run_({rest, hooks, in, out, err});
     }
     const bool isHelp = std::any_of(arguments.begin(), arguments.end(), [](const auto &argument) {
         return argument == "--help" || argument == "-h";
@@ -77,7 +81,8 @@
 
 int runClient(int argc, const char *const *argv, const ClientHooks &hooks)
 {
-    return runClient(Words(argv + std::min(argc, 1), argv + argc), hooks, std::cout, std::cerr);
+    return runClient(Words(argv + std::min(argc, 1), argv + argc), hooks, std::cin, std::cout,
+                     std::cerr);
 }
 
 } // namespace cli
--- a/libs/cli/src/details/Commands.h
+++ b/libs/cli/src/details/Commands.h
@@ -10,5 +10,7 @@
 int noteList(const Context &context);
 int status(const Context &context);
 int settingsCheck(const Context &context);
+int keyDigest(const Context &context);
+int keyNew(const Context &context);
 
 } // namespace cli::details
--- a/libs/cli/src/details/Context.h
+++ b/libs/cli/src/details/Context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <istream>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -8,11 +9,12 @@
 
 namespace cli::details {
 
-/** Arguments, hooks and output streams of a command. */
+/** Arguments, hooks and streams of a command. */
 struct Context
 {
     const std::vector<std::string> &arguments_; ///< without the name of the command
     const ClientHooks &hooks_;
+    std::istream &in_;
     std::ostream &out_;
     std::ostream &err_;
 };
--- a/libs/cli/src/details/NoteCommands.cpp
+++ b/libs/cli/src/details/NoteCommands.cpp
@@ -143,8 +143,9 @@
     const auto text = readFile(file);
     if (!text)
         return reportUsage(context, publishSpec, text.error());
-    if (const auto checked =
-                runCheck({context.arguments_, context.hooks_, context.err_, context.err_}, line);
+    if (const auto checked = runCheck(
+                {context.arguments_, context.hooks_, context.in_, context.err_, context.err_},
+                line);
         checked != Ok)
         return checked;
     const auto target = readAdminTarget(line);
--- a/libs/cli/tests/ClientTest.cpp
+++ b/libs/cli/tests/ClientTest.cpp
@@ -9,6 +9,7 @@
 
 #include <cli/Client.h>
 #include <cli/ExitCode.h>
+#include <model/KeyDigest.h>
 #include <net/HttpServer.h>
 #include <net/Reactor.h>
 
@@ -23,15 +24,16 @@
     std::string err_;
 };
 
-CommandResult run(const std::vector<std::string> &arguments)
+CommandResult run(const std::vector<std::string> &arguments, const std::string &input = "")
 {
     const cli::ClientHooks hooks{[](const std::string &file) {
         return file == "good" ? std::vector<std::string>{}
                               : std::vector<std::string>{file + ":3: id: is missing"};
     }};
+    std::istringstream in(input);
     std::ostringstream out;
     std::ostringstream err;
-    const int code = cli::runClient(arguments, hooks, out, err);
+    const int code = cli::runClient(arguments, hooks, in, out, err);
     return {code, out.str(), err.str()};
 }
 
@@ -132,6 +134,26 @@
     EXPECT_EQ(run({"settings", "check", "other"}).code_, cli::Refused);
 }
 
+TEST(Client, MakesDigestsOfKeys)
+{
+    const auto digest = model::KeyDigest::of("key-1").text() + "\n";
+    EXPECT_EQ(run({"key", "digest"}, "key-1\n").out_, digest);
+    EXPECT_EQ(run({"key", "digest"}, "key-1\r\n").out_, digest);
+    for (const auto *invalid : {"", "\n", "two words", "two\nlines", "\x01"}) {
+        const auto result = run({"key", "digest"}, invalid);
+        EXPECT_EQ(result.code_, cli::Refused) << invalid;
+        EXPECT_EQ(result.out_, "");
+    }
+    EXPECT_EQ(run({"key", "digest"}, std::string(100000, 'x')).code_, cli::Refused);
+    EXPECT_EQ(run({"key", "digest", "key-1"}, "key-1").code_, cli::WrongUsage);
+    EXPECT_EQ(run({"key", "digest", "--help"}).code_, cli::Ok);
+
+    const auto made = run({"key", "new"}).out_;
+    const auto key = made.substr(8, 48);
+    EXPECT_EQ(made, "key:    " + key + "\ndigest: " + model::KeyDigest::of(key).text() + "\n");
+    EXPECT_NE(run({"key", "new"}).out_, made);
+}
+
 TEST(Client, PublishRetriesUntilTheOutcomeIsKnown)
 {
     const auto file = writeFile("publish", validNote);
--- a/libs/note/src/Parse.cpp
+++ b/libs/note/src/Parse.cpp
@@ -127,8 +127,8 @@
 
     std::optional<ItemValue> requestClass(const Field &field)
     {
-        if (!reader_.checkMapping(field,
-                                  {"name", "service", "match", "rank", "idempotent", "deadline"}))
+        if (!reader_.checkMapping(field, {"name", "service", "match", "rank", "idempotent",
+                                          "deadline", "public"}))
             return std::nullopt;
         model::RequestClass result;
         result.name_ = reader_.text(YamlReader::child(field, "name"), true);
@@ -143,6 +143,8 @@
         result.rank_ = clamped<int>(reader_.number(YamlReader::child(field, "rank"), true, 0));
         result.idempotent_ = reader_.boolean(YamlReader::child(field, "idempotent"), true);
         readDeadline(field, result);
+        const auto isPublic = YamlReader::child(field, "public");
+        result.isPublic_ = isPublic.isPresent() && reader_.boolean(isPublic, false);
         return result;
     }
 
@@ -160,12 +162,55 @@
 
     std::optional<ItemValue> customer(const Field &field)
     {
-        if (!reader_.checkMapping(field, {"name", "share", "limit"}))
+        if (!reader_.checkMapping(field,
+                                  {"name", "share", "limit", "rank", "keys", "rate", "burst"}))
             return std::nullopt;
         const auto share = reader_.number(YamlReader::child(field, "share"), false, 1);
         const auto limit = reader_.number(YamlReader::child(field, "limit"), false, 0);
-        return model::Customer{reader_.text(YamlReader::child(field, "name"), true),
-                               clamped<std::uint32_t>(share), clamped<std::uint32_t>(limit)};
+        model::Customer result{.name_ = reader_.text(YamlReader::child(field, "name"), true),
+                               .share_ = clamped<std::uint32_t>(share),
+                               .maxConcurrent_ = clamped<std::uint32_t>(limit)};
+        if (const auto rank = YamlReader::child(field, "rank"); rank.isPresent())
+            result.rank_ = clamped<int>(reader_.number(rank, false, 0));
+        readKeys(YamlReader::child(field, "keys"), result);
+        readAllowance(field, result);
+        return result;
+    }
+
+    /** The faults don't repeat the text, which may be a key by mistake. */
+    void readKeys(const Field &list, model::Customer &customer)
+    {
+        if (list.isPresent() && list.node_.IsSequence()
+            && list.node_.size() > limits::keysPerCustomer) {
+            reader_.addFault(list,
+                             "has more than " + std::to_string(limits::keysPerCustomer) + " keys");
+            return;
+        }
+        reader_.forEach(list, [&](const Field &field) {
+            const auto digest = field.node_.IsScalar()
+                                        ? model::KeyDigest::parse(field.node_.Scalar())
+                                        : std::nullopt;
+            if (!digest)
+                reader_.addFault(field, std::string(details::digestRequirement));
+            else if (std::ranges::find(customer.keys_, *digest) != customer.keys_.end())
+                reader_.addFault(field, "is given twice");
+            else
+                customer.keys_.push_back(*digest);
+        });
+    }
+
+    void readAllowance(const Field &field, model::Customer &customer)
+    {
+        const auto rate = YamlReader::child(field, "rate");
+        const auto burst = YamlReader::child(field, "burst");
+        if (!rate.isPresent() && !burst.isPresent())
+            return;
+        if (!rate.isPresent() || !burst.isPresent()) {
+            reader_.addFault(rate.isPresent() ? rate : burst,
+                             "rate and burst must be given together");
+            return;
+        }
+        customer.allowance_ = {reader_.real(rate, 1), reader_.real(burst, 0)};
     }
 
     std::optional<ItemValue> retry(const Field &field)
--- a/libs/note/src/State.cpp
+++ b/libs/note/src/State.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+const std::vector<model::KeyDigest> noKeys;
+
 /** Whether `a` changed at a higher revision; note id and value break ties for a total order. */
 bool isLater(const Item &a, const Item &b)
 {
@@ -132,6 +134,52 @@
     return item.value_ ? std::visit(check, *item.value_) : std::nullopt;
 }
 
+/** Whether a customer of the note holds a key that another customer in the state has. */
+std::optional<std::string> sharedKeyRejectionReason(const State &state, const ReleaseNote &note)
+{
+    std::map<model::KeyDigest, std::string> newHolders;
+    for (const auto &change : note.changes_) {
+        const auto *customer =
+                change.value_ ? std::get_if<model::Customer>(&*change.value_) : nullptr;
+        for (const auto &key : customer != nullptr ? customer->keys_ : noKeys)
+            newHolders.emplace(key, customer->name_);
+    }
+    if (newHolders.empty())
+        return std::nullopt;
+    for (const auto &[key, item] : state.items_) {
+        const auto *customer = item.value_ ? std::get_if<model::Customer>(&*item.value_) : nullptr;
+        for (const auto &digest : customer != nullptr ? customer->keys_ : noKeys) {
+            const auto holder = newHolders.find(digest);
+            if (holder != newHolders.end() && holder->second != customer->name_)
+                return ItemKey{ItemKind::Customer, holder->second}.text() + " has a key that "
+                       + key.text() + " has too" + lastChangeText(state, key);
+        }
+    }
+    return std::nullopt;
+}
+
+std::size_t keyCountOf(const State &state)
+{
+    std::size_t count = 0;
+    for (const auto &[key, item] : state.items_) {
+        const auto *customer = item.value_ ? std::get_if<model::Customer>(&*item.value_) : nullptr;
+        count += customer != nullptr ? customer->keys_.size() : 0;
+    }
+    return count;
+}
+
+std::optional<std::string> keyCountRejectionReason(const State &before, const State &after)
+{
+    const auto count = keyCountOf(after);
+    if (count > limits::keys)
+        return "there would be more than " + std::to_string(limits::keys) + " keys of customers";
+    // Requests need a key while any customer has one.
+    if (count == 0 && keyCountOf(before) > 0)
+        return "no customer would have a key, and all requests would be served without one; give "
+               "one of them a new key instead";
+    return std::nullopt;
+}
+
 std::optional<std::string> sizeRejectionReason(const State &state)
 {
     static constexpr std::array<std::size_t, itemKindCount> limit{
@@ -214,6 +262,10 @@
         if (auto reason = referenceRejectionReason(newState, item))
             return reason;
     }
+    if (auto reason = sharedKeyRejectionReason(newState, note))
+        return reason;
+    if (auto reason = keyCountRejectionReason(state, newState))
+        return reason;
     return sizeRejectionReason(newState);
 }
 
--- a/libs/note/src/details/Json.cpp
+++ b/libs/note/src/details/Json.cpp
@@ -20,27 +20,43 @@
     return value.get<T>();
 }
 
+/** Fields that were added later are written only if set, which keeps the digests of old states. */
+json classToJson(const model::RequestClass &v)
+{
+    json result{{"name", v.name_},
+                {"service", v.service_},
+                {"method", v.method_},
+                {"path", v.pathPrefix_},
+                {"rank", static_cast<std::uint32_t>(v.rank_)},
+                {"idempotent", v.idempotent_},
+                {"deadlineMs", static_cast<std::uint64_t>(v.deadline_.count())}};
+    if (v.isPublic_)
+        result["public"] = true;
+    return result;
+}
+
+json customerToJson(const model::Customer &v)
+{
+    json result{{"name", v.name_}, {"share", v.share_}, {"limit", v.maxConcurrent_}};
+    if (v.rank_)
+        result["rank"] = static_cast<std::uint32_t>(*v.rank_);
+    for (const auto &key : v.keys_)
+        result["keys"].push_back(key.text());
+    if (v.allowance_) {
+        result["rate"] = v.allowance_->ratePerSecond_;
+        result["burst"] = v.allowance_->burst_;
+    }
+    return result;
+}
+
 json valueToJson(const ItemValue &value)
 {
     return std::visit(base::Overloaded{
                               [](const model::Service &v) {
                                   return json{{"name", v.name_}};
                               },
-                              [](const model::RequestClass &v) {
-                                  return json{{"name", v.name_},
-                                              {"service", v.service_},
-                                              {"method", v.method_},
-                                              {"path", v.pathPrefix_},
-                                              {"rank", static_cast<std::uint32_t>(v.rank_)},
-                                              {"idempotent", v.idempotent_},
-                                              {"deadlineMs",
-                                               static_cast<std::uint64_t>(v.deadline_.count())}};
-                              },
-                              [](const model::Customer &v) {
-                                  return json{{"name", v.name_},
-                                              {"share", v.share_},
-                                              {"limit", v.maxConcurrent_}};
-                              },
+                              [](const model::RequestClass &v) { return classToJson(v); },
+                              [](const model::Customer &v) { return customerToJson(v); },
                               [](const RetryRule &v) {
                                   return json{{"class", v.tolerance_.requestClass_},
                                               {"budget", v.tolerance_.budget_},
@@ -61,6 +77,25 @@
     result.rank_ = number<int>(value.at("rank"));
     result.idempotent_ = value.at("idempotent").get<bool>();
     result.deadline_ = base::Millis(number<std::int32_t>(value.at("deadlineMs")));
+    result.isPublic_ = value.value("public", false);
+    return result;
+}
+
+model::Customer customerFromJson(const json &value)
+{
+    model::Customer result{.name_ = value.at("name").get<std::string>(),
+                           .share_ = number<std::uint32_t>(value.at("share")),
+                           .maxConcurrent_ = number<std::uint32_t>(value.at("limit"))};
+    if (value.contains("rank"))
+        result.rank_ = number<int>(value.at("rank"));
+    for (const auto &text : value.value("keys", json::array())) {
+        const auto digest = model::KeyDigest::parse(text.get_ref<const std::string &>());
+        if (!digest)
+            throw std::out_of_range("key");
+        result.keys_.push_back(*digest);
+    }
+    if (value.contains("rate"))
+        result.allowance_ = {value.at("rate").get<double>(), value.at("burst").get<double>()};
     return result;
 }
 
@@ -72,9 +107,7 @@
     case ItemKind::RequestClass:
         return classFromJson(value);
     case ItemKind::Customer:
-        return model::Customer{value.at("name").get<std::string>(),
-                               number<std::uint32_t>(value.at("share")),
-                               number<std::uint32_t>(value.at("limit"))};
+        return customerFromJson(value);
     case ItemKind::Retry:
         break;
     }
--- a/libs/note/src/details/Json.h
+++ b/libs/note/src/details/Json.h
@@ -6,7 +6,7 @@
 
 namespace note::details {
 
-/** Canonical JSON: sorted keys, all fields present. */
+/** Canonical JSON with sorted keys. Optional fields are present only if set. */
 nlohmann::json toJson(const ReleaseNote &note);
 nlohmann::json toJson(const State &state);
 
--- a/libs/note/src/details/Values.cpp
+++ b/libs/note/src/details/Values.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t maxShare = 1'000'000;
 constexpr std::uint32_t maxConcurrentLimit = 1'000'000;
 constexpr std::uint32_t maxBudget = 100;
+constexpr double maxAllowance = 1e6;
 constexpr std::size_t maxMethodBytes = 16;
 
 constexpr std::string_view nameRequirement =
@@ -38,6 +39,12 @@
                           [](char c) { return c > ' ' && c <= '~' && c != '?' && c != '#'; });
 }
 
+bool hasDuplicates(std::vector<model::KeyDigest> keys)
+{
+    std::sort(keys.begin(), keys.end());
+    return std::adjacent_find(keys.begin(), keys.end()) != keys.end();
+}
+
 class ValueChecker
 {
 public:
@@ -50,8 +57,7 @@
         require(isMethod(v.method_), "match.method", "must be an HTTP method in capitals");
         require(isPath(v.pathPrefix_), "match.path",
                 "must start with '/', without spaces, '?' and '#'");
-        require(v.rank_ >= 0 && v.rank_ <= model::RequestClass::lowestRank, "rank",
-                "must be 0 (matters most) to 9");
+        rank(v.rank_);
         require(v.deadline_ > base::Millis(0) && v.deadline_ <= maxDeadline, "deadline",
                 "must be more than 0 and at most an hour");
     }
@@ -61,6 +67,14 @@
         name("name", v.name_);
         require(v.share_ >= 1 && v.share_ <= maxShare, "share", "must be 1 to 1000000");
         require(v.maxConcurrent_ <= maxConcurrentLimit, "limit", "must be 0 (none) to 1000000");
+        rank(v.rank_.value_or(0));
+        require(v.keys_.size() <= limits::keysPerCustomer && !hasDuplicates(v.keys_), "keys",
+                "must be at most 16 different keys");
+        const auto allowance = v.allowance_.value_or(model::Allowance{1, 0});
+        require(allowance.ratePerSecond_ > 0 && allowance.ratePerSecond_ <= maxAllowance, "rate",
+                "must be more than 0 and at most 1000000 requests a second");
+        require(allowance.burst_ >= 0 && allowance.burst_ <= maxAllowance, "burst",
+                "must be 0 to 1000000 requests");
     }
 
     void operator()(const RetryRule &v)
@@ -73,6 +87,12 @@
     std::vector<ValueFault> faults_;
 
 private:
+    void rank(int value)
+    {
+        require(value >= 0 && value <= model::RequestClass::lowestRank, "rank",
+                "must be 0 (matters most) to 9");
+    }
+
     void name(const char *field, const std::string &value)
     {
         require(isValidName(value), field, std::string(nameRequirement));
@@ -87,6 +107,11 @@
 
 using ChangesByKey = std::map<ItemKey, const Change *>;
 
+bool holdsAnyOf(const model::Customer &customer, const std::vector<model::KeyDigest> &keys)
+{
+    return std::ranges::find_first_of(customer.keys_, keys) != customer.keys_.end();
+}
+
 const Change *find(const ChangesByKey &changes, ItemKind kind, const std::string &name)
 {
     const auto it = changes.find({kind, name});
@@ -118,6 +143,20 @@
     return std::nullopt;
 }
 
+std::optional<std::string> contradiction(const ChangesByKey &changes, const model::Customer &value)
+{
+    if (value.keys_.empty())
+        return std::nullopt;
+    for (const auto &[key, change] : changes) {
+        // Of two customers with the same key, the second one is reported.
+        if (key.kind_ != ItemKind::Customer || key.name_ >= value.name_ || !change->value_)
+            continue;
+        if (holdsAnyOf(std::get<model::Customer>(*change->value_), value.keys_))
+            return "has a key that " + key.text() + " has too";
+    }
+    return std::nullopt;
+}
+
 template<typename T>
 std::optional<std::string> contradiction(const ChangesByKey &, const T &)
 {
--- a/libs/note/src/details/Values.h
+++ b/libs/note/src/details/Values.h
@@ -12,6 +12,11 @@
 
 namespace note::details {
 
+/** What a key in a release note must be, for faults. */
+constexpr std::string_view digestRequirement = "must be the digest of a key, 64 hexadecimal "
+                                               "digits: make it with `fuchsiadock key digest`, "
+                                               "and never write the key itself";
+
 /** Whether the text is valid as the name of an item or the id of a note. */
 bool isValidName(std::string_view text);
 
--- a/libs/note/tests/FoldTest.cpp
+++ b/libs/note/tests/FoldTest.cpp
@@ -204,6 +204,73 @@
     EXPECT_EQ(note::configOf(state).retryTolerances_.at("redeem").budget_, 2U);
 }
 
+model::Customer customerWithKey(const std::string &name, const std::string &key)
+{
+    return {.name_ = name, .keys_ = {model::KeyDigest::of(key)}};
+}
+
+note::ReleaseNote noteOf(const std::string &id, model::Revision base, note::Action action,
+                         const note::ItemValue &value)
+{
+    return {id, base, {{action, note::keyOf(value), value}}};
+}
+
+TEST(Fold, rejectsAKeyOfAnotherCustomerUntilItIsWithdrawn)
+{
+    using note::Action;
+    State state = note::applyNote(
+            {}, 0, noteOf("a", 0, Action::Add, customerWithKey("school-1", "key-1")));
+    ASSERT_TRUE(state.outcomes_.at("a").accepted_);
+    const auto copy = customerWithKey("school-2", "key-1");
+    state = note::applyNote(state, 1, noteOf("b", 1, Action::Add, copy));
+    EXPECT_EQ(state.outcomes_.at("b").reason_,
+              R"(customer "school-2" has a key that customer "school-1" has too (note "a", )"
+              R"(revision 1))");
+    state = note::applyNote(state, 2,
+                            noteOf("c", 1, Action::Change, customerWithKey("school-1", "key-2")));
+    state = note::applyNote(state, 3, noteOf("d", 3, Action::Add, copy));
+    EXPECT_TRUE(state.outcomes_.at("d").accepted_);
+    const auto config = note::configOf(state);
+    ASSERT_NE(config.customerOf(model::KeyDigest::of("key-1")), nullptr);
+    EXPECT_EQ(config.customerOf(model::KeyDigest::of("key-1"))->name_, "school-2");
+    EXPECT_TRUE(config.requiresKeys_);
+}
+
+/** Without any key all requests would be served, also those with the key that was withdrawn. */
+TEST(Fold, rejectsWithdrawalOfTheLastKey)
+{
+    using note::Action;
+    const note::ItemKey key{note::ItemKind::Customer, "school-1"};
+    State state = note::applyNote(
+            {}, 0, noteOf("a", 0, Action::Add, customerWithKey("school-1", "key-1")));
+    state = note::applyNote(state, 1, {"b", 1, {{Action::Withdraw, key, {}}}});
+    EXPECT_NE(state.outcomes_.at("b").reason_.find("no customer would have a key"),
+              std::string::npos);
+    EXPECT_TRUE(note::configOf(state).requiresKeys_);
+}
+
+TEST(Fold, aStateWithAllKeysFitsIntoARecord)
+{
+    State state;
+    state.revision_ = 1;
+    const auto keysPerCustomer = note::limits::keys / note::limits::customers;
+    for (std::size_t i = 0; i < note::limits::customers; ++i) {
+        std::string name = std::to_string(i);
+        name.insert(0, note::limits::nameBytes - name.size(), 'c');
+        model::Customer customer{.name_ = name, .rank_ = 9, .allowance_ = {{1234.5, 1234.5}}};
+        for (std::size_t k = 0; k < keysPerCustomer; ++k)
+            customer.keys_.push_back(model::KeyDigest::of(name + std::to_string(k)));
+        state.items_[note::keyOf(customer)] = {1, std::string(note::limits::nameBytes, 'n'),
+                                               customer};
+    }
+    const auto text = note::encodeState(state);
+    EXPECT_LT(text.size(), note::limits::recordBytes);
+    EXPECT_EQ(note::decodeState(text).value(), state);
+    const auto oneMore = noteOf("more", 1, note::Action::Add, customerWithKey("x", "y"));
+    EXPECT_NE(note::rejectionReason(state, oneMore)->find("more than 32768 keys"),
+              std::string::npos);
+}
+
 TEST(Fold, boundsMemoryAndRejectsBasesBeforeTheFloor)
 {
     State state;
--- a/libs/note/tests/ParseTest.cpp
+++ b/libs/note/tests/ParseTest.cpp
@@ -74,6 +74,18 @@
          5, "added.classes[0]", "the same note withdraws"},
         {"id: a\nbase: 0\nadded: {services: [x]}\nwithdrawn:\n  services: [x]\n", 5,
          "withdrawn.services[0]", "occurs twice, first at line 3"},
+        {"id: a\nbase: 0\nadded:\n  customers:\n  - name: x\n    keys: [secret-key]\n", 6,
+         "added.customers[0].keys[0]", "fuchsiadock key digest"},
+        {"id: a\nbase: 0\nadded:\n  customers:\n  - name: x\n    keys: secret-key\n", 6,
+         "added.customers[0].keys", "must be a list"},
+        {"id: a\nbase: 0\nadded:\n  customers:\n  - {name: x, rank: 10}\n", 5,
+         "added.customers[0].rank", "0 (matters most) to 9"},
+        {"id: a\nbase: 0\nadded:\n  customers:\n  - {name: x, rate: 2}\n", 5,
+         "added.customers[0].rate", "given together"},
+        {"id: a\nbase: 0\nadded:\n  customers:\n  - {name: x, rate: 0, burst: 1}\n", 5,
+         "added.customers[0].rate", "more than 0"},
+        {"id: a\nbase: 0\nadded:\n  customers:\n  - {name: x, rate: 1, burst: -1}\n", 5,
+         "added.customers[0].burst", "must be 0 to"},
         {"id: a\nbase: 0\nadded: [x]\n", 3, "added", "mapping"},
         {"id: a\nbase: 0\nadded: {services: x}\n", 3, "added.services", "list"},
         {"id: a\n base: [0\n", 2, "", "not YAML"},
@@ -99,6 +111,61 @@
               *parsed);
 }
 
+TEST(ParseNote, readsKeysAllowanceAndPublicClasses)
+{
+    const auto digest = model::KeyDigest::of("key-1");
+    const auto parsed = note::parseNote("id: a\nbase: 0\nadded:\n  classes:\n"
+                                        "  - {name: c, service: s, rank: 1, idempotent: true, "
+                                        "deadline: 1s, public: true}\n  customers:\n"
+                                        "  - {name: x, rank: 0, rate: 0.5, burst: 10, keys: ["
+                                                + digest.text() + "]}\n",
+                                        "f");
+    ASSERT_TRUE(parsed) << parsed.error().front().text();
+    EXPECT_TRUE(std::get<model::RequestClass>(*parsed->changes_[0].value_).isPublic_);
+    const model::Customer expected{
+            .name_ = "x", .rank_ = 0, .keys_ = {digest}, .allowance_ = {{0.5, 10}}};
+    EXPECT_EQ(std::get<model::Customer>(*parsed->changes_[1].value_), expected);
+    EXPECT_EQ(std::get<note::ReleaseNote>(note::decodeRecord(note::encodeRecord(*parsed)).value()),
+              *parsed);
+}
+
+TEST(ParseNote, rejectsTwoCustomersWithOneKeyAndKeepsTextsSecret)
+{
+    const auto digest = model::KeyDigest::of("key-1").text();
+    const auto shared =
+            note::parseNote("id: a\nbase: 0\nadded:\n  customers:\n  - {name: x, keys: [" + digest
+                                    + "]}\n  - {name: y, keys: [" + digest + ", " + digest + "]}\n",
+                            "f");
+    ASSERT_FALSE(shared);
+    ASSERT_EQ(shared.error().size(), 2U);
+    EXPECT_EQ(shared.error()[0].text(), "f:6: added.customers[1].keys[1]: is given twice");
+    EXPECT_EQ(shared.error()[1].text(),
+              "f:6: added.customers[1]: has a key that customer \"x\" has too");
+    const auto plain = note::parseNote(
+            "id: a\nbase: 0\nadded: {customers: [{name: x, keys: [my-secret, [my-secret]]}]}\n",
+            "f");
+    ASSERT_FALSE(plain);
+    for (const auto &fault : plain.error())
+        EXPECT_EQ(fault.text().find("my-secret"), std::string::npos) << fault.text();
+}
+
+/** Daemons compare digests of the encoding, so that of earlier notes must stay. */
+TEST(ParseNote, encodesItemsWithoutKeysAsBefore)
+{
+    const auto parsed =
+            note::parseNote("id: a\nbase: 0\nadded:\n  classes:\n"
+                            "  - {name: c, service: s, rank: 1, idempotent: true, deadline: 1s}\n"
+                            "  customers: [{name: x, share: 2}]\n",
+                            "f");
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(note::encodeRecord(*parsed),
+              R"({"note":{"base":0,"changes":[)"
+              R"({"action":0,"kind":1,"name":"c","value":{"deadlineMs":1000,"idempotent":true,)"
+              R"("method":"","name":"c","path":"/","rank":1,"service":"s"}},)"
+              R"({"action":0,"kind":2,"name":"x","value":{"limit":0,"name":"x","share":2}}],)"
+              R"("id":"a"},"type":"note","v":1})");
+}
+
 TEST(ParseNote, reportsFileLineAndFieldOfEachFault)
 {
     for (const auto &invalid : invalidNotes) {
--- a/libs/note/tests/RandomNotes.h
+++ b/libs/note/tests/RandomNotes.h
@@ -39,7 +39,7 @@
 
     note::ItemValue randomValue()
     {
-        switch (random_.below(4)) {
+        switch (random_.below(5)) {
         case 0:
             return model::Service{randomName("s")};
         case 1:
@@ -48,11 +48,22 @@
         case 2:
             return model::Customer{randomName("u"),
                                    1 + static_cast<std::uint32_t>(random_.below(9)), 0};
+        case 3:
+            return customerWithKey();
         default:
             return note::RetryRule{{randomName("c"), 2, 0.1}, false};
         }
     }
 
+    /** Keys are as few as names, so that customers contend for them. */
+    model::Customer customerWithKey()
+    {
+        model::Customer result{.name_ = randomName("u"), .rank_ = 2};
+        result.keys_ = {model::KeyDigest::of(randomName("k"))};
+        result.allowance_ = {static_cast<double>(1 + random_.below(9)) / 4, 2};
+        return result;
+    }
+
     note::Change randomChange()
     {
         const auto newValue = randomValue();
