Bound the metrics of customers to those that send most

Cause: each configured customer had series of its own, first come first served up to 2,000 pairs of customer and class, and what a customer was refused for was not shown.

Change: the 64 configured customers that send most have metrics of their own, the rest is summed as `other`; a customer replaced by a larger one is added to it, so that no counter decreases. Status and metrics show for each what was answered whole, sent, and not run or unknown by reason. Nothing is shown where no customers are configured.

Measured: metrics_tests and dock_tests pass.

--- a/libs/dock/src/Recorder.cpp
+++ b/libs/dock/src/Recorder.cpp
@@ -66,15 +66,17 @@
 void Recorder::recordFinished(const CallInfo &call, const once::Outcome &outcome,
                               const CallReport &report, base::Millis now)
 {
+    auto failure = failureLabel(outcome);
+    if (!failure.empty())
+        ++failures_[failure];
     registry_.record({.customer_ = call.keyCustomer_,
                       .requestClass_ = call.class_.name_,
                       .outcome_ = metricOutcome(outcome),
+                      .failure_ = std::move(failure),
                       .latency_ = now - call.receivedAt_,
                       .queueing_ = report.queueing_,
                       .attempts_ = report.attempts_},
                      now);
-    if (const auto failure = failureLabel(outcome); !failure.empty())
-        ++failures_[failure];
     if (trace_.is_open() && !call.isChild())
         writeTrace(call, now);
 }
@@ -91,7 +93,7 @@
 
 std::shared_ptr<const metrics::Snapshot> Recorder::snapshot() const
 {
-    return std::make_shared<const metrics::Snapshot>(registry_.snapshot());
+    return std::make_shared<const metrics::Snapshot>(registry_.snapshot(base::monotonicNow()));
 }
 
 } // namespace dock
--- a/libs/dock/src/StatusReport.cpp
+++ b/libs/dock/src/StatusReport.cpp
@@ -62,6 +62,18 @@
             {"buckets", distribution.buckets_}};
 }
 
+json customersView(const std::vector<metrics::CustomerUsage> &customers)
+{
+    json view = json::array();
+    for (const auto &usage : customers)
+        view.push_back({{"customer", usage.customer_},
+                        {"complete", usage.completeCount_},
+                        {"sent", usage.sentCount_},
+                        {"requestsPerSecond", usage.requestsPerSecond_},
+                        {"notComplete", usage.failures_}});
+    return view;
+}
+
 /** Rank with the lowest priority of which some requests are admitted; -1 if none are. */
 int lowestAdmittedRank(const admission::Level &level)
 {
@@ -82,7 +94,7 @@
 
 std::string StatusReport::json() const
 {
-    const nlohmann::json view = {
+    nlohmann::json view = {
             {"id", id_},
             {"dataCentre", dataCentre_},
             {"draining", isDraining_},
@@ -101,6 +113,8 @@
             {"openRequests", dataStatus_.openRequests_},
             {"notComplete", dataStatus_.failures_},
     };
+    if (dataStatus_.metrics_ != nullptr && !dataStatus_.metrics_->customers_.empty())
+        view["customers"] = customersView(dataStatus_.metrics_->customers_);
     return view.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
--- a/libs/metrics/include/metrics/LabelSet.h
+++ b/libs/metrics/include/metrics/LabelSet.h
@@ -24,6 +24,11 @@
      * beyond the limit, longer than maxNameBytes or not printable ASCII. */
     std::string_view labelFor(std::string_view name);
 
+    /** Whether the name is one of those that were configured. */
+    bool isConfigured(std::string_view name) const { return configured_.contains(name); }
+
+    bool hasConfiguredNames() const { return !configured_.empty(); }
+
     std::size_t size() const { return configured_.size() + unconfigured_.size(); }
 
     static constexpr std::size_t maxNameBytes = 64;
--- a/libs/metrics/include/metrics/Snapshot.h
+++ b/libs/metrics/include/metrics/Snapshot.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include <metrics/CustomerUsage.h>
 #include <metrics/Sample.h>
 
 namespace metrics {
@@ -62,6 +63,7 @@
 struct Snapshot
 {
     std::vector<Series> series_;
+    std::vector<CustomerUsage> customers_; ///< empty if no customers are configured
     std::vector<Value> values_;
 
     bool operator==(const Snapshot &) const = default;
--- a/libs/metrics/src/Prometheus.cpp
+++ b/libs/metrics/src/Prometheus.cpp
@@ -110,6 +110,28 @@
     }
 }
 
+void writeCustomers(Writer &writer, const Snapshot &snapshot)
+{
+    if (snapshot.customers_.empty())
+        return;
+    writer.header("customer_complete_total", "Requests answered whole.", "counter");
+    for (const auto &usage : snapshot.customers_)
+        writer.line("customer_complete_total", {{"customer", usage.customer_}},
+                    static_cast<double>(usage.completeCount_));
+    writer.header("customer_sent_total", "Requests sent to an instance.", "counter");
+    for (const auto &usage : snapshot.customers_)
+        writer.line("customer_sent_total", {{"customer", usage.customer_}},
+                    static_cast<double>(usage.sentCount_));
+    writer.header("customer_not_complete_total", "Requests not run or unknown, by reason.",
+                  "counter");
+    for (const auto &usage : snapshot.customers_) {
+        for (const auto &[reason, count] : usage.failures_)
+            writer.line("customer_not_complete_total",
+                        {{"customer", usage.customer_}, {"reason", reason}},
+                        static_cast<double>(count));
+    }
+}
+
 // The format requires all lines of one metric to be consecutive.
 void writeValues(Writer &writer, const Snapshot &snapshot)
 {
@@ -152,6 +174,7 @@
     writeHistograms(writer, snapshot, "request_queueing_seconds",
                     "Time that a request waited for a slot.", &Series::queueing_);
     writeQuantiles(writer, snapshot);
+    writeCustomers(writer, snapshot);
     writeValues(writer, snapshot);
     return writer.take();
 }
--- a/libs/metrics/src/details/Histogram.cpp
+++ b/libs/metrics/src/details/Histogram.cpp
@@ -39,6 +39,14 @@
     ++total_.buckets_[bucket - bucketBoundsMillis.begin()];
 }
 
+void Histogram::addTotals(const Histogram &other)
+{
+    total_.count_ += other.total_.count_;
+    total_.sumMillis_ += other.total_.sumMillis_;
+    for (std::size_t i = 0; i < total_.buckets_.size(); ++i)
+        total_.buckets_[i] += other.total_.buckets_[i];
+}
+
 Distribution Histogram::distribution() const
 {
     Distribution result = total_;
--- a/libs/metrics/src/details/Histogram.h
+++ b/libs/metrics/src/details/Histogram.h
@@ -19,6 +19,9 @@
 
     void add(base::Millis value, base::Millis now);
 
+    /** Adds the counts and buckets of another histogram; its quantiles are lost. */
+    void addTotals(const Histogram &other);
+
     Distribution distribution() const;
 
 private:
--- a/libs/metrics/tests/RegistryTest.cpp
+++ b/libs/metrics/tests/RegistryTest.cpp
@@ -1,6 +1,8 @@
 #include <metrics/Prometheus.h>
 #include <metrics/Registry.h>
 
+#include <algorithm>
+
 #include <base/Random.h>
 #include <gtest/gtest.h>
 #include <model/Config.h>
@@ -45,7 +47,7 @@
     }
     registry.configure(config);
     registry.record(makeSample("school"), Millis(names));
-    const auto snapshot = registry.snapshot();
+    const auto snapshot = registry.snapshot(Millis(0));
     EXPECT_LE(snapshot.series_.size(), options.maxSeries_ + 1);
     std::uint64_t counted = 0;
     for (const Series &series : snapshot.series_)
@@ -61,13 +63,131 @@
     registry.configure(config);
     for (const char *name : {"a", "b", "school", ""})
         registry.record(makeSample(name), Millis(1));
-    const auto snapshot = registry.snapshot();
+    const auto snapshot = registry.snapshot(Millis(0));
     for (const char *label : {"a", "other", "school", "none"}) {
         ASSERT_NE(findSeries(snapshot, label), nullptr) << label;
         EXPECT_EQ(findSeries(snapshot, label)->latency_.count_, 1u);
     }
 }
 
+namespace {
+
+std::string customerName(int i)
+{
+    return "customer-" + std::to_string(i);
+}
+
+model::Config configWithCustomers(int count)
+{
+    model::Config config;
+    for (int i = 0; i < count; ++i)
+        config.customers_[customerName(i)] = {.name_ = customerName(i)};
+    for (int i = 0; i < 7; ++i)
+        config.classes_["class-" + std::to_string(i)] = {};
+    return config;
+}
+
+Sample sampleOf(int customer, int i)
+{
+    const bool isRefused = i % 3 == 0;
+    return {.customer_ = customerName(customer),
+            .requestClass_ = "class-" + std::to_string(i % 7),
+            .outcome_ = isRefused ? Outcome::NotRun : Outcome::Complete,
+            .failure_ = isRefused ? "not-run/allowance-spent" : "",
+            .attempts_ = isRefused ? 0U : 1U};
+}
+
+std::uint64_t requestsOf(const CustomerUsage &usage)
+{
+    std::uint64_t sum = usage.completeCount_;
+    for (const auto &[reason, count] : usage.failures_)
+        sum += count;
+    return sum;
+}
+
+const CustomerUsage *findUsage(const Snapshot &snapshot, const std::string &customer)
+{
+    const auto found = std::ranges::find(snapshot.customers_, customer, &CustomerUsage::customer_);
+    return found == snapshot.customers_.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+/** The load: 5,000 customers that send alike, then ten of them a hundred times as much. */
+TEST(Registry, largestOfManyCustomersHaveSeriesAndNothingIsLost)
+{
+    constexpr int customers = 5000;
+    constexpr int hotCustomers = 10;
+    Registry registry;
+    registry.configure(configWithCustomers(customers));
+    int recorded = 0;
+    const auto send = [&](int customer, Millis now) {
+        registry.record(sampleOf(customer, recorded++), now);
+    };
+    for (int i = 0; i < customers; ++i)
+        send(i, Millis(i));
+    std::uint64_t otherBefore = 0;
+    for (int second = 5; second < 25; ++second) {
+        const Millis now(second * 1000);
+        for (int i = 0; i < 1000; ++i)
+            send(customers - 1 - i % hotCustomers, now);
+        for (int i = 0; i < customers / 10; ++i)
+            send(i * 10, now);
+        const auto snapshot = registry.snapshot(now);
+        ASSERT_LE(snapshot.customers_.size(), 65U);
+        ASSERT_LE(snapshot.series_.size(), 65U * 7U);
+        const auto other = requestsOf(*findUsage(snapshot, "other"));
+        ASSERT_GE(other, otherBefore);
+        otherBefore = other;
+        std::uint64_t sum = 0;
+        for (const auto &usage : snapshot.customers_)
+            sum += requestsOf(usage);
+        ASSERT_EQ(sum, static_cast<std::uint64_t>(recorded));
+        sum = 0;
+        for (const auto &series : snapshot.series_)
+            sum += series.latency_.count_;
+        ASSERT_EQ(sum, static_cast<std::uint64_t>(recorded));
+    }
+    const auto snapshot = registry.snapshot(Millis(24000));
+    for (int i = 1; i <= hotCustomers; ++i) {
+        const auto *usage = findUsage(snapshot, customerName(customers - i));
+        ASSERT_NE(usage, nullptr) << i;
+        EXPECT_GT(usage->failures_.at("not-run/allowance-spent"), 500U);
+        EXPECT_EQ(usage->sentCount_, usage->completeCount_);
+        EXPECT_GT(usage->requestsPerSecond_, 30.0);
+    }
+    constexpr std::size_t maxTextBytes = 3 * 1024 * 1024;
+    EXPECT_LT(renderPrometheus(snapshot).size(), maxTextBytes);
+}
+
+TEST(Registry, withdrawnCustomersAreAddedToOther)
+{
+    Registry registry;
+    auto config = configWithCustomers(2);
+    config.customers_["other"] = {.name_ = "other"};
+    registry.configure(config);
+    for (int i = 0; i < 6; ++i)
+        registry.record(sampleOf(i % 2, i), Millis(i));
+    registry.record(makeSample("other"), Millis(7));
+    registry.configure(configWithCustomers(1));
+    const auto snapshot = registry.snapshot(Millis(10));
+    EXPECT_EQ(findUsage(snapshot, customerName(1)), nullptr);
+    EXPECT_EQ(requestsOf(*findUsage(snapshot, "other")), 4U);
+    EXPECT_TRUE(hasLine(renderPrometheus(snapshot),
+                        "fuchsiadock_customer_not_complete_total{customer=\"customer-0\","
+                        "reason=\"not-run/allowance-spent\"} 1"));
+}
+
+/** Without customers in the configuration nothing is exported for them. */
+TEST(Registry, showsNoUsageWithoutConfiguredCustomers)
+{
+    Registry registry;
+    registry.record(makeSample("a"), Millis(1));
+    const auto snapshot = registry.snapshot(Millis(1));
+    EXPECT_TRUE(snapshot.customers_.empty());
+    EXPECT_EQ(renderPrometheus(snapshot).find("customer_complete"), std::string::npos);
+}
+
 TEST(Registry, quantilesCoverRecentRequestsOnly)
 {
     Registry registry;
@@ -78,7 +198,7 @@
         const auto latency = Millis::fromMicros(static_cast<std::int64_t>(random.below(100000)));
         registry.record(makeSample("a", latency), Millis(200000 + i));
     }
-    const auto snapshot = registry.snapshot();
+    const auto snapshot = registry.snapshot(Millis(0));
     const auto &latency = findSeries(snapshot, "a")->latency_;
     for (std::size_t i = 0; i < quantiles.size(); ++i)
         EXPECT_NEAR(latency.quantileMillis_[i], 100.0 * quantiles[i], 2.0);
@@ -91,7 +211,7 @@
     Registry registry;
     for (const int millis : {1, 3, 3, 60000})
         registry.record(makeSample("a", Millis(millis)), Millis(1));
-    const auto text = renderPrometheus(registry.snapshot());
+    const auto text = renderPrometheus(registry.snapshot(Millis(0)));
     const std::string name = "fuchsiadock_request_duration_seconds";
     const std::string labels = "{customer=\"a\",class=\"redeem\"";
     EXPECT_TRUE(hasLine(text, "# TYPE " + name + " histogram"));
@@ -114,7 +234,7 @@
     registry.configure(config);
     registry.record(makeSample(name), Millis(1));
     registry.record(makeSample("\xff\xfe"), Millis(1));
-    const auto text = renderPrometheus(registry.snapshot());
+    const auto text = renderPrometheus(registry.snapshot(Millis(0)));
     EXPECT_EQ(text.find("\nfuchsiadock_up"), std::string::npos);
     EXPECT_EQ(text.find('\xff'), std::string::npos);
 }
