--- a/libs/model/include/model/Customer.h
+++ b/libs/model/include/model/Customer.h
@@ -16,7 +16,7 @@
     std::string name_;
     std::uint32_t share_ = 1;            ///< weight relative to other customers at the same rank
     std::uint32_t maxConcurrent_ = 0;    ///< concurrent requests per instance; 0: no limit
-    std::optional<int> rank_;            ///< replaces the rank of the request class
+    std::optional<int> rank_;            ///< goes before that of the request class
     std::vector<KeyDigest> keys_;        ///< digests of its access keys
     std::optional<Allowance> allowance_; ///< over all daemons; unset: no limit
 
