Require access keys where the configuration holds customers with keys

Cause: requests without a known key ran, keys were passed on to backend servers, and a daemon out of touch served withdrawn keys without end.

Change: the entry refuses requests by identity::Core (401 unknown-key, 503 unconfirmed), removes the key and the customer that the client named, and sets the customer's name in the request itself, so that it is the same on every path. Calls inherit the customer of the request that makes them. follow::Core reports when its evidence advances, and the control task passes that on as ConfigConfirmed while keys are required. Evidence is withheld while the newest record of the log could not be applied. Daemons with old evidence ask the other daemons, of any rank and data centre, if a revocation time is set. Denials are event 306.

--- a/libs/dock/include/dock/CallInfo.h
+++ b/libs/dock/include/dock/CallInfo.h
@@ -13,6 +13,7 @@
 #include <model/RequestClass.h>
 #include <net/HttpRequest.h>
 #include <net/HttpResponse.h>
+#include <once/Outcome.h>
 #include <retry/Event.h>
 
 namespace dock {
@@ -27,8 +28,9 @@
     std::string requestId_;    ///< from the caller; empty if the interface has none
     std::string service_;
     model::RequestClass class_;
-    std::string customer_;       ///< "default" if not in the configuration
-    std::string keyCustomer_;    ///< as sent by the caller; keys are bound to it
+    std::string customer_; ///< "default" if not in the configuration
+    /** As sent by the caller, or of its access key if one is required; keys are bound to it. */
+    std::string keyCustomer_;
     std::string idempotencyKey_; ///< value of Idempotency-Key; may be empty
     admission::Priority priority_;
     base::Millis receivedAt_;
@@ -38,8 +40,9 @@
     bool isRetriedAtEachHop_ = false; ///< baseline mode: no budget for the whole call chain
     double retryRatio_ = 0;
     std::uint32_t maxRetries_ = std::numeric_limits<std::uint32_t>::max(); ///< per call
-    std::string contextToken_;       ///< of the parent call running here; may be empty
-    bool hasUnknownContext_ = false; ///< has a context token that no running call here has
+    std::optional<once::NotRun> denial_; ///< set if the caller's access key does not allow it
+    std::string contextToken_;           ///< of the parent call running here; may be empty
+    bool hasUnknownContext_ = false;     ///< has a context token that no running call here has
     retry::RepeatKind repeat_ = retry::RepeatKind::First; ///< of the next attempt
 
     /** Whether the backend server made the call for a request that still runs here. */
--- a/libs/dock/include/dock/CallInterface.h
+++ b/libs/dock/include/dock/CallInterface.h
@@ -32,7 +32,9 @@
      * call if a request with that id runs here.
      */
     std::optional<char> requestIdSeparator_;
-    std::string callerServiceField_;    ///< service of the daemon that received the call
+    std::string keyField_ = header::authorization; ///< access key, in the form "Bearer KEY"
+    std::string customerField_ = header::customer; ///< customer, for the backend server
+    std::string callerServiceField_;               ///< service of the daemon that received the call
     std::string expectedInstanceField_; ///< other instances refuse the request with status 421
     /** In answers: the request was not run. If empty, header::outcome is used instead. */
     std::string notExecutedField_;
--- a/libs/dock/include/dock/CallerAnswer.h
+++ b/libs/dock/include/dock/CallerAnswer.h
@@ -42,6 +42,7 @@
 /** The request needs an idempotency key (428, Precondition Required). */
 inline constexpr int statusKeyNeeded = 428;
 inline constexpr int statusBadRequest = 400;
+inline constexpr int statusUnauthorized = 401;
 inline constexpr int statusNotFound = 404;
 inline constexpr int statusTooManyRequests = 429;
 inline constexpr int statusUnavailable = 503;
--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -76,6 +76,9 @@
     /** Applies a configuration. */
     void configure(std::shared_ptr<const model::Config> config);
 
+    /** No newer configuration had been written by the given time on base::elapsedNow(). */
+    void confirmConfig(base::Millis confirmedAt);
+
     /** Replaces the list of members. */
     void setMembers(Members members);
 
--- a/libs/dock/include/dock/HeaderNames.h
+++ b/libs/dock/include/dock/HeaderNames.h
@@ -7,6 +7,7 @@
 // Used between callers or backend servers and a daemon.
 inline const std::string idempotencyKey = "idempotency-key";
 inline const std::string deadlineMs = "fuchsiadock-deadline-ms";
+inline const std::string authorization = "authorization";
 inline const std::string customer = "fuchsiadock-customer";
 inline const std::string context = "fuchsiadock-context";
 inline const std::string outcome = "fuchsiadock-outcome";
--- a/libs/dock/include/dock/Messages.h
+++ b/libs/dock/include/dock/Messages.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <admission/Level.h>
+#include <base/Millis.h>
 #include <dock/BackendServer.h>
 #include <metrics/Snapshot.h>
 #include <model/Config.h>
@@ -23,6 +24,15 @@
     std::shared_ptr<const model::Config> config_;
 };
 
+/**
+ * The configurations sent so far include each one that was acknowledged by the given time on
+ * base::elapsedNow(). Sent only while the configuration in force requires keys.
+ */
+struct ConfigConfirmed
+{
+    base::Millis confirmedAt_;
+};
+
 /** Replaces the list of members. */
 struct MembersUpdated
 {
@@ -53,8 +63,9 @@
 {};
 
 /** Messages from the control task to the data task. */
-using DataTaskMessage = std::variant<ConfigUpdated, MembersUpdated, IncarnationChanged, BeginDrain,
-                                     BackendAnnounced, BackendDraining>;
+using DataTaskMessage =
+        std::variant<ConfigUpdated, ConfigConfirmed, MembersUpdated, IncarnationChanged, BeginDrain,
+                     BackendAnnounced, BackendDraining>;
 
 /** The local backend server has registered, changed or left. */
 struct BackendStateChanged
--- a/libs/dock/src/CallerAnswer.cpp
+++ b/libs/dock/src/CallerAnswer.cpp
@@ -58,6 +58,8 @@
         return format.hasKeys_ ? statusKeyNeeded : statusUnavailable;
     case once::Reason::CustomerLimit:
         return statusTooManyRequests;
+    case once::Reason::UnknownKey:
+        return statusUnauthorized;
     default:
         return statusUnavailable;
     }
@@ -80,7 +82,10 @@
     net::HttpResponse response{.status_ = status, .body_ = "not run: " + text + "\n"};
     addField(response, "Fuchsiadock-Outcome", "not-run");
     addField(response, "Fuchsiadock-Reason", text);
-    addField(response, "Retry-After", retryAfterText(retryAfter, format));
+    if (status == statusUnauthorized)
+        addField(response, "WWW-Authenticate", "Bearer");
+    else
+        addField(response, "Retry-After", retryAfterText(retryAfter, format));
     if (!nextKey.empty())
         addField(response, "Fuchsiadock-Next-Key", nextKey);
     return response;
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -214,6 +214,9 @@
                         entry_.configure(change.config_);
                         executor_.configure(*change.config_);
                     },
+                    [this](const ConfigConfirmed &evidence) {
+                        entry_.confirmConfig(evidence.confirmedAt_);
+                    },
                     [this](const MembersUpdated &change) { entry_.setMembers(change.members_); },
                     [this](const IncarnationChanged &change) {
                         entry_.setIncarnation(change.self_);
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -40,9 +40,13 @@
                 refusal(statusUnavailable, "no-configuration", retryAfterUnconfigured));
         return 0;
     }
-    auto call = impl_->reader_.read(request, impl_->settings_.id_ + std::to_string(id));
+    auto call = impl_->reader_.read(request, source, impl_->settings_.id_ + std::to_string(id));
     if (!call) {
-        impl_->finishUnserved(id, request, refusal(statusNotFound, "unknown-service"));
+        impl_->refuseWithoutDestination(id, request);
+        return 0;
+    }
+    if (call->denial_) {
+        impl_->deny(id, *call);
         return 0;
     }
     if (!impl_->mayAccept(*call)) {
@@ -102,6 +106,11 @@
     impl_->reader_.configure(std::move(config));
 }
 
+void Entry::confirmConfig(base::Millis confirmedAt)
+{
+    impl_->reader_.confirm(confirmedAt);
+}
+
 void Entry::setMembers(Members members)
 {
     impl_->members_ = std::move(members);
--- a/libs/dock/src/details/EntryImpl.cpp
+++ b/libs/dock/src/details/EntryImpl.cpp
@@ -147,6 +147,26 @@
     finishUnserved(id, call.request_, drainingRefusal());
 }
 
+/** A configuration that may be outdated does not prove that the destination is missing. */
+void Entry::Impl::refuseWithoutDestination(EntryId id, const net::HttpRequest &request)
+{
+    if (reader_.isConfigCurrent()) {
+        finishUnserved(id, request, refusal(statusNotFound, "unknown-service"));
+        return;
+    }
+    const once::NotRun why{once::Reason::Unconfirmed, identity::Core::unconfirmed().retryAfter_};
+    finishUnserved(id, request, callerAnswer(why, answerFormat_));
+}
+
+/** Refuses a request because of its access key, or as the key cannot be checked. */
+void Entry::Impl::deny(EntryId id, const CallInfo &call)
+{
+    const auto now = base::monotonicNow();
+    recorder_.recordFinished(call, *call.denial_, {}, now);
+    denialLog_.record(call, reader_.evidenceAge(), now);
+    finishUnserved(id, call.request_, callerAnswer(*call.denial_, answerFormat_));
+}
+
 void Entry::Impl::startKeyed(EntryId id, CallInfo call, RequestSource source)
 {
     // An issued key identifies the same request in all running calls, so its home handles it.
--- a/libs/dock/src/details/EntryImpl.h
+++ b/libs/dock/src/details/EntryImpl.h
@@ -21,6 +21,7 @@
 #include <routing/Core.h>
 #include <settings/Settings.h>
 
+#include "details/DenialLog.h"
 #include "details/FailureLog.h"
 #include "details/RedelegationLog.h"
 #include "details/RequestKeys.h"
@@ -74,6 +75,8 @@
     bool needsKey(const CallInfo &call) const;
     bool mayAccept(const CallInfo &call) const;
     void refuseAsDraining(EntryId id, const CallInfo &call);
+    void refuseWithoutDestination(EntryId id, const net::HttpRequest &request);
+    void deny(EntryId id, const CallInfo &call);
     const model::Member *findMember(const std::string &id) const;
     std::string issueNextKey(const CallInfo &call);
     void startIdempotent(EntryId id, CallInfo call);
@@ -114,6 +117,7 @@
     EntryId nextId_ = 1;
     std::uint64_t nextUnnamedCall_ = 1;
     details::FailureLog failureLog_;
+    details::DenialLog denialLog_;
     details::RedelegationLog redelegationLog_;
     drain::UsualTimes usualTimes_;
     drain::AcceptFunction accepts_; ///< set while draining
--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <base/Clock.h>
+#include <base/Hash.h>
 #include <base/Overloaded.h>
 #include <dock/CallerAnswer.h>
 #include <events/Catalogue.h>
@@ -49,6 +50,27 @@
 constexpr std::size_t maxMessageBytes = 64 * 1024;
 constexpr int statusOk = 200;
 
+/** All other daemons, those of the own data centre first, each in an order of its own. */
+std::vector<model::Address> fallbackPeers(const std::vector<model::Member> &members,
+                                          const std::string &selfId, const std::string &dataCentre)
+{
+    std::vector<std::pair<std::uint64_t, const model::Member *>> others;
+    for (const auto &member : members) {
+        if (member.id_ != selfId)
+            others.emplace_back(base::hash64(selfId, base::hash64(member.id_)), &member);
+    }
+    const auto rank = [&dataCentre](const auto &other) {
+        return std::make_pair(other.second->dataCentre_ != dataCentre, other.first);
+    };
+    std::sort(others.begin(), others.end(),
+              [&rank](const auto &a, const auto &b) { return rank(a) < rank(b); });
+    std::vector<model::Address> addresses;
+    addresses.reserve(others.size());
+    for (const auto &[hash, member] : others)
+        addresses.push_back(member->controlAddress_);
+    return addresses;
+}
+
 } // namespace
 
 PlatformSource::PlatformSource(net::Reactor &reactor, const settings::Settings &settings,
@@ -74,7 +96,13 @@
                                            fetchConfig(fetch.from_, fetch.revision_,
                                                        RevisionOrigin::OwnDataCentre);
                                        }},
-            [this](const std::vector<logclient::KeyedRecord> &records) { onRecords(records); });
+            [this](const std::vector<logclient::KeyedRecord> &records) {
+                return applyRecords(records);
+            },
+            [this](base::Millis confirmedAt) {
+                confirmedAt_ = confirmedAt;
+                sendEvidence();
+            });
     rendezvous_ = std::make_unique<rendezvous::KeyedRendezvous>(
             reactor, *log_,
             rendezvous::KeyedOptions{
@@ -127,26 +155,38 @@
     return started;
 }
 
-void PlatformSource::onRecords(const std::vector<logclient::KeyedRecord> &records)
+/** Returns whether the newest of the configurations read so far is in force. */
+bool PlatformSource::applyRecords(const std::vector<logclient::KeyedRecord> &records)
 {
     for (const auto &record : records) {
         if (record.key_ == binding_.configKey_ && !record.value_.empty())
-            applyIfNewer(record.value_, "log", RevisionOrigin::Log);
+            isNewestValid_ = applyIfNewer(record.value_, "log", RevisionOrigin::Log);
     }
+    return isNewestValid_;
+}
+
+/** Tells the data task how recently the configuration was confirmed, if it has to know. */
+void PlatformSource::sendEvidence()
+{
+    if (requiresKeys_ && confirmedAt_)
+        hooks_.sendToDataTask_(ConfigConfirmed{*confirmedAt_});
 }
 
-/** Applies a configuration unless it is invalid or not newer than the one in force. */
-void PlatformSource::applyIfNewer(const std::string &record, const std::string &from,
+/**
+ * Applies a configuration unless it is not newer than the one in force. Returns whether the record
+ * is valid.
+ */
+bool PlatformSource::applyIfNewer(const std::string &record, const std::string &from,
                                   RevisionOrigin origin)
 {
     auto config = binding_.decodeConfig_(record);
     if (!config) {
         events::log(events::configRefused, "from=" + from + " inForce=" + std::to_string(revision_)
                                                    + " cause=\"" + config.error().message_ + "\"");
-        return;
+        return false;
     }
     if (config->revision_ <= revision_)
-        return;
+        return true;
     events::log(events::configReceived,
                 "revision=" + std::to_string(config->revision_) + " from=" + from);
     if (revision_ == 0)
@@ -154,8 +194,15 @@
     revision_ = config->revision_;
     configRecord_ = record;
     config_->setRevision(revision_);
+    const bool requiredKeys = std::exchange(requiresKeys_, config->requiresKeys_);
     hooks_.onConfig_(std::make_shared<const model::Config>(std::move(*config)));
+    if (requiresKeys_ != requiredKeys) {
+        sendEvidence();
+        if (members_ != nullptr)
+            config_->setPeers(peers());
+    }
     announceRevision(origin);
+    return true;
 }
 
 void PlatformSource::setMembers(std::shared_ptr<const std::vector<model::Member>> members)
@@ -176,6 +223,8 @@
             std::count_if(members_->begin(), members_->end(), [this](const model::Member &member) {
                 return member.dataCentre_ == settings_.dataCentre_;
             }));
+    if (requiresKeys_ && settings_.customers_.revocationTime_ > base::Millis())
+        peers.fallback_ = fallbackPeers(*members_, settings_.id_, settings_.dataCentre_);
     return peers;
 }
 
--- a/libs/dock/src/details/PlatformSource.h
+++ b/libs/dock/src/details/PlatformSource.h
@@ -72,8 +72,9 @@
 
     base::Result<void> listen(ServerSlot &slot, const model::Address &address,
                               std::function<net::HttpResponse(const net::HttpRequest &)> answer);
-    void onRecords(const std::vector<logclient::KeyedRecord> &records);
-    void applyIfNewer(const std::string &record, const std::string &from, RevisionOrigin origin);
+    bool applyRecords(const std::vector<logclient::KeyedRecord> &records);
+    void sendEvidence();
+    bool applyIfNewer(const std::string &record, const std::string &from, RevisionOrigin origin);
     void catchUp();
     void requestConfig(const model::Address &address, RevisionOrigin from,
                        std::function<void()> onFailure);
@@ -108,6 +109,9 @@
     std::shared_ptr<const std::vector<model::Member>> members_;
     std::string configRecord_; ///< encoded configuration in force, for requests of other daemons
     model::Revision revision_ = 0;
+    std::optional<base::Millis> confirmedAt_; ///< no newer revision had been written by then
+    bool requiresKeys_ = false;               ///< by the configuration in force
+    bool isNewestValid_ = true;               ///< the newest record read from the log was valid
     base::Millis firstConfigTime_; ///< time at which the first configuration came into force
     net::TimerId catchUpTimer_ = 0;
     int catchUpAttempts_ = 0;               ///< since a member has had a higher revision
--- a/libs/dock/src/details/RequestReader.cpp
+++ b/libs/dock/src/details/RequestReader.cpp
@@ -3,10 +3,13 @@
 #include <algorithm>
 
 #include <base/Clock.h>
+#include <base/Overloaded.h>
 #include <dock/AttemptCodec.h>
 #include <dock/CallInterface.h>
 #include <dock/Executor.h>
 #include <dock/HeaderNames.h>
+#include <follow/Options.h>
+#include <identity/BearerKey.h>
 #include <retry/ContextTable.h>
 #include <settings/Settings.h>
 
@@ -75,8 +78,16 @@
     return lowerCase(host.substr(0, host.find(':')));
 }
 
+/** Only the platform's log gives evidence that a configuration is the newest. */
+identity::Limits identityLimits(const settings::Settings &settings)
+{
+    if (!settings.platform_)
+        return {};
+    return identity::Limits::of(settings.customers_.revocationTime_, follow::Options().inTouchAge_);
+}
+
 /** Removes hop-by-hop fields and fields that only daemons set. */
-void removeReservedFields(net::Headers &headers, const CallInterface &interface)
+void removeReservedFields(net::Headers &headers, const CallInterface &interface, bool hasKeys)
 {
     const std::string connection(net::headerValue(headers, "connection"));
     for (auto &field : headers)
@@ -88,6 +99,7 @@
         return isHopByHop(name) || name.starts_with(header::peerPrefix)
                || name == interface.deadlineMsField_ || name == interface.contextField_
                || name == interface.callerServiceField_ || name == interface.expectedInstanceField_
+               || (hasKeys && (name == interface.keyField_ || name == interface.customerField_))
                || isConnectionOption(connection, name);
     });
 }
@@ -102,11 +114,24 @@
     , executor_(executor)
     , contexts_(contexts)
     , random_(seed)
+    , identity_(identityLimits(settings))
 {}
 
 void RequestReader::configure(std::shared_ptr<const model::Config> config)
 {
     config_ = std::move(config);
+    identity_.configure(config_);
+    ranks_ = identity::PriorityRanks(*config_);
+}
+
+bool RequestReader::isConfigCurrent() const
+{
+    return identity_.isCurrent(base::elapsedNow());
+}
+
+base::Millis RequestReader::evidenceAge() const
+{
+    return identity_.evidenceAge(base::elapsedNow());
 }
 
 std::string RequestReader::customerOf(const std::string &name) const
@@ -115,6 +140,54 @@
     return config_->customers_.contains(name) ? name : defaultCustomer;
 }
 
+/** Sets the customer; if access keys are required, by the key or the call that it belongs to. */
+void RequestReader::identifyCustomer(CallInfo &call, const net::Headers &headers,
+                                     RequestSource source, const retry::RunningCall *parent) const
+{
+    // A daemon that forwards a request has checked the key, and names the customer.
+    if (!identity_.isActive() || source == RequestSource::Daemon) {
+        call.keyCustomer_ = net::headerValue(headers, header::customer).substr(0, maxCustomerBytes);
+        call.customer_ = customerOf(call.keyCustomer_);
+        return;
+    }
+    const identity::Request request{
+            .key_ = identity::bearerKey(net::headerValue(headers, interface_.keyField_)),
+            .isPublic_ = call.class_.isPublic_,
+            .isChild_ = parent != nullptr};
+    applyDecision(call, identity_.decide(request, base::elapsedNow()));
+    if (parent != nullptr && call.keyCustomer_.empty() && parent->customer_ != defaultCustomer)
+        call.keyCustomer_ = parent->customer_;
+    call.customer_ = call.keyCustomer_.empty() ? defaultCustomer : call.keyCustomer_;
+}
+
+void RequestReader::applyDecision(CallInfo &call, const identity::Decision &decision) const
+{
+    std::visit(base::Overloaded{
+                       [&call](const identity::Admitted &admitted) {
+                           if (admitted.customer_ != nullptr)
+                               call.keyCustomer_ = admitted.customer_->name_;
+                       },
+                       [&call](const identity::Unauthorized &) {
+                           call.denial_ = once::NotRun{once::Reason::UnknownKey, {}};
+                       },
+                       [&call](const identity::Unconfirmed &unconfirmed) {
+                           call.denial_ =
+                                   once::NotRun{once::Reason::Unconfirmed, unconfirmed.retryAfter_};
+                       },
+               },
+               decision);
+}
+
+/** Rank of a root request: by its customer, if customers have ranks, and its class. */
+int RequestReader::rankOf(const CallInfo &call) const
+{
+    if (!ranks_.dependOnCustomers())
+        return call.class_.rank_;
+    const auto customer = config_->customers_.find(call.customer_);
+    const bool isKnown = customer != config_->customers_.end();
+    return ranks_.rankOf(isKnown ? &customer->second : nullptr, call.class_.rank_);
+}
+
 std::optional<RequestReader::Destination>
 RequestReader::destinationOf(const net::HttpRequest &request)
 {
@@ -154,7 +227,8 @@
                                                : executor_.contextOf(id.substr(0, separator));
 }
 
-std::optional<CallInfo> RequestReader::read(net::HttpRequest &request, std::string fallbackId)
+std::optional<CallInfo> RequestReader::read(net::HttpRequest &request, RequestSource source,
+                                            std::string fallbackId)
 {
     auto found = destinationOf(request);
     if (!found)
@@ -167,11 +241,11 @@
     call.class_ = std::move(destination.class_);
     call.requestId_ = net::headerValue(headers, interface_.requestIdField_);
     call.idempotencyKey_ = net::headerValue(headers, header::idempotencyKey);
-    call.keyCustomer_ = net::headerValue(headers, header::customer).substr(0, maxCustomerBytes);
-    call.customer_ = customerOf(call.keyCustomer_);
     call.deadline_ = deadlineOf(call, net::headerValue(headers, interface_.deadlineMsField_));
     const auto token = contextTokenOf(headers);
-    if (const auto *parent = contexts_.find(token); parent != nullptr) {
+    const auto *parent = contexts_.find(token);
+    identifyCustomer(call, headers, source, parent);
+    if (parent != nullptr) {
         call.contextToken_ = token;
         inheritFrom(call, *parent);
     } else {
@@ -180,20 +254,29 @@
             fallbackId = call.requestId_;
         else if (!call.idempotencyKey_.empty())
             fallbackId = call.idempotencyKey_;
-        call.priority_ = admission::Priority::ofRoot(call.class_.rank_, fallbackId);
+        call.priority_ = admission::Priority::ofRoot(rankOf(call), fallbackId);
     }
     if (interface_.hasRoutes())
         applyRouteRetryLimits(call, destination.maxAttempts_);
     else
         applyRetryTolerance(call);
     request.target_ = std::move(destination.target_);
-    removeReservedFields(request.headers_, interface_);
-    if (!interface_.callerServiceField_.empty())
-        request.headers_.push_back({interface_.callerServiceField_, settings_.platform_->service_});
     call.request_ = std::move(request);
+    replaceReservedFields(call);
     return call;
 }
 
+/** The customer field goes with the request, so that it is the same on every path. */
+void RequestReader::replaceReservedFields(CallInfo &call) const
+{
+    auto &headers = call.request_.headers_;
+    removeReservedFields(headers, interface_, identity_.isActive());
+    if (identity_.isActive() && !call.keyCustomer_.empty())
+        headers.push_back({interface_.customerField_, call.keyCustomer_});
+    if (!interface_.callerServiceField_.empty())
+        headers.push_back({interface_.callerServiceField_, settings_.platform_->service_});
+}
+
 bool RequestReader::mustRunOnce(const CallInfo &call) const
 {
     const auto &request = call.request_;
@@ -206,7 +289,8 @@
 
 void RequestReader::inheritFrom(CallInfo &call, const retry::RunningCall &parent) const
 {
-    call.customer_ = parent.customer_;
+    if (!identity_.isActive())
+        call.customer_ = parent.customer_;
     call.priority_ = admission::Priority::unpack(static_cast<int>(parent.priority_)).forChild();
     call.deadline_ = std::min(call.deadline_, parent.deadline_);
     call.depth_ = parent.depth_ + 1;
--- a/libs/dock/src/details/RequestReader.h
+++ b/libs/dock/src/details/RequestReader.h
@@ -9,6 +9,9 @@
 #include <base/Millis.h>
 #include <base/Random.h>
 #include <dock/CallInfo.h>
+#include <dock/Entry.h>
+#include <identity/Core.h>
+#include <identity/PriorityRanks.h>
 #include <model/Config.h>
 #include <net/HttpRequest.h>
 
@@ -42,14 +45,24 @@
     /** Applies a configuration. */
     void configure(std::shared_ptr<const model::Config> config);
 
+    /** No newer configuration had been written by the given time on base::elapsedNow(). */
+    void confirm(base::Millis confirmedAt) { identity_.confirm(confirmedAt); }
+
     bool hasConfig() const { return config_ != nullptr; }
 
+    /** Whether the configuration is recent enough to refuse what it does not know. */
+    bool isConfigCurrent() const;
+
+    /** Age of the evidence that the configuration is the newest; Millis::max() if there is none. */
+    base::Millis evidenceAge() const;
+
     /**
      * Reads a request and moves its content into the call; returns nothing and leaves the request
      * unchanged if it has no destination. fallbackId distinguishes the priorities of root requests
      * that have neither id nor key. Precondition: hasConfig().
      */
-    std::optional<CallInfo> read(net::HttpRequest &request, std::string fallbackId);
+    std::optional<CallInfo> read(net::HttpRequest &request, RequestSource source,
+                                 std::string fallbackId);
 
     /**
      * Whether the request is non-idempotent in the current configuration, which may be newer than
@@ -69,6 +82,11 @@
 
     std::optional<Destination> destinationOf(const net::HttpRequest &request);
     std::string customerOf(const std::string &name) const;
+    void identifyCustomer(CallInfo &call, const net::Headers &headers, RequestSource source,
+                          const retry::RunningCall *parent) const;
+    void applyDecision(CallInfo &call, const identity::Decision &decision) const;
+    int rankOf(const CallInfo &call) const;
+    void replaceReservedFields(CallInfo &call) const;
     base::Millis deadlineOf(const CallInfo &call, std::string_view requested) const;
     std::string contextTokenOf(const net::Headers &headers) const;
     void inheritFrom(CallInfo &call, const retry::RunningCall &parent) const;
@@ -81,6 +99,8 @@
     const retry::ContextTable &contexts_;
     base::Random random_;
     std::shared_ptr<const model::Config> config_;
+    identity::Core identity_;
+    identity::PriorityRanks ranks_;
 };
 
 } // namespace details
--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -28,6 +28,7 @@
 inline constexpr Event requestNotRun = {301, Severity::Info, "request-not-run"};
 inline constexpr Event delegatedAgain = {302, Severity::Info, "delegated-again"};
 inline constexpr Event backendFailed = {303, Severity::Info, "backend-failed"};
+inline constexpr Event requestDenied = {306, Severity::Info, "request-denied"};
 
 // 4xx: configuration and membership
 inline constexpr Event configInForce = {400, Severity::Info, "config-in-force"};
--- a/libs/follow/include/follow/Command.h
+++ b/libs/follow/include/follow/Command.h
@@ -57,7 +57,10 @@
     bool operator==(const WakeAt &) const = default;
 };
 
-/** Delivers records, those of a key in the order of writing; a record may be delivered twice. */
+/**
+ * Delivers records, those of a key in the order of writing; a record may be delivered twice.
+ * Answered by exactly one RecordsHandled event.
+ */
 struct DeliverRecords
 {
     std::vector<logclient::KeyedRecord> records_;
@@ -84,7 +87,15 @@
     bool operator==(const DutyChanged &) const = default;
 };
 
+/** No revision newer than the one in force had been written by this time, later than before. */
+struct EvidenceAdvanced
+{
+    base::Millis confirmedAt_;
+
+    bool operator==(const EvidenceAdvanced &) const = default;
+};
+
 using Command = std::variant<ReadNewest, ReadFrom, Inquire, FetchConfig, WakeAt, DeliverRecords,
-                             LogStateChanged, DutyChanged>;
+                             LogStateChanged, DutyChanged, EvidenceAdvanced>;
 
 } // namespace follow
--- a/libs/follow/include/follow/Core.h
+++ b/libs/follow/include/follow/Core.h
@@ -42,6 +42,7 @@
 private:
     void on(const Started &event);
     void on(const ReadEnded &event);
+    void on(const RecordsHandled &event);
     void on(const TimerExpired &event);
     void on(const PeerAhead &event);
     void on(const PeersChanged &event);
@@ -49,10 +50,12 @@
     void on(const InquiryEnded &event);
     void advance();
     void reportDuty();
+    void reportEvidence();
     void startOver();
     void read();
     base::Millis nextWait() const;
     void handlePage(const logclient::KeyedPage &page);
+    void confirmCoverage();
     void scheduleRetry(const logclient::LogError &error);
     void setReachable(bool isReachable, std::string detail);
     void wakeForNextStep();
@@ -71,6 +74,9 @@
     base::Millis nextRead_;        ///< not before this time, after a failure
     std::string afterKey_;         ///< last key of the previous page, while reading newest records
     std::uint64_t nextOffset_ = 0; ///< of the next ReadFrom
+    std::optional<base::Millis> coveredUntil_; ///< by the last read, until its records are handled
+    std::optional<base::Millis> reportedEvidence_; ///< in the last EvidenceAdvanced
+    bool isNewestInForce_ = true;                  ///< the newest record of the log was applied
     bool isReadingNewest_ = true;
     bool mustRead_ = false; ///< whatever the duty, until a read has succeeded
     bool isComplete_ = false;
--- a/libs/follow/include/follow/Event.h
+++ b/libs/follow/include/follow/Event.h
@@ -27,6 +27,12 @@
     logclient::KeyedResult result_;
 };
 
+/** The records of a DeliverRecords command were processed. */
+struct RecordsHandled
+{
+    bool isNewestInForce_ = true; ///< false if the newest record could not be applied
+};
+
 /** The time of a WakeAt command has come. */
 struct TimerExpired
 {};
@@ -54,7 +60,7 @@
     std::optional<Confirmation> confirmation_;
 };
 
-using Event = std::variant<Started, ReadEnded, TimerExpired, PeerAhead, PeersChanged,
-                           RevisionInForce, InquiryEnded>;
+using Event = std::variant<Started, ReadEnded, RecordsHandled, TimerExpired, PeerAhead,
+                           PeersChanged, RevisionInForce, InquiryEnded>;
 
 } // namespace follow
--- a/libs/follow/include/follow/FollowService.h
+++ b/libs/follow/include/follow/FollowService.h
@@ -30,10 +30,15 @@
 class FollowService
 {
 public:
-    using RecordsHandler = std::function<void(const std::vector<logclient::KeyedRecord> &)>;
+    /** Returns whether the newest configuration is in force after these records. */
+    using RecordsHandler = std::function<bool(const std::vector<logclient::KeyedRecord> &)>;
+
+    /** Gets the time on base::elapsedNow() by which no newer revision had been written. */
+    using EvidenceHandler = std::function<void(base::Millis)>;
 
     FollowService(net::Reactor &reactor, logclient::KeyedLog &log, std::string topic,
-                  const Options &options, PeerAccess peers, RecordsHandler onRecords);
+                  const Options &options, PeerAccess peers, RecordsHandler onRecords,
+                  EvidenceHandler onEvidence);
     ~FollowService();
     FollowService(const FollowService &) = delete;
     FollowService &operator=(const FollowService &) = delete;
--- a/libs/follow/include/follow/Options.h
+++ b/libs/follow/include/follow/Options.h
@@ -36,6 +36,13 @@
     base::Millis lastInquiry_ = base::Millis(100); ///< wait for answers before a read of one's own
     std::size_t maxInquiries_ = 4;                 ///< daemons asked at once before such a read
 
+    /**
+     * Age that the evidence does not reach while the log answers this data centre. From then on a
+     * daemon asks Peers::fallback_, whether it reads or not.
+     */
+    base::Millis inTouchAge_ = base::Millis(2000);
+    base::Millis fallbackInterval_ = base::Millis(250); ///< between inquiries at Peers::fallback_
+
     base::Millis firstRetryDelay_ = base::Millis(100); ///< after a failed read; doubles
     base::Millis maxRetryDelay_ = base::Millis(1000);
     std::int64_t standInRetryFactor_ = 2; ///< times as long, for daemons that are not readers
--- a/libs/follow/include/follow/ReadDuty.h
+++ b/libs/follow/include/follow/ReadDuty.h
@@ -46,6 +46,9 @@
     bool isElected() const;
     bool isReading() const { return isElected() || isStandIn_; }
 
+    /** Time by which no newer revision had been written; nothing if there is no evidence. */
+    std::optional<base::Millis> confirmedAt() const { return confirmedAt_; }
+
     /** Age of the evidence; Millis::max() if there is none. */
     base::Millis evidenceAge(base::Millis now) const;
 
@@ -57,12 +60,18 @@
     {
         model::Address to_;
         base::Millis askedAt_;
+        bool isFallback_ = false;
     };
 
     std::size_t readerCount() const;
     std::size_t candidateCount() const;
     base::Millis longestReliance() const;
+    std::vector<Inquire> advanceDuty(base::Millis now);
+    bool mustAskFallback(base::Millis now) const;
+    base::Millis nextDutyStep() const;
+    base::Millis nextFallbackStep() const;
     Inquire inquire(base::Millis now);
+    Inquire inquireFallback(base::Millis now);
     std::vector<Inquire> inquireAll(base::Millis now);
 
     const Options options_;
@@ -73,6 +82,8 @@
     std::optional<base::Millis> lastInquiryEnd_;
     base::Millis nextInquiry_;
     std::size_t nextCandidate_ = 0; ///< index in the higher-ranked peers
+    base::Millis nextFallbackInquiry_;
+    std::size_t nextFallback_ = 0; ///< index in the fallback peers
     InquiryId lastId_ = 0;
     std::map<InquiryId, PendingInquiry> pending_;
 };
--- a/libs/follow/src/Core.cpp
+++ b/libs/follow/src/Core.cpp
@@ -42,6 +42,12 @@
     scheduleRetry(event.result_.error());
 }
 
+void Core::on(const RecordsHandled &event)
+{
+    isNewestInForce_ = event.isNewestInForce_;
+    confirmCoverage();
+}
+
 // Also if it is early, another timer has to be requested.
 void Core::on(const TimerExpired &)
 {
@@ -76,6 +82,7 @@
     for (auto &inquiry : duty_.advance(now_))
         commands_.emplace_back(std::move(inquiry));
     reportDuty();
+    reportEvidence();
     if (!isReadOutstanding_ && now_ >= nextRead_ && (mustRead_ || duty_.isReading()))
         read();
     wakeForNextStep();
@@ -90,11 +97,20 @@
             DutyChanged{reportedReading_, duty_.isElected(), duty_.evidenceAge(now_)});
 }
 
+void Core::reportEvidence()
+{
+    if (duty_.confirmedAt() == reportedEvidence_)
+        return;
+    reportedEvidence_ = duty_.confirmedAt();
+    commands_.emplace_back(EvidenceAdvanced{*reportedEvidence_});
+}
+
 /** Abandons the outstanding read, if any, and reads all keys as soon as possible. */
 void Core::startOver()
 {
     isReadOutstanding_ = false;
     isReadingNewest_ = true;
+    coveredUntil_.reset();
     afterKey_.clear();
     nextRead_ = now_;
     mustRead_ = true;
@@ -115,10 +131,14 @@
     }
 }
 
-/** Old evidence is renewed at once, by a read that does not wait. */
+/** Old evidence is renewed at once, by a read that does not wait, if a read can renew it. */
 base::Millis Core::nextWait() const
 {
-    return duty_.evidenceAge(now_) > options_.readWait_ / 2 ? base::Millis() : options_.readWait_;
+    if (!isNewestInForce_)
+        return options_.readWait_;
+    const auto age = coveredUntil_ ? std::min(duty_.evidenceAge(now_), now_ - *coveredUntil_)
+                                   : duty_.evidenceAge(now_);
+    return age > options_.readWait_ / 2 ? base::Millis() : options_.readWait_;
 }
 
 void Core::handlePage(const logclient::KeyedPage &page)
@@ -135,11 +155,24 @@
     }
     // An empty answer after the whole wait was given when the wait had elapsed at the log.
     const bool hasWaited = page.records_.empty() && now_ - readStartedAt_ >= readWait_;
-    duty_.confirm(isReadingNewest_ ? snapshotAt_
-                                   : readStartedAt_ + (hasWaited ? readWait_ : base::Millis()));
+    coveredUntil_ = isReadingNewest_ ? snapshotAt_
+                                     : readStartedAt_ + (hasWaited ? readWait_ : base::Millis());
     isComplete_ = true;
     isReadingNewest_ = false;
     mustRead_ = false;
+    if (page.records_.empty())
+        confirmCoverage();
+}
+
+/**
+ * The last read is evidence for the revision in force only if no newer record was read that could
+ * not be applied.
+ */
+void Core::confirmCoverage()
+{
+    if (const auto coveredUntil = std::exchange(coveredUntil_, std::nullopt);
+        coveredUntil && isNewestInForce_)
+        duty_.confirm(*coveredUntil);
 }
 
 void Core::scheduleRetry(const logclient::LogError &error)
--- a/libs/follow/src/FollowService.cpp
+++ b/libs/follow/src/FollowService.cpp
@@ -16,13 +16,14 @@
 struct FollowService::Impl : std::enable_shared_from_this<FollowService::Impl>
 {
     Impl(net::Reactor &reactor, logclient::KeyedLog &log, std::string topic, const Options &options,
-         PeerAccess peers, RecordsHandler onRecords)
+         PeerAccess peers, RecordsHandler onRecords, EvidenceHandler onEvidence)
         : reactor_(reactor)
         , log_(log)
         , topic_(std::move(topic))
         , core_(options)
         , peers_(std::move(peers))
         , onRecords_(std::move(onRecords))
+        , onEvidence_(std::move(onEvidence))
     {}
     ~Impl() { reactor_.cancel(timer_); }
 
@@ -32,9 +33,13 @@
     void execute(const Inquire &command);
     void execute(const FetchConfig &command) { peers_.fetchConfig_(command); }
     void execute(const WakeAt &command);
-    void execute(const DeliverRecords &command) { onRecords_(command.records_); }
+    void execute(const DeliverRecords &command)
+    {
+        dispatch(RecordsHandled{onRecords_(command.records_)});
+    }
     void execute(const LogStateChanged &change);
     void execute(const DutyChanged &change);
+    void execute(const EvidenceAdvanced &evidence) { onEvidence_(evidence.confirmedAt_); }
     logclient::KeyedDone completionHandler(ReadId read);
 
     net::Reactor &reactor_;
@@ -43,6 +48,7 @@
     Core core_;
     PeerAccess peers_;
     RecordsHandler onRecords_;
+    EvidenceHandler onEvidence_;
     std::deque<Event> events_;
     bool isDispatching_ = false;
     net::TimerId timer_ = 0;
@@ -120,9 +126,10 @@
 }
 
 FollowService::FollowService(net::Reactor &reactor, logclient::KeyedLog &log, std::string topic,
-                             const Options &options, PeerAccess peers, RecordsHandler onRecords)
+                             const Options &options, PeerAccess peers, RecordsHandler onRecords,
+                             EvidenceHandler onEvidence)
     : impl_(std::make_shared<Impl>(reactor, log, std::move(topic), options, std::move(peers),
-                                   std::move(onRecords)))
+                                   std::move(onRecords), std::move(onEvidence)))
 {
     reactor.post([weak = impl_->weak_from_this()] {
         if (const auto self = weak.lock())
--- a/libs/follow/src/ReadDuty.cpp
+++ b/libs/follow/src/ReadDuty.cpp
@@ -49,18 +49,29 @@
         // The answer was given after the inquiry, so the evidence is not older than this.
         const auto confirmedAt = inquiry.askedAt_ - confirmation->age_;
         confirm(confirmedAt);
-        if (now - confirmedAt < options_.askAge_) {
+        if (!inquiry.isFallback_ && now - confirmedAt < options_.askAge_) {
             if (std::exchange(isStandIn_, false))
                 nextInquiry_ = now;
             lastInquiryEnd_.reset();
             return std::nullopt;
         }
     }
-    ++nextCandidate_;
+    if (!inquiry.isFallback_)
+        ++nextCandidate_;
     return std::nullopt;
 }
 
 std::vector<Inquire> ReadDuty::advance(base::Millis now)
+{
+    auto inquiries = advanceDuty(now);
+    if (mustAskFallback(now)) {
+        nextFallbackInquiry_ = now + options_.fallbackInterval_;
+        inquiries.push_back(inquireFallback(now));
+    }
+    return inquiries;
+}
+
+std::vector<Inquire> ReadDuty::advanceDuty(base::Millis now)
 {
     if (isElected())
         return {};
@@ -90,7 +101,26 @@
     return {};
 }
 
+bool ReadDuty::mustAskFallback(base::Millis now) const
+{
+    return !peers_.fallback_.empty() && evidenceAge(now) >= options_.inTouchAge_
+           && now >= nextFallbackInquiry_;
+}
+
 base::Millis ReadDuty::nextStep() const
+{
+    return std::min(nextDutyStep(), nextFallbackStep());
+}
+
+base::Millis ReadDuty::nextFallbackStep() const
+{
+    if (peers_.fallback_.empty())
+        return base::Millis::max();
+    const auto becomesOld = confirmedAt_ ? *confirmedAt_ + options_.inTouchAge_ : base::Millis();
+    return std::max(becomesOld, nextFallbackInquiry_);
+}
+
+base::Millis ReadDuty::nextDutyStep() const
 {
     if (isElected())
         return base::Millis::max();
@@ -145,6 +175,13 @@
     return {lastId_, to};
 }
 
+Inquire ReadDuty::inquireFallback(base::Millis now)
+{
+    const auto &to = peers_.fallback_[nextFallback_++ % peers_.fallback_.size()];
+    pending_[++lastId_] = {to, now, true};
+    return {lastId_, to};
+}
+
 std::vector<Inquire> ReadDuty::inquireAll(base::Millis now)
 {
     std::vector<Inquire> inquiries;
--- a/libs/follow/tests/CoreTest.cpp
+++ b/libs/follow/tests/CoreTest.cpp
@@ -7,6 +7,7 @@
 using follow::Core;
 using follow::DeliverRecords;
 using follow::DutyChanged;
+using follow::EvidenceAdvanced;
 using follow::Inquire;
 using follow::InquiryEnded;
 using follow::LogStateChanged;
@@ -15,6 +16,7 @@
 using follow::ReadEnded;
 using follow::ReadFrom;
 using follow::ReadNewest;
+using follow::RecordsHandled;
 using follow::Started;
 using follow::TimerExpired;
 using follow::WakeAt;
@@ -56,8 +58,11 @@
     EXPECT_EQ(commands, (std::vector<Command>{DeliverRecords{{{"config", "a", 4}}},
                                               ReadFrom{2, 6, options.readWait_}}));
     EXPECT_TRUE(core.isComplete());
+    EXPECT_EQ(core.handle(RecordsHandled{}, Millis(6)),
+              (std::vector<Command>{EvidenceAdvanced{Millis(0)}}));
     EXPECT_EQ(core.handle(ReadEnded{2, page({}, 6)}, options.readWait_ + Millis(10)),
-              (std::vector<Command>{ReadFrom{3, 6, options.readWait_}}));
+              (std::vector<Command>{EvidenceAdvanced{Millis(5) + options.readWait_},
+                                    ReadFrom{3, 6, options.readWait_}}));
 }
 
 TEST(FollowCore, continuesAtTopicEndOfFirstPage)
--- a/libs/follow/tests/SimulatedFollowers.h
+++ b/libs/follow/tests/SimulatedFollowers.h
@@ -105,6 +105,7 @@
         model::Revision revision_ = 0;
         std::uint64_t wake_ = 0; ///< number of the last WakeAt
         int reads_ = 0;
+        base::Millis confirmedAt_; ///< of the last EvidenceAdvanced
     };
 
     struct Task
@@ -193,7 +194,9 @@
     void execute(std::size_t daemon, const follow::DeliverRecords &command)
     {
         const auto revision = static_cast<model::Revision>(command.records_.back().offset_) + 1;
-        if (!apply(daemon, revision) || !isAnnouncing_)
+        const bool isNew = apply(daemon, revision);
+        after(base::Millis(), [this, daemon] { handle(daemon, follow::RecordsHandled{}); });
+        if (!isNew || !isAnnouncing_)
             return;
         announceInDataCentre(daemon, daemon / size_);
         for (std::size_t other = 0; other < daemons_.size() / size_; ++other) {
@@ -227,6 +230,11 @@
     void execute(std::size_t, const follow::LogStateChanged &) {}
     void execute(std::size_t, const follow::DutyChanged &) {}
 
+    void execute(std::size_t daemon, const follow::EvidenceAdvanced &evidence)
+    {
+        daemons_[daemon].confirmedAt_ = evidence.confirmedAt_;
+    }
+
     bool apply(std::size_t daemon, model::Revision revision)
     {
         if (revision <= daemons_[daemon].revision_)
--- a/libs/once/include/once/Reason.h
+++ b/libs/once/include/once/Reason.h
@@ -34,6 +34,7 @@
     AllowanceSpent,      ///< the customer has used its allowance
     AllowanceUnknown,    ///< no daemon that allots the customer's allowance answered
     Unconfirmed,         ///< the configuration was not confirmed recently enough
+    UnknownKey,          ///< no customer holds the request's access key
 };
 
 /** Stable text of a reason for headers and logs, such as "no-instance". */
