Ask other data centres too before the evidence is too old

Cause: a daemon that the log turns away got evidence only from daemons of a higher rank in its own data centre, so a turned-away reader, or a data centre that is turned away as a whole, refused good keys though others were served.

--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -1,6 +1,7 @@
 #include "PlatformSource.h"
 
 #include <algorithm>
+#include <map>
 
 #include <base/Clock.h>
 #include <base/Hash.h>
@@ -50,25 +51,20 @@
 constexpr std::size_t maxMessageBytes = 64 * 1024;
 constexpr int statusOk = 200;
 
-/** All other daemons, those of the own data centre first, each in an order of its own. */
+/** All other daemons, in an order of its own for each daemon, so that none is asked by many. */
 std::vector<model::Address> fallbackPeers(const std::vector<model::Member> &members,
                                           const std::string &selfId, const std::string &dataCentre)
 {
-    std::vector<std::pair<std::uint64_t, const model::Member *>> others;
+    std::map<std::uint64_t, const model::Member *> others;
     for (const auto &member : members) {
         if (member.id_ != selfId)
-            others.emplace_back(base::hash64(selfId, base::hash64(member.id_)), &member);
+            others.emplace(base::hash64(selfId, base::hash64(member.id_)), &member);
     }
-    const auto rank = [&dataCentre](const auto &other) {
-        return std::make_pair(other.second->dataCentre_ != dataCentre, other.first);
-    };
-    std::sort(others.begin(), others.end(),
-              [&rank](const auto &a, const auto &b) { return rank(a) < rank(b); });
-    std::vector<model::Address> addresses;
-    addresses.reserve(others.size());
+    std::vector<model::Address> near;
+    std::vector<model::Address> far;
     for (const auto &[hash, member] : others)
-        addresses.push_back(member->controlAddress_);
-    return addresses;
+        (member->dataCentre_ == dataCentre ? near : far).push_back(member->controlAddress_);
+    return follow::alternating(near, far);
 }
 
 } // namespace
--- a/libs/follow/tests/CoreTest.cpp
+++ b/libs/follow/tests/CoreTest.cpp
@@ -65,6 +65,21 @@
                                     ReadFrom{3, 6, options.readWait_}}));
 }
 
+// The record may withdraw something, so nothing is confirmed until a later one can be applied.
+TEST(FollowCore, nothingIsConfirmedWhileTheNewestRecordCannotBeApplied)
+{
+    Core core(options);
+    core.handle(Started{}, Millis(0));
+    core.handle(ReadEnded{1, page({{"config", "damaged", 4}}, 6)}, Millis(5));
+    EXPECT_EQ(find<EvidenceAdvanced>(core.handle(RecordsHandled{false}, Millis(5))), nullptr);
+    const auto next = core.handle(ReadEnded{2, page({}, 6)}, options.readWait_ + Millis(10));
+    EXPECT_EQ(find<EvidenceAdvanced>(next), nullptr);
+    EXPECT_EQ(core.confirmation(Millis(2000)), std::nullopt);
+    EXPECT_EQ(find<ReadFrom>(next)->wait_, options.readWait_) << "reads at the usual pace";
+    core.handle(ReadEnded{3, page({{"config", "valid", 6}}, 7)}, Millis(1500));
+    EXPECT_NE(find<EvidenceAdvanced>(core.handle(RecordsHandled{true}, Millis(1500))), nullptr);
+}
+
 TEST(FollowCore, continuesAtTopicEndOfFirstPage)
 {
     Core core(options);
--- a/libs/follow/tests/SimulatedFollowers.h
+++ b/libs/follow/tests/SimulatedFollowers.h
@@ -20,9 +20,11 @@
 {
 public:
     enum class Fault : std::uint8_t {
-        CutFromLog, ///< its reads get no answer; it reaches the other daemons
-        Paused,     ///< answers nothing and does nothing, but accepts connections
-        Killed,     ///< refuses connections
+        CutFromLog,   ///< its reads get no answer; it reaches the other daemons
+        RefusedByLog, ///< its reads are refused at once; it reaches the other daemons
+        CutOff,       ///< neither its reads nor its inquiries get an answer
+        Paused,       ///< answers nothing and does nothing, but accepts connections
+        Killed,       ///< refuses connections
     };
 
     SimulatedFollowers(std::size_t dataCentres, std::size_t size, std::uint64_t seed)
@@ -74,6 +76,12 @@
     }
 
     void setLogReachable(bool isReachable) { isLogReachable_ = isReachable; }
+    /** Daemons with old evidence ask all others; to be set before the first run. */
+    void useFallback() { hasFallback_ = true; }
+
+    /** Time of the last evidence that a daemon reported. */
+    base::Millis confirmedAt(std::size_t daemon) const { return daemons_[daemon].confirmedAt_; }
+
     void setAnnouncing(bool isAnnouncing) { isAnnouncing_ = isAnnouncing; }
 
     /** The daemon at the given rank of a data centre; the first two are its readers. */
@@ -147,15 +155,39 @@
         return !has(daemon, Fault::Paused) && !has(daemon, Fault::Killed);
     }
 
+    bool isCutFromLog(std::size_t daemon) const
+    {
+        return has(daemon, Fault::CutFromLog) || has(daemon, Fault::CutOff);
+    }
+
+    /** Whether messages between two daemons arrive. */
+    bool reach(std::size_t from, std::size_t to) const
+    {
+        return isUp(to) && !has(from, Fault::CutOff) && !has(to, Fault::CutOff);
+    }
+
     follow::PeersChanged peersOf(std::size_t daemon) const
     {
         follow::PeersChanged change;
         change.peers_.members_ = size_;
         for (auto peer = daemon - daemon % size_; peer < daemon; ++peer)
             change.peers_.higherRanked_.push_back(address(peer));
+        if (hasFallback_)
+            change.peers_.fallback_ = fallbackOf(daemon);
         return change;
     }
 
+    std::vector<model::Address> fallbackOf(std::size_t daemon) const
+    {
+        std::vector<model::Address> near;
+        std::vector<model::Address> far;
+        for (std::size_t i = 1; i < daemons_.size(); ++i) {
+            const auto other = (daemon + i) % daemons_.size();
+            (other / size_ == daemon / size_ ? near : far).push_back(address(other));
+        }
+        return follow::alternating(near, far);
+    }
+
     static model::Address address(std::size_t daemon)
     {
         return {"10.0.0.1", static_cast<std::uint16_t>(daemon + 1)};
@@ -211,8 +243,8 @@
         const auto end = [this, daemon, id = command.inquiry_](auto confirmation) {
             handle(daemon, follow::InquiryEnded{id, confirmation});
         };
-        if (!isUp(peer)) {
-            after(has(peer, Fault::Paused) ? inquiryTimeout : oneWay * 2,
+        if (!reach(daemon, peer)) {
+            after(isUp(peer) || has(peer, Fault::Paused) ? inquiryTimeout : oneWay * 2,
                   [end] { end(std::optional<follow::Confirmation>()); });
             return;
         }
@@ -254,17 +286,17 @@
     void announce(std::size_t from, std::size_t to, bool mustForward)
     {
         after(oneWay, [this, from, to, mustForward] {
-            if (isUp(to) && daemons_[to].revision_ < daemons_[from].revision_)
+            if (reach(from, to) && daemons_[to].revision_ < daemons_[from].revision_)
                 fetch(to, from, mustForward);
         });
     }
 
     void fetch(std::size_t daemon, std::size_t from, bool mustForward)
     {
-        if (!isUp(from))
+        if (!reach(daemon, from))
             return;
         after(oneWay * 2, [this, daemon, from, mustForward] {
-            if (isUp(daemon) && apply(daemon, daemons_[from].revision_) && mustForward)
+            if (reach(from, daemon) && apply(daemon, daemons_[from].revision_) && mustForward)
                 announceInDataCentre(daemon, daemon / size_);
         });
     }
@@ -272,7 +304,11 @@
     void read(Read read, base::Millis wait)
     {
         ++daemons_[read.daemon_].reads_;
-        if (has(read.daemon_, Fault::CutFromLog) || !isLogReachable_) {
+        if (has(read.daemon_, Fault::RefusedByLog)) {
+            after(oneWay * 2, [this, read] { fail(read, logclient::Unavailable{"refused"}); });
+            return;
+        }
+        if (isCutFromLog(read.daemon_) || !isLogReachable_) {
             after(wait, [this, read] { timeOut(read); });
             return;
         }
@@ -289,11 +325,12 @@
 
     void timeOut(const Read &read)
     {
-        after(readMargin, [this, read] {
-            handle(read.daemon_,
-                   follow::ReadEnded{read.id_, tl::unexpected(logclient::LogError(
-                                                       logclient::NoAnswer{"silent"}))});
-        });
+        after(readMargin, [this, read] { fail(read, logclient::NoAnswer{"silent"}); });
+    }
+
+    void fail(const Read &read, const logclient::LogError &error)
+    {
+        handle(read.daemon_, follow::ReadEnded{read.id_, tl::unexpected(error)});
     }
 
     void endWait(std::uint64_t number)
@@ -310,7 +347,7 @@
 
     void answer(const Read &read)
     {
-        if (has(read.daemon_, Fault::CutFromLog)) {
+        if (isCutFromLog(read.daemon_)) {
             timeOut(read);
             return;
         }
@@ -318,7 +355,7 @@
         if (read.offset_ < newest_)
             page.records_.push_back({"config", "c", newest_ - 1});
         after(oneWay, [this, read, page] {
-            if (has(read.daemon_, Fault::CutFromLog))
+            if (isCutFromLog(read.daemon_))
                 timeOut(read);
             else
                 handle(read.daemon_, follow::ReadEnded{read.id_, page});
@@ -336,4 +373,5 @@
     std::uint64_t lastRead_ = 0;
     bool isLogReachable_ = true;
     bool isAnnouncing_ = true;
+    bool hasFallback_ = false;
 };
