Test that many customers of uneven size all get their part, and time the decision on keys

Cause: no test played many customers of one rank with very uneven demand, and the cost of a key on the path was not measured.

Change: a test with 82 customers (Zipf 1.2) at 1.5 times the capacity: each is served at least a quarter as often as is possible for all. decision-bench times identity::Core.

--- a/libs/admission/tests/OverloadTest.cpp
+++ b/libs/admission/tests/OverloadTest.cpp
@@ -1,5 +1,7 @@
 #include <QueueingModel.h>
 
+#include <cmath>
+
 #include <gtest/gtest.h>
 
 using namespace admission;
@@ -77,6 +79,35 @@
     EXPECT_GE(big + small, 0.95 * 15 * model.capacity());
 }
 
+// Demand of the users' customers is as uneven as a Zipf distribution with the exponent 1.2.
+TEST(Overload, noCustomerOfManyIsServedLessThanAQuarterAsOftenAsAll)
+{
+    constexpr int customerCount = 82;
+    constexpr double exponent = 1.2;
+    constexpr int lastSecond = 60;
+    constexpr double load = 1.5;
+    QueueingModel model({.slots_ = 36, .meanServiceMillis_ = 200.0, .deadline_ = Millis(5000)});
+    double weights = 0.0;
+    for (int i = 1; i <= customerCount; ++i)
+        weights += std::pow(i, -exponent);
+    const auto nameOf = [](int i) {
+        return "customer" + std::to_string(i);
+    };
+    for (int i = 1; i <= customerCount; ++i) {
+        const double part = std::pow(i, -exponent) / weights;
+        model.add({protectedRank, nameOf(i), load * model.capacity() * part, Millis(1),
+                   Millis(1000 * lastSecond)});
+    }
+    model.run(Millis(1000 * (lastSecond + 5)));
+    const auto servedPart = [&](const std::string &customer) {
+        return static_cast<double>(model.completed(protectedRank, 0, lastSecond + 5, customer))
+               / model.arrived(protectedRank, 0, lastSecond + 5, customer);
+    };
+    constexpr double bestPart = 1.0 / load;
+    for (int i = 1; i <= customerCount; ++i)
+        EXPECT_GE(servedPart(nameOf(i)), bestPart / 4) << nameOf(i);
+}
+
 TEST(Overload, customerAboveItsShareDoesNotReduceTheShareOfOthers)
 {
     QueueingModel model({.customers_ = {{"quiet", {.name_ = "quiet"}}}});
--- a/libs/admission/tests/QueueingModel.h
+++ b/libs/admission/tests/QueueingModel.h
@@ -87,6 +87,14 @@
         return sum;
     }
 
+    int arrived(int rank, int fromSecond, int untilSecond, const std::string &customer)
+    {
+        int sum = 0;
+        for (int second = fromSecond; second < untilSecond; ++second)
+            sum += counts_[{rank, customer, second}].arrived_;
+        return sum;
+    }
+
     const SecondCounts &counts(int rank, int second) { return counts_[{rank, "", second}]; }
     const std::map<int, Level> &levels() const { return levels_; }
     const Core &core() const { return core_; }
--- a/tools/decision-bench/main.cpp
+++ b/tools/decision-bench/main.cpp
@@ -1,15 +1,17 @@
-// Measures the time of a routing decision, for two member counts, and of an admission decision,
-// without and with overload.
+// Measures the time of a routing decision, for two member counts, of an admission decision, without
+// and with overload, and of the decision whose a request is, for two numbers of customers.
 #include <cstdint>
 #include <cstdio>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include <admission/Core.h>
 #include <base/Clock.h>
 #include <base/Random.h>
+#include <identity/Core.h>
 #include <routing/Core.h>
 
 namespace {
@@ -123,6 +125,34 @@
     });
 }
 
+/** Decides on known keys of all customers in turn; each customer has two keys. */
+void measureIdentity(int customerCount)
+{
+    auto config = std::make_shared<model::Config>();
+    std::vector<std::string> keys;
+    for (int i = 0; i < customerCount; ++i) {
+        model::Customer customer{.name_ = "customer" + std::to_string(i)};
+        for (const char *suffix : {"-a", "-b"}) {
+            keys.push_back("0123456789abcdef-key-" + std::to_string(i) + suffix);
+            customer.keys_.push_back(model::KeyDigest::of(keys.back()));
+        }
+        config->addCustomer(std::move(customer));
+    }
+    identity::Core core(identity::Limits::of(Millis(5000), Millis(2000)));
+    core.configure(config);
+    core.confirm(Millis(1));
+    std::size_t admitted = 0;
+    measure("identity, " + std::to_string(customerCount) + " customers, known key", [&] {
+        for (int i = 0; i < decisionsPerRound; ++i) {
+            const auto &key = keys[static_cast<std::size_t>(i) * 7919 % keys.size()];
+            const auto decision = core.decide({.key_ = key}, Millis(2));
+            admitted += std::holds_alternative<identity::Admitted>(decision) ? 1U : 0U;
+        }
+    });
+    if (admitted != static_cast<std::size_t>(decisionsPerRound) * roundCount)
+        std::printf("not every key was admitted\n");
+}
+
 } // namespace
 
 int main()
@@ -131,5 +161,7 @@
         measureRouting(count);
     measureAdmission("admission, 140 slots, no overload", 140, 1);
     measureAdmission("admission, 140 slots, 4 times the capacity", 140, 4);
+    for (const int count : {82, 5000})
+        measureIdentity(count);
     return 0;
 }
