Keep all slots of slow servers in use under overload

Cause: a daemon that starts while its server is overloaded learned a baseline from the shortest requests, which end first, and the baseline then fell with the lowest of many noisy means and never rose. Service times counted as twice the baseline, so the limit was lowered by 30 % on trial again and again, and the comparison with a few slots spared ran half of the time.

Change: the first baseline is taken after two rounds of the slots; the baseline falls only by a significant mean; a comparison without a gain is repeated after ten times its length.

The other tests of admission pass unchanged.

--- a/libs/admission/src/details/ServiceTimes.cpp
+++ b/libs/admission/src/details/ServiceTimes.cpp
@@ -1,6 +1,7 @@
 #include <details/ServiceTimes.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace admission::details {
@@ -10,7 +11,9 @@
 constexpr double sampleGain = 0.1;
 // With fewer samples the mean is noisy, and the baseline would follow its lowest values.
 constexpr std::size_t minBaselineSamples = 20;
+constexpr std::size_t minFirstSamples = 60;
 constexpr double baselineFallGain = 0.2;
+constexpr double standardErrorsToFall = 2.0;
 constexpr double baselineRiseGain = 0.01;
 constexpr double idleDecay = 0.9;
 
@@ -43,10 +46,15 @@
     const double sample = serviceTime.fractional();
     const bool isFirst = state.expectedMillis_ == 0.0;
     state.expectedMillis_ += (sample - state.expectedMillis_) * (isFirst ? 1.0 : sampleGain);
+    state.isSampled_ = true;
+    const bool hasBaseline = state.baselineMillis_ > 0.0;
+    // When all slots were filled at about the same time, the shortest requests end first.
+    if (!hasBaseline && ++state.completions_ <= 2 * std::size_t{slots_})
+        return;
     state.sumMillis_ += sample;
+    state.sumOfSquares_ += sample * sample;
     ++state.count_;
-    state.isSampled_ = true;
-    if (state.baselineMillis_ == 0.0)
+    if (!hasBaseline)
         return;
     ++window_.count_;
     window_.measuredMillis_ += sample;
@@ -66,7 +74,8 @@
 ServedWork ServiceTimes::closeWindow(bool canBaselineRise)
 {
     for (State &state : states_) {
-        if (state.count_ >= minBaselineSamples)
+        const bool isFirst = state.baselineMillis_ == 0.0;
+        if (state.count_ >= (isFirst ? minFirstSamples : minBaselineSamples))
             updateBaseline(state, canBaselineRise);
         // The estimate decays without samples, so that requests of a class that was refused as too
         // slow are admitted again.
@@ -79,14 +88,19 @@
 
 void ServiceTimes::updateBaseline(State &state, bool canRise)
 {
-    const double mean = state.sumMillis_ / static_cast<double>(state.count_);
+    const auto count = static_cast<double>(state.count_);
+    const double mean = state.sumMillis_ / count;
+    const double variance = std::max(0.0, state.sumOfSquares_ / count - mean * mean);
     if (state.baselineMillis_ == 0.0)
         state.baselineMillis_ = mean;
-    if (mean < state.baselineMillis_)
+    // Otherwise the baseline would follow the lowest of many noisy means.
+    const double significantFall = standardErrorsToFall * std::sqrt(variance / count);
+    if (mean + significantFall < state.baselineMillis_)
         state.baselineMillis_ += (mean - state.baselineMillis_) * baselineFallGain;
-    else if (canRise)
+    else if (canRise && mean > state.baselineMillis_)
         state.baselineMillis_ += (mean - state.baselineMillis_) * baselineRiseGain;
     state.sumMillis_ = 0.0;
+    state.sumOfSquares_ = 0.0;
     state.count_ = 0;
 }
 
--- a/libs/admission/src/details/ServiceTimes.h
+++ b/libs/admission/src/details/ServiceTimes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -39,6 +40,9 @@
     /** Records a request that was ended early: the elapsed time is a lower bound. */
     void recordCancellation(ClassIndex index, base::Millis elapsed);
 
+    /** Adapts to the number of requests that may run at once. */
+    void setSlots(std::uint32_t slots) { slots_ = slots; }
+
     /** Ends a window and returns its service times; baselines rise only if canBaselineRise. */
     ServedWork closeWindow(bool canBaselineRise);
 
@@ -50,14 +54,17 @@
         double expectedMillis_ = 0.0;
         double baselineMillis_ = 0.0;
         double sumMillis_ = 0.0; ///< since the last update of the baseline
+        double sumOfSquares_ = 0.0;
         std::size_t count_ = 0;
-        bool isSampled_ = false; ///< in the current window
+        std::size_t completions_ = 0; ///< until the baseline is known
+        bool isSampled_ = false;      ///< in the current window
     };
 
     static void updateBaseline(State &state, bool canRise);
 
     std::map<std::string, ClassIndex, std::less<>> indexes_;
     std::vector<State> states_;
+    std::uint32_t slots_ = 0;
     ServedWork window_;
 };
 
--- a/libs/admission/src/details/SpareSlots.cpp
+++ b/libs/admission/src/details/SpareSlots.cpp
@@ -22,6 +22,9 @@
 /** Requests until the comparison is repeated, since the behaviour of a server may change. */
 constexpr std::size_t requestsUntilRetrial = 40 * requestsPerMeasurement;
 
+/** Requests until the next comparison after one without a gain, as each costs 6 % of the slots. */
+constexpr std::size_t requestsUntilNextComparison = 10 * requestsPerMeasurement;
+
 } // namespace
 
 void SpareSlots::setSlots(std::uint32_t slots)
@@ -34,7 +37,8 @@
 
 std::uint32_t SpareSlots::usable() const
 {
-    if (phase_ == Phase::MeasuringAll || slots_ < minSlots)
+    const bool usesAll = phase_ == Phase::MeasuringAll || phase_ == Phase::UsingAll;
+    if (usesAll || slots_ < minSlots)
         return slots_;
     return static_cast<std::uint32_t>(usableShare * slots_);
 }
@@ -51,6 +55,10 @@
         if (served_.count_ >= 2 * slots_)
             enter(Phase::MeasuringWithSpare);
         break;
+    case Phase::UsingAll:
+        if (served_.count_ >= requestsUntilNextComparison)
+            enter(Phase::MeasuringAll);
+        break;
     case Phase::KeepingSpare:
         if (served_.count_ >= requestsUntilRetrial)
             enter(Phase::MeasuringAll);
@@ -71,7 +79,7 @@
         return;
     }
     const bool isFaster = slowdown() < maxSlowdownRatio * slowdownOfAll_;
-    enter(isFaster ? Phase::KeepingSpare : Phase::MeasuringAll);
+    enter(isFaster ? Phase::KeepingSpare : Phase::UsingAll);
 }
 
 void SpareSlots::enter(Phase phase)
--- a/libs/admission/src/details/SpareSlots.h
+++ b/libs/admission/src/details/SpareSlots.h
@@ -31,6 +31,7 @@
         Settling, ///< the limit was lowered; requests started before are still running
         MeasuringWithSpare,
         KeepingSpare,
+        UsingAll, ///< the last comparison showed no gain
     };
 
     void enter(Phase phase);
--- a/libs/admission/src/details/State.cpp
+++ b/libs/admission/src/details/State.cpp
@@ -79,6 +79,7 @@
 {
     customers_.configure(event.customers_);
     limit_.setSlots(event.slots_);
+    serviceTimes_.setSlots(event.slots_);
     slots_ = event.slots_;
 }
 
--- a/libs/admission/tests/OverloadTest.cpp
+++ b/libs/admission/tests/OverloadTest.cpp
@@ -165,3 +165,31 @@
     model.run(Millis(40000));
     EXPECT_GE(model.completed(protectedRank, 15, 40) / 25.0, 0.9 * model.capacity() / 4.0);
 }
+
+// Service times that vary widely must not be taken for contention inside the backend server, also
+// by a daemon that starts while the server is overloaded.
+TEST(Overload, slowServersUseAllTheirSlots)
+{
+    struct Server
+    {
+        std::uint32_t slots_;
+        double serviceMillis_;
+    };
+    constexpr double servedRequests = 20'000;
+    constexpr int startSeconds = 5;
+    for (const auto &[slots, serviceMillis] :
+         {Server{23, 880.0}, Server{36, 220.0}, Server{50, 290.0}, Server{87, 100.0}}) {
+        for (const double load : {1.2, 1.5, 2.5}) {
+            QueueingModel model({.slots_ = slots,
+                                 .meanServiceMillis_ = serviceMillis,
+                                 .deadline_ = Millis(10'000)});
+            const int seconds = startSeconds + static_cast<int>(servedRequests / model.capacity());
+            const Millis end(1000 * seconds);
+            model.add({protectedRank, "a", load * model.capacity(), Millis(1), end});
+            model.run(end);
+            const int served = model.completed(protectedRank, startSeconds, seconds, "a");
+            const double possible = model.capacity() * (seconds - startSeconds);
+            EXPECT_GE(served, 0.97 * possible) << slots << " slots, load " << load;
+        }
+    }
+}
