--- /dev/null
+++ b/libs/configcheck/tests/CheckTest.cpp
@@ -0,0 +1,130 @@
+#include <configcheck/Check.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "RandomDraft.h"
+#include <rapidcheck/gtest.h>
+
+namespace {
+
+using configcheck::Draft;
+using configcheck::EntryValue;
+using configcheck::Finding;
+using configcheck::RetryEntry;
+using configcheck::RouteEntry;
+using enum configcheck::Severity;
+
+const model::Service wallet{"wallet"};
+const model::RequestClass read{"read", "wallet", "GET", "/"};
+const model::KeyDigest key = model::KeyDigest::of("k1");
+
+Draft draftOf(const std::vector<EntryValue> &values)
+{
+    Draft draft;
+    for (const auto &value : values)
+        draft.entries_.push_back({"#" + std::to_string(draft.entries_.size()), value});
+    return draft;
+}
+
+RouteEntry route(const std::string &name, const std::string &path = "/x/")
+{
+    return {"h", {{.name_ = name, .pathPrefix_ = path}, {{"wallet", 1}}, 1, base::Millis(500)}};
+}
+
+/** Findings of a configuration with the service and the values, which are #1, #2 and so on. */
+std::vector<Finding> findingsOf(std::vector<EntryValue> values)
+{
+    values.insert(values.begin(), wallet);
+    return configcheck::check(draftOf(values));
+}
+
+TEST(Check, FindsNothingInAValidConfiguration)
+{
+    const model::Customer school{.name_ = "school", .keys_ = {key}, .allowance_ = {{0.1, 1}}};
+    auto draft = draftOf({wallet, read, model::RequestClass{"any", "wallet", "", "/"}, route("a"),
+                          route("b", "/y/"), school, RetryEntry{{"read", 2, 0.1}}});
+    draft.requiresKeys_ = true;
+    EXPECT_EQ(configcheck::check(draft), std::vector<Finding>{});
+}
+
+TEST(Check, FindsEntriesThatCanNeverMatch)
+{
+    auto hidden = read;
+    hidden.name_ = "hidden";
+    EXPECT_EQ(findingsOf({read, hidden}),
+              (std::vector<Finding>{{Error, "#2",
+                                     "has the same service, method and path as #1: one of the two "
+                                     "can never match"}}));
+    EXPECT_EQ(findingsOf({route("a"), route("b")}),
+              (std::vector<Finding>{{Error, "#2",
+                                     "has the same host and path as #1: one of the two can never "
+                                     "match"}}));
+    EXPECT_EQ(findingsOf({route("a"), route("a", "/y/")}),
+              (std::vector<Finding>{{Error, "#2", "the route \"a\" is given twice, first at #1"}}));
+    auto lost = route("a");
+    lost.route_.services_ = {{"other", 1}, {"wallet", 0}};
+    EXPECT_EQ(findingsOf({lost}),
+              (std::vector<Finding>{
+                      {Error, "#1", "the service \"other\" does not exist"},
+                      {Warning, "#1",
+                       "the service \"wallet\" has a weight of 0 and gets no requests"}}));
+    EXPECT_EQ(findingsOf({RetryEntry{{"read", 1, 0.1}}}),
+              (std::vector<Finding>{{Error, "#1", "the class \"read\" does not exist"}}));
+}
+
+TEST(Check, FindsLimitsThatContradictEachOther)
+{
+    auto impossible = route("a");
+    impossible.route_.class_.deadline_ = base::Millis(400);
+    impossible.route_.class_.rank_ = 10;
+    impossible.route_.services_ = {{"wallet", 0}};
+    impossible.route_.maxAttempts_ = 0;
+    EXPECT_EQ(
+            findingsOf({impossible}),
+            (std::vector<Finding>{
+                    {Error, "#1", "the weights of its services sum to 0"},
+                    {Error, "#1", "the rank 10 is not 0 to 9"},
+                    {Error, "#1", "the deadline of 400 ms is below the target latency of 500 ms"},
+                    {Error, "#1", "allows no attempt; the number of attempts must be 1 or more"}}));
+    auto once = read;
+    once.idempotent_ = false;
+    const std::vector<Finding> repeated{
+            {Error, "#2", "allows retries of the class \"read\", whose requests run at most once"}};
+    EXPECT_EQ(findingsOf({once, RetryEntry{{"read", 1, 0.1}}}), repeated);
+    EXPECT_EQ(findingsOf({once, RetryEntry{{"read", 1, 0.1}, true}}), std::vector<Finding>{});
+    const model::Customer small{.name_ = "small", .allowance_ = {{0.1, 0.4}}};
+    EXPECT_EQ(findingsOf({small}),
+              (std::vector<Finding>{{Error, "#1",
+                                     "the allowance is less than one request in 5000 ms, so that "
+                                     "all may be refused"}}));
+}
+
+TEST(Check, FindsKeysThatContradictEachOther)
+{
+    const auto start = key.text().substr(0, 12);
+    const model::Customer one{.name_ = "one", .keys_ = {key, key}};
+    const model::Customer two{.name_ = "two", .keys_ = {key}};
+    EXPECT_EQ(findingsOf({one, two}),
+              (std::vector<Finding>{{Warning, "#1", "the key " + start + "... is given twice"},
+                                    {Error, "#2", "the key " + start + "... is also held by #1"}}));
+    auto draft = draftOf({model::Customer{.name_ = "none"}});
+    EXPECT_TRUE(configcheck::check(draft).empty());
+    draft.requiresKeys_ = true;
+    EXPECT_EQ(configcheck::check(draft).size(), 2U);
+}
+
+RC_GTEST_PROP(Check, keepsAllFaultsAndShowsNoWholeDigest, ())
+{
+    auto draft = configcheck::test::randomDraft();
+    draft.faults_ = {{Error, "x", "y"}};
+    const auto findings = configcheck::check(draft);
+    RC_ASSERT(std::ranges::count(findings, draft.faults_.front()) == 1);
+    for (const auto &finding : findings) {
+        for (const auto *name : {"", "a", "b", "c"})
+            RC_ASSERT(finding.text_.find(model::KeyDigest::of(name).text()) == std::string::npos);
+    }
+}
+
+} // namespace
