Serve the whole state of release notes to operators

Cause: GET /v1/notes shows of each key the beginning of its digest and no revisions of items, so nobody can tell what a note would make of that state.

Change: GET /v1/state answers the state as daemons exchange it, with the digests of keys; it needs the token as all paths do.

--- a/libs/admin/src/AdminServer.cpp
+++ b/libs/admin/src/AdminServer.cpp
@@ -9,6 +9,7 @@
 #include <net/HttpServer.h>
 #include <net/Reactor.h>
 #include <note/Limits.h>
+#include <note/Record.h>
 #include <notesync/NoteService.h>
 
 namespace admin {
@@ -47,6 +48,11 @@
     return jsonResponse(status, errorView(code, message));
 }
 
+HttpResponse noConfigResponse()
+{
+    return errorResponse(statusUnavailable, "no-config", "this daemon has no configuration yet");
+}
+
 HttpResponse publishResponse(const std::string &id, const notesync::PublishResult &result)
 {
     return std::visit(
@@ -112,6 +118,8 @@
             return showNotes();
         if (path.starts_with(notePrefix))
             return showNote(path.substr(notePrefix.size()));
+        if (path == "/v1/state")
+            return showState();
         if (path == "/v1/members")
             return jsonResponse(statusOk, membersView(*sources_.members_()));
         if (path == "/v1/status")
@@ -122,16 +130,22 @@
             return {statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, sources_.metrics_()};
         return errorResponse(
                 statusNotFound, "no-such-resource",
-                "available: /v1/notes, /v1/notes/ID, /v1/members, /v1/status, /v1/histograms "
-                "and /metrics");
+                "available: /v1/notes, /v1/notes/ID, /v1/state, /v1/members, /v1/status, "
+                "/v1/histograms and /metrics");
     }
 
     HttpResponse showNotes() const
     {
         if (const auto *state = notes_.state())
             return jsonResponse(statusOk, notesView(*state));
-        return errorResponse(statusUnavailable, "no-config",
-                             "this daemon has no configuration yet");
+        return noConfigResponse();
+    }
+
+    HttpResponse showState() const
+    {
+        if (const auto *state = notes_.state())
+            return jsonTextResponse(statusOk, note::encodeState(*state));
+        return noConfigResponse();
     }
 
     HttpResponse showNote(const std::string &id) const
--- a/libs/admin/tests/AdminServerTest.cpp
+++ b/libs/admin/tests/AdminServerTest.cpp
@@ -7,6 +7,7 @@
 #include <net/Reactor.h>
 #include <nlohmann/json.hpp>
 #include <note/Limits.h>
+#include <note/Record.h>
 #include <notesync/NoteService.h>
 
 namespace {
@@ -123,6 +124,7 @@
                           R"({"dataCentre":"two","daemons":1,"daemonsInForce":1}])"));
     EXPECT_EQ(json::parse(call("GET", "/v1/notes").body_)["notes"].size(), 2U);
     EXPECT_EQ(call("GET", "/v1/notes/other").status_, 404);
+    EXPECT_EQ(note::decodeState(call("GET", "/v1/state").body_), *notes_->state());
 }
 
 TEST_F(AdminServerTest, ReportsFaultsAndFailedPublication)
@@ -139,7 +141,7 @@
 TEST_F(AdminServerTest, RequestsWithoutTokenAreUnauthorized)
 {
     for (const auto *token : {"", "s3cre", "s3cret1", "S3cret"}) {
-        for (const auto *target : {"/v1/notes", "/v1/status", "/metrics", "/other"})
+        for (const auto *target : {"/v1/notes", "/v1/state", "/v1/status", "/metrics", "/other"})
             EXPECT_EQ(call("GET", target, "", token).status_, 401) << token;
         EXPECT_EQ(call("POST", "/v1/notes", addWallet, token).status_, 401);
     }
