Check a configuration before it is sent: fuchsiadock config check

Cause: operators learn only after sending which entries of a configuration exclude each other and whose requests it refuses.

Change: the command reads a release note, the state of all notes or a record of the platform (decoded by a function that the program gives it), prints findings and the differences from a file or from a running daemon, and tells by its exit code whether the configuration may be sent; 6 is new: it may, with warnings or differences that may refuse callers.

--- a/libs/cli/include/cli/ExitCode.h
+++ b/libs/cli/include/cli/ExitCode.h
@@ -10,6 +10,7 @@
     Unreachable = 3,    ///< the daemon was not reached or refused the request; nothing was done
     OutcomeUnknown = 4, ///< the note may have been published; repeating the command is safe
     NoSuchNote = 5,     ///< the daemon has no note with that id
+    Doubtful = 6,       ///< the configuration may be sent, but has warnings or may refuse callers
 };
 
 } // namespace cli
--- a/libs/cli/src/Client.cpp
+++ b/libs/cli/src/Client.cpp
@@ -21,6 +21,7 @@
 const std::vector<Command> &commands()
 {
     static const std::vector<Command> all{
+            {{"config", "check"}, details::configCheck},
             {{"note", "check"}, details::noteCheck},
             {{"note", "publish"}, details::notePublish},
             {{"note", "status"}, details::noteStatus},
@@ -43,7 +44,8 @@
 
 std::string_view clientSummary()
 {
-    return "  note check FILE       checks a release note without publishing it\n"
+    return "  config check FILE     checks a configuration before it is sent, and what it changes\n"
+           "  note check FILE       checks a release note without publishing it\n"
            "  note publish FILE     publishes a release note and waits for its outcome\n"
            "  note status ID        shows the outcome of a note and where it is in force\n"
            "  note list             lists the newest notes and the revision in force\n"
--- a/libs/cli/src/details/CommandLine.cpp
+++ b/libs/cli/src/details/CommandLine.cpp
@@ -27,6 +27,8 @@
         add("token-file", "file with the access token (adminToken of the daemon's settings)",
             cxxopts::value<std::string>(), "FILE");
     }
+    if (spec.takesAgainst_)
+        add("against", "configuration in force", cxxopts::value<std::string>(), "FILE");
     if (spec.takesTimeout_)
         add("timeout", "how long to repeat the request until the outcome is known",
             cxxopts::value<int>()->default_value("60"), "SECONDS");
@@ -59,6 +61,8 @@
         line.admin_ = parsed["admin"].as<std::string>();
     if (spec.usesAdmin_ && parsed.count("token-file") > 0)
         line.tokenFile_ = parsed["token-file"].as<std::string>();
+    if (spec.takesAgainst_ && parsed.count("against") > 0)
+        line.against_ = parsed["against"].as<std::string>();
     if (spec.takesTimeout_)
         line.timeoutSeconds_ = parsed["timeout"].as<int>();
     return line;
@@ -73,6 +77,10 @@
         return base::fail("bad-usage", "unexpected argument \"" + line.positional_.front() + "\"");
     if (!expected.empty() && line.positional_.size() != 1)
         return base::fail("bad-usage", "exactly one " + expected + " is needed");
+    if (!line.against_.empty() && !line.admin_.empty())
+        return base::fail("bad-usage", "--against and --admin exclude each other");
+    if (spec.takesAgainst_ && line.admin_.empty() && line.tokenFile_.empty())
+        return line;
     if (spec.usesAdmin_ && (line.admin_.empty() || line.tokenFile_.empty()))
         return base::fail("bad-usage", "--admin HOST:PORT and --token-file FILE are needed");
     return line;
--- a/libs/cli/src/details/CommandLine.h
+++ b/libs/cli/src/details/CommandLine.h
@@ -18,6 +18,7 @@
     const char *details_;    ///< paragraphs for --help
     bool usesAdmin_;         ///< takes --admin and --token-file
     bool takesTimeout_ = false;
+    bool takesAgainst_ = false; ///< takes --against; neither that nor --admin is needed
 };
 
 /** Parsed arguments of one command. */
@@ -26,6 +27,7 @@
     std::vector<std::string> positional_;
     std::string admin_;
     std::string tokenFile_;
+    std::string against_;
     int timeoutSeconds_ = 0;
     bool isHelp_ = false;
     std::string help_;
--- a/libs/cli/src/details/Commands.h
+++ b/libs/cli/src/details/Commands.h
@@ -4,6 +4,7 @@
 
 namespace cli::details {
 
+int configCheck(const Context &context);
 int noteCheck(const Context &context);
 int notePublish(const Context &context);
 int noteStatus(const Context &context);
--- a/libs/cli/tests/ClientTest.cpp
+++ b/libs/cli/tests/ClientTest.cpp
@@ -100,9 +100,9 @@
 
 TEST(Client, EveryCommandHasHelpAndReportsUsageErrors)
 {
-    const std::vector<std::vector<std::string>> commands{{"note", "check"},  {"note", "publish"},
-                                                         {"note", "status"}, {"note", "list"},
-                                                         {"status"},         {"settings", "check"}};
+    const std::vector<std::vector<std::string>> commands{
+            {"note", "check"}, {"note", "publish"},   {"note", "status"}, {"note", "list"},
+            {"status"},        {"settings", "check"}, {"config", "check"}};
     for (auto command : commands) {
         EXPECT_TRUE(cli::isClientCommand(command.front()));
         auto wrong = command;
--- a/tools/fuchsiadock/main.cpp
+++ b/tools/fuchsiadock/main.cpp
@@ -5,6 +5,7 @@
 #include <cli/Client.h>
 #include <cli/ClientHooks.h>
 #include <cli/ExitCode.h>
+#include <platform/ConfigDecoder.h>
 #include <settings/Loader.h>
 
 #include "DaemonCommand.h"
@@ -38,7 +39,9 @@
     if (name == "daemon")
         return fuchsiadock::runDaemon(argc - 1, argv + 1);
     if (cli::isClientCommand(name))
-        return cli::runClient(argc, argv, {.checkSettings_ = checkSettings});
+        return cli::runClient(
+                argc, argv,
+                {.checkSettings_ = checkSettings, .decodePlatformConfig_ = platform::decodeDraft});
     if (name == "--help") {
         std::cout << usage();
         return cli::ExitCode::Ok;
