--- a/libs/cli/tests/ClientTest.cpp
+++ b/libs/cli/tests/ClientTest.cpp
@@ -1,12 +1,8 @@
 #include <gtest/gtest.h>
 
-#include <cstdio>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
-#include <unistd.h>
-
+#include "RunClient.h"
 #include <cli/Client.h>
 #include <cli/ExitCode.h>
 #include <model/KeyDigest.h>
@@ -15,35 +11,10 @@
 
 namespace {
 
-const std::string validNote = "id: n1\nbase: 0\nadded: {services: [wallet]}\n";
-
-struct CommandResult
-{
-    int code_;
-    std::string out_;
-    std::string err_;
-};
+using cli::test::run;
+using cli::test::writeFile;
 
-CommandResult run(const std::vector<std::string> &arguments, const std::string &input = "")
-{
-    const cli::ClientHooks hooks{[](const std::string &file) {
-        return file == "good" ? std::vector<std::string>{}
-                              : std::vector<std::string>{file + ":3: id: is missing"};
-    }};
-    std::istringstream in(input);
-    std::ostringstream out;
-    std::ostringstream err;
-    const int code = cli::runClient(arguments, hooks, in, out, err);
-    return {code, out.str(), err.str()};
-}
-
-std::string writeFile(const std::string &name, const std::string &text)
-{
-    const auto path =
-            testing::TempDir() + "fuchsiadock-cli-" + std::to_string(getpid()) + "-" + name;
-    std::ofstream(path) << text;
-    return path;
-}
+const std::string validNote = "id: n1\nbase: 0\nadded: {services: [wallet]}\n";
 
 /** Fake administration API that sends the given answers in order and repeats the last one. */
 class FakeAdmin
@@ -76,11 +47,11 @@
                 writeFile("token", "s3cret\n")};
     }
 
-    CommandResult run(std::vector<std::string> arguments) const
+    cli::test::CommandResult run(std::vector<std::string> arguments) const
     {
         for (const auto &option : options())
             arguments.push_back(option);
-        return ::run(arguments);
+        return cli::test::run(arguments);
     }
 
     std::vector<net::HttpRequest> requests_; ///< read only after the calls have returned
--- a/libs/cli/tests/ConfigCommandTest.cpp
+++ b/libs/cli/tests/ConfigCommandTest.cpp
@@ -1,11 +1,6 @@
 #include <gtest/gtest.h>
 
-#include <fstream>
-#include <sstream>
-
-#include <unistd.h>
-
-#include <cli/Client.h>
+#include "RunClient.h"
 #include <cli/ExitCode.h>
 #include <model/KeyDigest.h>
 #include <note/Parse.h>
@@ -14,43 +9,19 @@
 
 namespace {
 
+using cli::test::CommandResult;
+using cli::test::writeFile;
+
 const std::string firstNote =
         "id: n1\nbase: 0\nadded:\n  services: [wallet]\n  classes:\n"
         "    - {name: read, service: wallet, rank: 2, idempotent: true, deadline: 2s}\n"
         "  customers:\n    - {name: school, rate: 20, burst: 40, keys: ["
         + model::KeyDigest::of("k1").text() + "]}\n";
 
-struct CommandResult
-{
-    int code_;
-    std::string out_;
-    std::string err_;
-};
-
 CommandResult check(std::vector<std::string> arguments)
 {
-    // The platform's form of this test: the service's name is all that an entry holds.
-    const cli::ClientHooks hooks{
-            .decodePlatformConfig_ =
-                    [](std::string_view record) -> base::Result<configcheck::Draft> {
-                if (record.find("version") == std::string_view::npos)
-                    return base::fail("bad-config", "has no version");
-                return configcheck::Draft{.revision_ = record.size(),
-                                          .entries_ = {{"x", model::Service{"wallet"}}}};
-            }};
     arguments.insert(arguments.begin(), {"config", "check"});
-    std::istringstream in;
-    std::ostringstream out;
-    std::ostringstream err;
-    const int code = cli::runClient(arguments, hooks, in, out, err);
-    return {code, out.str(), err.str()};
-}
-
-std::string writeFile(const std::string &name, const std::string &text)
-{
-    auto path = testing::TempDir() + "fuchsiadock-config-" + std::to_string(getpid()) + "-" + name;
-    std::ofstream(path, std::ios::binary) << text;
-    return path;
+    return cli::test::run(arguments);
 }
 
 note::State stateInForce()
--- a/libs/configcheck/tests/CheckTest.cpp
+++ b/libs/configcheck/tests/CheckTest.cpp
@@ -11,7 +11,6 @@
 
 using configcheck::Draft;
 using configcheck::EntryValue;
-using configcheck::Finding;
 using configcheck::RetryEntry;
 using configcheck::RouteEntry;
 using enum configcheck::Severity;
@@ -33,11 +32,21 @@
     return {"h", {{.name_ = name, .pathPrefix_ = path}, {{"wallet", 1}}, 1, base::Millis(500)}};
 }
 
+using Lines = std::vector<std::string>;
+
+Lines linesOf(const Draft &draft)
+{
+    Lines lines;
+    for (const auto &[severity, place, text] : configcheck::check(draft))
+        lines.push_back((severity == Error ? "error " : "warning ") + place + ": " + text);
+    return lines;
+}
+
 /** Findings of a configuration with the service and the values, which are #1, #2 and so on. */
-std::vector<Finding> findingsOf(std::vector<EntryValue> values)
+Lines findingsOf(std::vector<EntryValue> values)
 {
     values.insert(values.begin(), wallet);
-    return configcheck::check(draftOf(values));
+    return linesOf(draftOf(values));
 }
 
 TEST(Check, FindsNothingInAValidConfiguration)
@@ -46,7 +55,7 @@
     auto draft = draftOf({wallet, read, model::RequestClass{"any", "wallet", "", "/"}, route("a"),
                           route("b", "/y/"), school, RetryEntry{{"read", 2, 0.1}}});
     draft.requiresKeys_ = true;
-    EXPECT_EQ(configcheck::check(draft), std::vector<Finding>{});
+    EXPECT_EQ(linesOf(draft), Lines{});
 }
 
 TEST(Check, FindsEntriesThatCanNeverMatch)
@@ -54,24 +63,19 @@
     auto hidden = read;
     hidden.name_ = "hidden";
     EXPECT_EQ(findingsOf({read, hidden}),
-              (std::vector<Finding>{{Error, "#2",
-                                     "has the same service, method and path as #1: one of the two "
-                                     "can never match"}}));
+              Lines{"error #2: has the same service, method and path as #1: one of the two can "
+                    "never match"});
     EXPECT_EQ(findingsOf({route("a"), route("b")}),
-              (std::vector<Finding>{{Error, "#2",
-                                     "has the same host and path as #1: one of the two can never "
-                                     "match"}}));
+              Lines{"error #2: has the same host and path as #1: one of the two can never match"});
     EXPECT_EQ(findingsOf({route("a"), route("a", "/y/")}),
-              (std::vector<Finding>{{Error, "#2", "the route \"a\" is given twice, first at #1"}}));
+              Lines{"error #2: the route \"a\" is given twice, first at #1"});
     auto lost = route("a");
     lost.route_.services_ = {{"other", 1}, {"wallet", 0}};
     EXPECT_EQ(findingsOf({lost}),
-              (std::vector<Finding>{
-                      {Error, "#1", "the service \"other\" does not exist"},
-                      {Warning, "#1",
-                       "the service \"wallet\" has a weight of 0 and gets no requests"}}));
+              (Lines{"error #1: the service \"other\" does not exist",
+                     "warning #1: the service \"wallet\" has a weight of 0 and gets no requests"}));
     EXPECT_EQ(findingsOf({RetryEntry{{"read", 1, 0.1}}}),
-              (std::vector<Finding>{{Error, "#1", "the class \"read\" does not exist"}}));
+              Lines{"error #1: the class \"read\" does not exist"});
 }
 
 TEST(Check, FindsLimitsThatContradictEachOther)
@@ -81,38 +85,33 @@
     impossible.route_.class_.rank_ = 10;
     impossible.route_.services_ = {{"wallet", 0}};
     impossible.route_.maxAttempts_ = 0;
-    EXPECT_EQ(
-            findingsOf({impossible}),
-            (std::vector<Finding>{
-                    {Error, "#1", "the weights of its services sum to 0"},
-                    {Error, "#1", "the rank 10 is not 0 to 9"},
-                    {Error, "#1", "the deadline of 400 ms is below the target latency of 500 ms"},
-                    {Error, "#1", "allows no attempt; the number of attempts must be 1 or more"}}));
+    EXPECT_EQ(findingsOf({impossible}),
+              (Lines{"error #1: the weights of its services sum to 0",
+                     "error #1: the rank 10 is not 0 to 9",
+                     "error #1: the deadline of 400 ms is below the target latency of 500 ms",
+                     "error #1: allows no attempt; the number of attempts must be 1 or more"}));
     auto once = read;
     once.idempotent_ = false;
-    const std::vector<Finding> repeated{
-            {Error, "#2", "allows retries of the class \"read\", whose requests run at most once"}};
-    EXPECT_EQ(findingsOf({once, RetryEntry{{"read", 1, 0.1}}}), repeated);
-    EXPECT_EQ(findingsOf({once, RetryEntry{{"read", 1, 0.1}, true}}), std::vector<Finding>{});
-    const model::Customer small{.name_ = "small", .allowance_ = {{0.1, 0.4}}};
-    EXPECT_EQ(findingsOf({small}),
-              (std::vector<Finding>{{Error, "#1",
-                                     "the allowance is less than one request in 5000 ms, so that "
-                                     "all may be refused"}}));
+    EXPECT_EQ(findingsOf({once, RetryEntry{{"read", 1, 0.1}}}),
+              Lines{"error #2: allows retries of the class \"read\", whose requests run at most "
+                    "once"});
+    EXPECT_EQ(findingsOf({once, RetryEntry{{"read", 1, 0.1}, true}}), Lines{});
+    EXPECT_EQ(findingsOf({model::Customer{.name_ = "small", .allowance_ = {{0.1, 0.4}}}}),
+              Lines{"error #1: the allowance is less than one request in 5000 ms, so that all may "
+                    "be refused"});
 }
 
 TEST(Check, FindsKeysThatContradictEachOther)
 {
     const auto start = key.text().substr(0, 12);
-    const model::Customer one{.name_ = "one", .keys_ = {key, key}};
-    const model::Customer two{.name_ = "two", .keys_ = {key}};
-    EXPECT_EQ(findingsOf({one, two}),
-              (std::vector<Finding>{{Warning, "#1", "the key " + start + "... is given twice"},
-                                    {Error, "#2", "the key " + start + "... is also held by #1"}}));
+    EXPECT_EQ(findingsOf({model::Customer{.name_ = "one", .keys_ = {key, key}},
+                          model::Customer{.name_ = "two", .keys_ = {key}}}),
+              (Lines{"warning #1: the key " + start + "... is given twice",
+                     "error #2: the key " + start + "... is also held by #1"}));
     auto draft = draftOf({model::Customer{.name_ = "none"}});
-    EXPECT_TRUE(configcheck::check(draft).empty());
+    EXPECT_EQ(linesOf(draft), Lines{});
     draft.requiresKeys_ = true;
-    EXPECT_EQ(configcheck::check(draft).size(), 2U);
+    EXPECT_EQ(linesOf(draft).size(), 2U);
 }
 
 RC_GTEST_PROP(Check, keepsAllFaultsAndShowsNoWholeDigest, ())
