--- a/libs/cli/src/details/ConfigCommand.cpp
+++ b/libs/cli/src/details/ConfigCommand.cpp
@@ -182,6 +182,10 @@
                                       "version " + std::to_string(draft.revision_)
                                               + " is not above the version "
                                               + std::to_string(before->revision_) + " in force"});
+    if (!before->faults_.empty())
+        proposal.findings_.push_back({Severity::Warning, "",
+                                      "the version in force has entries with faults: what could "
+                                      "not be read of them is not compared"});
     proposal.before_ = *before;
     return proposal;
 }
