Grant repeats by rank and progress, and refuse roots that repeats cannot complete

Cause: when a service refuses a share of all its calls, repeats were earned from the current first arrivals alone, which fall as requests fail, and the level that grants them swung by whole ranks. Change: the executor's budget follows the platform's windows of 10 s; a level set by the fill of its bucket grants repeats by rank, completed calls and bucket; the level travels on answers, and entries refuse roots without a chance.

--- a/libs/admission/include/admission/AnswerLevels.h
+++ b/libs/admission/include/admission/AnswerLevels.h
@@ -14,7 +14,13 @@
     Level customer_;   ///< of the instance for the customer of the request
     Level downstream_; ///< of the services called by requests of this class and customer
 
-    /** Decimal numbers separated by single spaces. */
+    /**
+     * Worst priority whose calls are repeated as often as needed when backend servers refuse them;
+     * of the instance and the services below for a call, of the services below for a root request.
+     */
+    Level repeats_;
+
+    /** Decimal numbers separated by single spaces; without repeats_ if it is Level::all(). */
     std::string toString() const;
 
     /** Inverse of toString(); missing and malformed numbers are read as Level::all(). */
--- a/libs/admission/include/admission/EntryLevels.h
+++ b/libs/admission/include/admission/EntryLevels.h
@@ -42,12 +42,16 @@
     Priority routingPriority(const CallScope &scope, const Priority &priority,
                              base::Millis now) const;
 
+    /** Whether calls below a new root request are repeated as often as needed. */
+    bool coversRepeats(const CallScope &scope, const Priority &priority, base::Millis now) const;
+
     /** Removes expired levels. */
     void prune(base::Millis now);
 
 private:
     DownstreamLevels downstream_;
     DownstreamLevels customers_;
+    DownstreamLevels repeats_; ///< empty unless a service has too few repeats
 };
 
 /** Key of a request class and customer in DownstreamLevels. */
--- a/libs/admission/src/AnswerLevels.cpp
+++ b/libs/admission/src/AnswerLevels.cpp
@@ -23,7 +23,8 @@
 std::string AnswerLevels::toString() const
 {
     return std::to_string(instance_.value_) + " " + std::to_string(customer_.value_) + " "
-           + std::to_string(downstream_.value_);
+           + std::to_string(downstream_.value_)
+           + (repeats_ == Level::all() ? std::string() : " " + std::to_string(repeats_.value_));
 }
 
 AnswerLevels AnswerLevels::parse(std::string_view text)
@@ -32,6 +33,7 @@
     result.instance_ = parseNextLevel(text);
     result.customer_ = parseNextLevel(text);
     result.downstream_ = parseNextLevel(text);
+    result.repeats_ = parseNextLevel(text);
     return result;
 }
 
--- a/libs/admission/src/EntryLevels.cpp
+++ b/libs/admission/src/EntryLevels.cpp
@@ -21,6 +21,18 @@
                         levels.downstream_, now);
     customers_.observe(scopeKey(scope.service_, scope.customer_), scope.service_, levels.customer_,
                        now);
+    if (levels.repeats_ != Level::all() || repeats_.size() > 0)
+        repeats_.observe(scopeKey(scope.requestClass_, scope.customer_), scope.service_,
+                         levels.repeats_, now);
+}
+
+bool EntryLevels::coversRepeats(const CallScope &scope, const Priority &priority,
+                                base::Millis now) const
+{
+    if (repeats_.size() == 0)
+        return true;
+    return repeats_.effective(scopeKey(scope.requestClass_, scope.customer_), Level::all(), now)
+            .covers(priority);
 }
 
 bool EntryLevels::admits(const CallScope &scope, const Priority &priority, base::Millis now) const
@@ -41,6 +53,7 @@
 {
     downstream_.prune(now);
     customers_.prune(now);
+    repeats_.prune(now);
 }
 
 } // namespace admission
--- a/libs/dock/include/dock/Executor.h
+++ b/libs/dock/include/dock/Executor.h
@@ -98,6 +98,16 @@
     void observeLevel(std::string_view contextToken, std::string_view callee,
                       admission::Level level);
 
+    /**
+     * Records the worst priority whose calls are repeated as often as needed at a service that a
+     * running request has called.
+     */
+    void observeRepeatLevel(std::string_view contextToken, std::string_view callee,
+                            admission::Level level);
+
+    /** Whether a called service has lately refused more calls than may be repeated. */
+    bool hasRepeatLevels() const;
+
     /** Number of running and queued requests. */
     std::size_t activeCount() const;
 
--- a/libs/dock/include/dock/HeaderNames.h
+++ b/libs/dock/include/dock/HeaderNames.h
@@ -25,6 +25,7 @@
 inline const std::string budget = "fd-budget";
 inline const std::string depth = "fd-depth";
 inline const std::string repeat = "fd-repeat"; ///< retry::RepeatKind; omitted if First
+inline const std::string completedCalls = "fd-completed-calls"; ///< omitted if 0
 inline const std::string subKey = "fd-sub-key";
 inline const std::string settledBelow = "fd-settled-below";
 inline const std::string level = "fd-level";
--- a/libs/dock/include/dock/InstanceSelector.h
+++ b/libs/dock/include/dock/InstanceSelector.h
@@ -13,6 +13,7 @@
 #include <dock/CallInfo.h>
 #include <model/Member.h>
 #include <once/Outcome.h>
+#include <retry/StartGate.h>
 #include <tl/expected.hpp>
 
 namespace routing {
@@ -40,8 +41,12 @@
     using ParentLevelFunction = std::function<void(const CallInfo &call, admission::Level level)>;
     using InstanceIds = std::vector<std::string>;
 
-    /** The routing core must outlive the selector. */
-    InstanceSelector(routing::Core &routing, std::uint64_t seed, ParentLevelFunction onParentLevel);
+    /**
+     * onParentLevel receives the worst priority that was admitted, onParentRepeatLevel the worst one
+     * whose calls are repeated as often as needed. The routing core must outlive the selector.
+     */
+    InstanceSelector(routing::Core &routing, std::uint64_t seed, ParentLevelFunction onParentLevel,
+                     ParentLevelFunction onParentRepeatLevel);
 
     /**
      * Selects an instance, preferably one not in tried and never one in avoid. Fails with the
@@ -53,6 +58,9 @@
     /** Records the admission levels of an answer to the call. */
     void observe(const CallInfo &call, const admission::AnswerLevels &levels, base::Millis now);
 
+    /** Records how a root request ended that was sent to an instance. */
+    void recordRootEnd(const CallInfo &call, const once::Outcome &outcome, base::Millis now);
+
     /** Adds a retry-after time to the outcome if it has none and a later attempt may succeed. */
     once::Outcome withRetryAfter(const CallInfo &call, const once::Outcome &outcome,
                                  base::Millis now);
@@ -62,11 +70,14 @@
 
 private:
     once::NotRun overloadedRefusal(const CallInfo &call, base::Millis now);
+    bool mayStart(const CallInfo &call, base::Millis now);
 
     routing::Core &routing_;
     ParentLevelFunction onParentLevel_;
+    ParentLevelFunction onParentRepeatLevel_;
     admission::EntryLevels levels_;
     admission::RetryAfterEstimator retryAfterEstimator_;
+    retry::StartGate startGate_;
 };
 
 } // namespace dock
--- a/libs/dock/src/AttemptCodec.cpp
+++ b/libs/dock/src/AttemptCodec.cpp
@@ -25,6 +25,7 @@
 constexpr std::uint64_t maxRetryAfterMs = 3'600'000;
 constexpr std::uint64_t maxBudget = 1000;
 constexpr std::uint64_t maxDepth = 1000;
+constexpr std::uint64_t maxCompletedCalls = 1000;
 
 std::string_view textOf(AttemptKind kind)
 {
@@ -137,6 +138,8 @@
     add(headers, header::depth, std::to_string(attempt.depth_));
     if (attempt.repeat_ != retry::RepeatKind::First)
         add(headers, header::repeat, std::to_string(static_cast<int>(attempt.repeat_)));
+    if (attempt.completedCalls_ > 0)
+        add(headers, header::completedCalls, std::to_string(attempt.completedCalls_));
     if (attempt.subKey_) {
         add(headers, header::subKey, attempt.subKey_->text());
         add(headers, header::settledBelow, std::to_string(attempt.settledBelow_));
@@ -164,6 +167,8 @@
     attempt.depth_ = static_cast<std::uint32_t>(numberUpTo(headers, header::depth, maxDepth));
     attempt.repeat_ = static_cast<retry::RepeatKind>(numberUpTo(
             headers, header::repeat, static_cast<std::uint64_t>(retry::RepeatKind::OfRepeatedRun)));
+    attempt.completedCalls_ = static_cast<std::uint32_t>(
+            numberUpTo(headers, header::completedCalls, maxCompletedCalls));
     if (const auto text = headerValue(headers, header::subKey); !text.empty()) {
         auto subKey = once::SubKey::parse(text);
         if (!subKey)
--- a/libs/dock/src/CallInfo.cpp
+++ b/libs/dock/src/CallInfo.cpp
@@ -13,6 +13,7 @@
             .budget_ = retryBudget,
             .depth_ = call.depth_,
             .repeat_ = call.repeat_,
+            .completedCalls_ = call.completedCalls_,
             .request_ = call.request_};
 }
 
--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -42,7 +42,8 @@
     waiter = {.answer_ = std::move(answer),
               .requestClass_ = attempt.requestClass_,
               .customer_ = attempt.customer_,
-              .subKey_ = attempt.subKey_};
+              .subKey_ = attempt.subKey_,
+              .isRoot_ = attempt.depth_ == 0};
     if (attempt.kind_ == AttemptKind::QueryOutcome) {
         impl_->perform(impl_->once_->handle(once::OutcomeQueried{id, *attempt.subKey_}, now));
         return id;
@@ -166,12 +167,22 @@
 void Executor::observeLevel(std::string_view contextToken, std::string_view callee,
                             admission::Level level)
 {
-    const auto found = impl_->runByContext_.find(std::string(contextToken));
-    if (found == impl_->runByContext_.end())
+    if (const auto scope = impl_->scopeOf(contextToken))
+        impl_->levels_.observe(*scope, callee, level, base::monotonicNow());
+}
+
+void Executor::observeRepeatLevel(std::string_view contextToken, std::string_view callee,
+                                  admission::Level level)
+{
+    if (level == Level::all() && impl_->repeatLevels_.size() == 0)
         return;
-    const auto &attempt = impl_->runs_.at(found->second).attempt_;
-    impl_->levels_.observe(admission::scopeKey(attempt.requestClass_, attempt.customer_), callee,
-                           level, base::monotonicNow());
+    if (const auto scope = impl_->scopeOf(contextToken))
+        impl_->repeatLevels_.observe(*scope, callee, level, base::monotonicNow());
+}
+
+bool Executor::hasRepeatLevels() const
+{
+    return impl_->repeatLevels_.size() > 0;
 }
 
 std::size_t Executor::activeCount() const
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -192,8 +192,8 @@
 
 /**
  * Whether another instance is likely to succeed where this one answered with a server error. Not
- * while the service or a service that it calls sheds load: the error is then probably caused by a
- * refused downstream call and would occur again.
+ * while the service or a service that it calls sheds load or has too few repeats: the error is then
+ * probably caused by a refused downstream call and would occur again.
  */
 bool IdempotentCalls::isRetryableFailure(const once::Complete &complete,
                                          const admission::AnswerLevels &levels) const
@@ -201,7 +201,7 @@
     const auto status = complete.answer_->status_;
     const auto all = admission::Level::all();
     return retriesFailures_ && status >= firstServerError && status != statusGatewayTimeout
-           && levels.instance_ == all && levels.downstream_ == all;
+           && levels.instance_ == all && levels.downstream_ == all && levels.repeats_ == all;
 }
 
 once::Outcome IdempotentCalls::failureOutcome(const Call &call) const
--- a/libs/dock/src/InstanceSelector.cpp
+++ b/libs/dock/src/InstanceSelector.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/** Lowest status that means that the backend server failed. */
+constexpr int firstServerError = 500;
+
 admission::CallScope scopeOf(const CallInfo &call)
 {
     return {call.service_, call.class_.name_, call.customer_};
@@ -21,9 +24,11 @@
 } // namespace
 
 InstanceSelector::InstanceSelector(routing::Core &routing, std::uint64_t seed,
-                                   ParentLevelFunction onParentLevel)
+                                   ParentLevelFunction onParentLevel,
+                                   ParentLevelFunction onParentRepeatLevel)
     : routing_(routing)
     , onParentLevel_(std::move(onParentLevel))
+    , onParentRepeatLevel_(std::move(onParentRepeatLevel))
     , retryAfterEstimator_(seed)
 {}
 
@@ -42,6 +47,9 @@
     // Refused before any work is done, as a downstream service would refuse it after some work.
     if (!levels_.admits(scope, call.priority_, now))
         return tl::unexpected(overloadedRefusal(call, now));
+    if (!call.isChild() && tried.empty() && !mayStart(call, now))
+        return tl::unexpected(
+                once::NotRun{once::Reason::RepeatLimit, overloadedRefusal(call, now).retryAfter_});
     const auto routingPriority = levels_.routingPriority(scope, call.priority_, now);
     if (!tried.empty()) {
         auto excluded = avoid;
@@ -63,6 +71,24 @@
     return Selected{*choice->member_, routingPriority};
 }
 
+/** Whether a new root request is likely to succeed, given the repeats that its calls get. */
+bool InstanceSelector::mayStart(const CallInfo &call, base::Millis now)
+{
+    return levels_.coversRepeats(scopeOf(call), call.priority_, now)
+           || startGate_.admits(admission::scopeKey(call.class_.name_, call.customer_),
+                                call.class_.idempotent_, now);
+}
+
+void InstanceSelector::recordRootEnd(const CallInfo &call, const once::Outcome &outcome,
+                                     base::Millis now)
+{
+    if (levels_.coversRepeats(scopeOf(call), call.priority_, now))
+        return;
+    const auto *complete = std::get_if<once::Complete>(&outcome);
+    const bool isServed = complete != nullptr && complete->answer_->status_ < firstServerError;
+    startGate_.recordEnd(admission::scopeKey(call.class_.name_, call.customer_), isServed, now);
+}
+
 once::Outcome InstanceSelector::withRetryAfter(const CallInfo &call, const once::Outcome &outcome,
                                                base::Millis now)
 {
@@ -76,14 +102,17 @@
 {
     levels_.prune(now);
     retryAfterEstimator_.prune(now);
+    startGate_.prune(now);
 }
 
 void InstanceSelector::observe(const CallInfo &call, const admission::AnswerLevels &levels,
                                base::Millis now)
 {
     levels_.observe(scopeOf(call), levels, now);
-    if (call.isChild())
-        onParentLevel_(call, admission::levelOfCallee(levels, routing_.level(call.service_, now)));
+    if (!call.isChild())
+        return;
+    onParentLevel_(call, admission::levelOfCallee(levels, routing_.level(call.service_, now)));
+    onParentRepeatLevel_(call, levels.repeats_);
 }
 
 } // namespace dock
--- a/libs/dock/src/details/EntryImpl.cpp
+++ b/libs/dock/src/details/EntryImpl.cpp
@@ -8,6 +8,7 @@
 #include <net/PeerClient.h>
 #include <once/Entry.h>
 #include <openssl/rand.h>
+#include <retry/ContextTable.h>
 
 namespace dock {
 
@@ -39,6 +40,7 @@
     , self_(std::move(self))
     , client_(client)
     , executor_(executor)
+    , contexts_(contexts)
     , routing_({.daemonId_ = settings.id_,
                 .dataCentre_ = settings.dataCentre_,
                 .region_ = settings.region_,
@@ -53,6 +55,9 @@
     , selector_(routing_, randomSeed(),
                 [this](const CallInfo &call, admission::Level level) {
                     executor_.observeLevel(call.contextToken_, call.service_, level);
+                },
+                [this](const CallInfo &call, admission::Level level) {
+                    executor_.observeRepeatLevel(call.contextToken_, call.service_, level);
                 })
     , idempotentCalls_(
               reactor, retryIdempotent_, selector_, sender_,
@@ -240,6 +245,18 @@
         finishWithOutcome(id, once::homeUnreachable());
 }
 
+/** Records what the distribution of repeats needs while a service has too few of them. */
+void Entry::Impl::recordForRepeats(const CallInfo &call, const once::Outcome &outcome,
+                                   base::Millis now)
+{
+    if (std::holds_alternative<once::NotRun>(outcome))
+        return;
+    if (!call.isChild())
+        selector_.recordRootEnd(call, outcome, now);
+    else if (executor_.hasRepeatLevels() && std::holds_alternative<once::Complete>(outcome))
+        contexts_.recordCompletedCall(call.contextToken_);
+}
+
 void Entry::Impl::finishWithOutcome(EntryId id, const once::Outcome &outcome,
                                     const CallReport &report)
 {
@@ -250,6 +267,7 @@
     const auto now = base::monotonicNow();
     if (!std::holds_alternative<once::NotRun>(outcome))
         usualTimes_.record(call.class_.name_, now - call.receivedAt_);
+    recordForRepeats(call, outcome, now);
     recorder_.recordFinished(call, outcome, report, now);
     failureLog_.record(call, outcome, report, now);
     const auto answered = selector_.withRetryAfter(call, outcome, now);
--- a/libs/dock/src/details/EntryImpl.h
+++ b/libs/dock/src/details/EntryImpl.h
@@ -89,6 +89,7 @@
     std::string executorOf(const Work &work) const;
     void finish(EntryId id, net::HttpResponse response);
     void forwarded(EntryId id, net::CallResult result);
+    void recordForRepeats(const CallInfo &call, const once::Outcome &outcome, base::Millis now);
     void finishWithOutcome(EntryId id, const once::Outcome &outcome, const CallReport &report = {});
 
     const settings::Settings &settings_;
@@ -97,6 +98,7 @@
     once::Incarnation self_;
     net::PeerClient &client_;
     Executor &executor_;
+    retry::ContextTable &contexts_;
     routing::Core routing_;
     std::optional<once::Home> home_;
     retry::Core retryIdempotent_;
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -88,6 +88,9 @@
         perform(admission_.handle(admission::ProcessorBusy{}, now));
     perform(admission_.handle(admission::Tick{}, now));
     levels_.prune(now);
+    repeatLevels_.prune(now);
+    if (arrivalBudget_)
+        arrivalBudget_->closeWindows(now);
     if (isServing() && now - lastAnnounced_ > announcementTimeout) {
         events::log(events::backendSilent, "service=" + backend_.service_);
         auto backend = backend_;
@@ -116,7 +119,8 @@
         return NotRun{Reason::Draining, {}};
     const bool isOverBudget =
             arrivalBudget_ && attempt.repeat_ != RepeatKind::First
-            && !arrivalBudget_->spend(attempt.repeat_, attempt.priority_, base::monotonicNow());
+            && !arrivalBudget_->spend(attempt.repeat_, attempt.priority_, attempt.completedCalls_,
+                                      base::monotonicNow());
     return isOverBudget ? std::optional(NotRun{Reason::RepeatLimit, {}}) : std::nullopt;
 }
 
@@ -151,6 +155,7 @@
                             .deadline_ = deadline,
                             .budget_ = retry::ChainBudget(attempt.budget_),
                             .depth_ = attempt.depth_,
+                            .completedCalls_ = attempt.completedCalls_,
                             .isRepeat_ = attempt.repeat_ != RepeatKind::First});
     if (!token)
         return std::nullopt;
@@ -308,6 +313,15 @@
     perform(once_->handle(event, base::monotonicNow()));
 }
 
+std::optional<std::string> Executor::Impl::scopeOf(std::string_view contextToken) const
+{
+    const auto found = runByContext_.find(std::string(contextToken));
+    if (found == runByContext_.end())
+        return std::nullopt;
+    const auto &attempt = runs_.at(found->second).attempt_;
+    return admission::scopeKey(attempt.requestClass_, attempt.customer_);
+}
+
 Executor::Impl::RunId Executor::Impl::findRun(const once::SubKey &subKey) const
 {
     const auto found = runBySubKey_.find(subKey.text());
@@ -382,6 +396,15 @@
     }
 }
 
+Level Executor::Impl::repeatLevel(const std::string &scope, bool isRoot) const
+{
+    const bool isLimited = arrivalBudget_ && !isRoot;
+    const auto ownLevel = isLimited ? arrivalBudget_->coveredLevel() : Level::all();
+    if (repeatLevels_.size() == 0)
+        return ownLevel;
+    return repeatLevels_.effective(scope, ownLevel, base::monotonicNow());
+}
+
 void Executor::Impl::reply(AttemptId id, const once::Outcome &outcome, bool isReplaced)
 {
     auto node = waiters_.extract(id);
@@ -399,7 +422,8 @@
         answer.levels_ = {.instance_ = admission_.level(),
                           .customer_ = admission_.level(waiter.customer_),
                           .downstream_ =
-                                  levels_.effective(scope, Level::all(), base::monotonicNow())};
+                                  levels_.effective(scope, Level::all(), base::monotonicNow()),
+                          .repeats_ = repeatLevel(scope, waiter.isRoot_)};
     }
     waiter.answer_(std::move(answer));
 }
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -54,6 +54,7 @@
         std::string customer_;
         RunId run_ = 0; ///< set for an idempotent request
         std::optional<once::SubKey> subKey_;
+        bool isRoot_ = false;
     };
 
     Impl(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
@@ -77,7 +78,9 @@
     makeArrivalBudget(const settings::Settings &settings);
     std::optional<once::NotRun> refusalOf(const Attempt &attempt);
     std::uint32_t admissionSlots() const;
+    admission::Level repeatLevel(const std::string &scope, bool isRoot) const;
     RunId findRun(const once::SubKey &subKey) const;
+    std::optional<std::string> scopeOf(std::string_view contextToken) const;
 
     void createRecord(once::Incarnation self);
     void scheduleTick();
@@ -109,6 +112,7 @@
     std::optional<retry::ArrivalBudget> arrivalBudget_; ///< unset: the entries limit retries
     admission::Core admission_;
     admission::DownstreamLevels levels_;
+    admission::DownstreamLevels repeatLevels_;
     std::optional<once::Executor> once_;
     BackendChanged onBackendChanged_;
     ContextFunction onContextEnded_;
--- a/libs/dock/src/details/RequestReader.cpp
+++ b/libs/dock/src/details/RequestReader.cpp
@@ -210,6 +210,7 @@
     call.priority_ = admission::Priority::unpack(static_cast<int>(parent.priority_)).forChild();
     call.deadline_ = std::min(call.deadline_, parent.deadline_);
     call.depth_ = parent.depth_ + 1;
+    call.completedCalls_ = parent.completedCalls_;
     if (parent.isRepeat_)
         call.repeat_ = retry::RepeatKind::OfRepeatedRun;
 }
--- a/libs/retry/include/retry/ArrivalBudget.h
+++ b/libs/retry/include/retry/ArrivalBudget.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 
-#include <admission/LevelController.h>
+#include <admission/Level.h>
 #include <admission/Priority.h>
 #include <base/Millis.h>
 #include <retry/RepeatKind.h>
+#include <retry/RepeatLevel.h>
+#include <retry/SlidingCount.h>
 
 namespace retry {
 
@@ -14,11 +16,16 @@
  * beside the server keeps it; the sum of these limits also bounds the whole service, however many
  * entries retry.
  *
- * When failed calls outnumber the permitted repeats, requests of the best priorities get all the
- * repeats they need and the others none, since a request that makes many calls fails with any one
- * of them. Reruns cost the most and get only a share of the budget. Calls of repeated runs are
- * counted but always admitted, since the run would be wasted without them; what they take beyond
- * the budget reduces later repeats. No I/O or clock.
+ * The limit holds in each window of 10 s, against the first arrivals of that window or of one just
+ * before it, whichever are more: failing requests make fewer first calls, and would otherwise lose
+ * their repeats when they need them.
+ *
+ * When failed calls outnumber the permitted repeats, requests of the best ranks get them, those
+ * with most completed calls first, since they need the fewest to be completed. Among equals the
+ * bucket decides, so that a request that gets one repeat also gets the next. Reruns cost the most
+ * and get only a share of the budget. Calls of repeated runs are counted but always admitted, since
+ * the run would be wasted without them; what they take beyond the budget reduces later repeats. No
+ * I/O or clock.
  */
 class ArrivalBudget
 {
@@ -31,8 +38,18 @@
     /** Records the first arrival of a request at the backend server. */
     void recordFirstArrival(base::Millis now);
 
-    /** Spends budget on a repeat; false if it must be refused. */
-    bool spend(RepeatKind kind, const admission::Priority &priority, base::Millis now);
+    /**
+     * Spends budget on a repeat; false if it must be refused. completedCalls: number of calls that
+     * the request has completed before this one.
+     */
+    bool spend(RepeatKind kind, const admission::Priority &priority, std::uint32_t completedCalls,
+               base::Millis now);
+
+    /** Worst priority whose requests get all the repeats that they need, from the first call on. */
+    admission::Level coveredLevel() const;
+
+    /** Closes the windows that have ended. */
+    void closeWindows(base::Millis now);
 
     /** Number of repeats refused since the start. */
     std::uint64_t refused() const { return refused_; }
@@ -41,16 +58,20 @@
     /** Lower bound of the cap on tokens, so that a server with few requests can get a repeat. */
     static constexpr double minTokenCap = 1;
 
-    void closeWindows(base::Millis now);
+    void closeWindow();
+    void earn(double tokens);
+    double allowance() const;
     double tokenCap() const;
+    double available() const;
 
     double ratio_;
     double tokens_ = minTokenCap;
     double rerunTokens_ = minTokenCap; ///< for reruns, spent in addition to tokens_
     double recentTokens_ = 0;          ///< earned in about the last second; caps the tokens
-    admission::LevelController level_;
-    base::Millis windowEnd_;    ///< end of the current window of level_
-    bool wasExhausted_ = false; ///< in the current window
+    SlidingCount firstArrivals_;
+    SlidingCount repeats_;
+    RepeatLevel level_;
+    base::Millis windowEnd_; ///< end of the current window of level_ and of the counts
     std::uint64_t refused_ = 0;
 };
 
--- a/libs/retry/src/ContextTable.cpp
+++ b/libs/retry/src/ContextTable.cpp
@@ -46,6 +46,12 @@
     return found == calls_.end() ? nullptr : &found->second.budget_;
 }
 
+void ContextTable::recordCompletedCall(std::string_view token)
+{
+    if (const auto found = calls_.find(std::string(token)); found != calls_.end())
+        ++found->second.completedCalls_;
+}
+
 std::uint32_t ContextTable::close(std::string_view token)
 {
     const auto found = calls_.find(std::string(token));
--- /dev/null
+++ b/libs/retry/tests/RefusingServiceTest.cpp
@@ -0,0 +1,208 @@
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <tuple>
+#include <vector>
+
+#include <base/Random.h>
+#include <gtest/gtest.h>
+#include <retry/ArrivalBudget.h>
+#include <retry/StartGate.h>
+
+using base::Millis;
+using retry::ArrivalBudget;
+using retry::RepeatKind;
+
+namespace {
+
+constexpr double platformRatio = 0.2;
+constexpr double executorRatio = 0.8 * platformRatio;
+constexpr std::size_t rankCount = 3;
+constexpr int requestsPerSecond = 400;
+constexpr Millis calmTime(21'000);
+constexpr Millis faultTime(8'000);
+
+/** Time after which an entry learns of a level at a service two hops below. */
+constexpr Millis levelDelay(100);
+
+/** Requests of one rank. */
+struct Tally
+{
+    double arrived_ = 0;
+    double served_ = 0;
+    double refused_ = 0; ///< before any work
+};
+
+using Tallies = std::array<Tally, rankCount>;
+
+/**
+ * Best possible use of a number of repeats: for one rank after the other, a refused call is
+ * repeated if the success of its request, given the calls that it still needs, is worth the price;
+ * the price is the lowest one at which the repeats suffice. The planner knows all probabilities,
+ * and starts every request.
+ */
+class Planner
+{
+public:
+    Planner(double refusalProbability, int calls)
+        : refusal_(refusalProbability)
+        , calls_(calls)
+    {}
+
+    /** Share of the requests that is served with that many repeats each; what is left of them. */
+    std::pair<double, double> serve(double repeatsPerRequest) const
+    {
+        double low = 0;
+        double high = 2;
+        if (plan(low).second <= repeatsPerRequest)
+            return {plan(low).first, repeatsPerRequest - plan(low).second};
+        for (int i = 0; i < 60; ++i) {
+            const double price = (low + high) / 2;
+            (plan(price).second > repeatsPerRequest ? low : high) = price;
+        }
+        // The plans at both sides of the price are mixed so that all repeats are used.
+        const auto [servedMore, cost] = plan(low);
+        const auto [servedLess, lessCost] = plan(high);
+        const double mix = cost > lessCost ? (repeatsPerRequest - lessCost) / (cost - lessCost) : 0;
+        return {servedLess + mix * (servedMore - servedLess), 0};
+    }
+
+private:
+    /** Probability of success and expected repeats of a request at that price of a repeat. */
+    std::pair<double, double> plan(double price) const
+    {
+        const double success = 1 - refusal_;
+        double value = 1;
+        double served = 1;
+        double repeats = 0;
+        for (int left = 1; left <= calls_; ++left) {
+            const bool isRepeated = value - price / success > 0;
+            const double completed = isRepeated ? 1 : success;
+            repeats = completed * repeats + (isRepeated ? refusal_ / success : 0);
+            served *= completed;
+            value = success * value + refusal_ * std::max(0.0, value - price / success);
+        }
+        return {served, repeats};
+    }
+
+    double refusal_;
+    int calls_;
+};
+
+/** A service of three backend servers whose calls come from requests that make several of them. */
+class RefusingService
+{
+public:
+    explicit RefusingService(int calls)
+        : calls_(calls)
+    {}
+
+    Tallies run(Millis duration, double refusalProbability)
+    {
+        Tallies tallies;
+        for (const auto end = now_ + duration; now_ < end;) {
+            now_ = now_ + Millis::fromMicros(1'000'000 / requestsPerSecond);
+            if (now_ >= levelDue_)
+                observeLevel();
+            const admission::Priority priority{.rank_ = static_cast<int>(random_.below(rankCount)),
+                                               .bucket_ = static_cast<int>(random_.below(128))};
+            request(priority, refusalProbability, tallies[priority.rank_]);
+        }
+        return tallies;
+    }
+
+    /** Repeats of the last 10 s, which is longer than the fault. */
+    double repeats() const { return repeats_; }
+
+private:
+    void observeLevel()
+    {
+        levelDue_ = now_ + levelDelay;
+        level_ = admission::Level::all();
+        for (auto &budget : budgets_) {
+            budget.closeWindows(now_);
+            level_ = std::min(level_, budget.coveredLevel());
+        }
+    }
+
+    void request(const admission::Priority &priority, double refusalProbability, Tally &tally)
+    {
+        ++tally.arrived_;
+        const bool isCovered = level_.covers(priority);
+        const auto scope = std::to_string(priority.rank_);
+        if (!isCovered && !gate_.admits(scope, false, now_)) {
+            ++tally.refused_;
+            return;
+        }
+        const bool isServed = runCalls(priority, refusalProbability);
+        tally.served_ += isServed ? 1 : 0;
+        if (!isCovered)
+            gate_.recordEnd(scope, isServed, now_);
+    }
+
+    bool runCalls(const admission::Priority &priority, double refusalProbability)
+    {
+        for (int i = 0; i < calls_; ++i) {
+            randomBudget().recordFirstArrival(now_);
+            while (random_.unit() < refusalProbability) {
+                if (!randomBudget().spend(RepeatKind::AfterRefusal, priority,
+                                          static_cast<std::uint32_t>(i), now_))
+                    return false;
+                ++repeats_;
+            }
+        }
+        return true;
+    }
+
+    ArrivalBudget &randomBudget() { return budgets_[random_.below(budgets_.size())]; }
+
+    int calls_;
+    std::vector<ArrivalBudget> budgets_{3, ArrivalBudget(executorRatio)};
+    retry::StartGate gate_;
+    admission::Level level_ = admission::Level::all();
+    base::Random random_{1};
+    Millis now_{1000};
+    Millis levelDue_;
+    double repeats_ = 0;
+};
+
+class Refusals : public testing::TestWithParam<std::tuple<double, int>>
+{};
+
+} // namespace
+
+// All servers of a service refuse a share of the calls for 8 s. A request of a better rank counts
+// as much as 16 of the next one.
+TEST_P(Refusals, repeatsServeNearlyAsManyRequestsAsAPlannerWould)
+{
+    const auto [refusalProbability, calls] = GetParam();
+    RefusingService service(calls);
+    service.run(calmTime, 0);
+    const auto tallies = service.run(faultTime, refusalProbability);
+    const double allowed = executorRatio * requestsPerSecond * calls * 10;
+    EXPECT_LE(service.repeats(), platformRatio / executorRatio * allowed);
+
+    const Planner planner(refusalProbability, calls);
+    // Repeats are spread over the window in which the platform counts them.
+    double repeatsLeft = allowed * static_cast<double>(faultTime.count()) / 10'000;
+    double best = 0;
+    double reached = 0;
+    for (std::size_t rank = 0; rank < rankCount; ++rank) {
+        const double weight = std::pow(16, rankCount - 1 - rank);
+        const double requests = tallies[rank].arrived_;
+        const auto [served, left] = planner.serve(repeatsLeft / requests);
+        repeatsLeft = left * requests;
+        best += weight * served * requests;
+        reached += weight * tallies[rank].served_;
+        std::printf("p=%.1f n=%d rank=%zu of %.0f: served %.0f, refused %.0f, planner %.0f\n",
+                    refusalProbability, calls, rank, requests, tallies[rank].served_,
+                    tallies[rank].refused_, served * requests);
+    }
+    std::printf("p=%.1f n=%d ratio %.3f repeats %.0f of %.0f\n", refusalProbability, calls, reached / best,
+                service.repeats(), allowed);
+    EXPECT_GE(reached, 0.9 * best);
+}
+
+INSTANTIATE_TEST_SUITE_P(SharesAndCalls, Refusals,
+                         testing::Combine(testing::Values(0.1, 0.25, 0.4, 0.6),
+                                          testing::Values(1, 4, 8)));
