Take repeats from the mean of two windows and allow ten per refused call

Cause: the larger of two windows, taken at each executor, exceeds the service's bound when load moves between executors; and three repeats a call end one call in eleven at a refusal share of 0.55, half of the requests with eight calls. Change: the mean of both windows adds up exactly. Executors alone limit how often a refused call is repeated. Completed calls are counted through nested calls.

--- a/libs/admission/tests/LevelsTest.cpp
+++ b/libs/admission/tests/LevelsTest.cpp
@@ -65,8 +65,7 @@
     EXPECT_EQ(AnswerLevels::parse(""), (AnswerLevels{all, all, all}));
     EXPECT_EQ(AnswerLevels::parse("7 x -99999999999999999999"), (AnswerLevels{{7}, all, all}));
     EXPECT_EQ(AnswerLevels::parse("-5 99999 3 x"), (AnswerLevels{Level::none(), all, {3}}));
-    EXPECT_EQ(AnswerLevels::parse("-5 99999 3 4 5"),
-              (AnswerLevels{Level::none(), all, {3}, {4}}));
+    EXPECT_EQ(AnswerLevels::parse("-5 99999 3 4 5"), (AnswerLevels{Level::none(), all, {3}, {4}}));
 }
 
 RC_GTEST_PROP(AnswerLevelsProperty, parseInvertsText, ())
--- a/libs/dock/include/dock/Attempt.h
+++ b/libs/dock/include/dock/Attempt.h
@@ -31,7 +31,7 @@
     std::uint32_t budget_ = 0; ///< retries for the calls below this one
     std::uint32_t depth_ = 0;  ///< number of calls above this one, up to the root
     retry::RepeatKind repeat_ = retry::RepeatKind::First;
-    std::uint32_t completedCalls_ = 0; ///< see retry::RunningCall
+    std::uint32_t completedCalls_ = 0;   ///< see retry::RunningCall
     std::optional<once::SubKey> subKey_; ///< set for non-idempotent classes
     std::uint64_t settledBelow_ = 0;     ///< see once::Delegate
     net::HttpRequest request_;           ///< target without the service name
--- a/libs/dock/include/dock/AttemptAnswer.h
+++ b/libs/dock/include/dock/AttemptAnswer.h
@@ -13,10 +13,11 @@
 {
     once::Outcome outcome_;
     admission::AnswerLevels levels_;
-    std::uint32_t budgetLeft_ = 0; ///< unused retries of Attempt::budget_
-    base::Millis queueing_;        ///< time spent waiting for a slot
-    bool isDraining_ = false;      ///< the instance is draining
-    bool isReplaced_ = false;      ///< not the addressed incarnation; nothing was run
+    std::uint32_t completedCalls_ = 0; ///< that the run has made, if they are counted
+    std::uint32_t budgetLeft_ = 0;     ///< unused retries of Attempt::budget_
+    base::Millis queueing_;            ///< time spent waiting for a slot
+    bool isDraining_ = false;          ///< the instance is draining
+    bool isReplaced_ = false;          ///< not the addressed incarnation; nothing was run
 
     bool operator==(const AttemptAnswer &) const = default;
 };
--- a/libs/dock/include/dock/InstanceSelector.h
+++ b/libs/dock/include/dock/InstanceSelector.h
@@ -42,8 +42,8 @@
     using InstanceIds = std::vector<std::string>;
 
     /**
-     * onParentLevel receives the worst priority that was admitted, onParentRepeatLevel the worst one
-     * whose calls are repeated as often as needed. The routing core must outlive the selector.
+     * onParentLevel receives the worst priority that was admitted, onParentRepeatLevel the worst
+     * one whose calls are repeated as often as needed. The routing core must outlive the selector.
      */
     InstanceSelector(routing::Core &routing, std::uint64_t seed, ParentLevelFunction onParentLevel,
                      ParentLevelFunction onParentRepeatLevel);
--- a/libs/dock/src/AttemptCodec.cpp
+++ b/libs/dock/src/AttemptCodec.cpp
@@ -191,6 +191,8 @@
     add(response.headers_, header::level, answer.levels_.toString());
     add(response.headers_, header::budget, std::to_string(answer.budgetLeft_));
     add(response.headers_, header::queueingMicros, std::to_string(answer.queueing_.micros()));
+    if (answer.completedCalls_ > 0)
+        add(response.headers_, header::completedCalls, std::to_string(answer.completedCalls_));
     if (answer.isReplaced_)
         add(response.headers_, header::flags, std::string(flagReplaced));
     else if (answer.isDraining_)
@@ -207,6 +209,8 @@
     answer.isReplaced_ = flags == flagReplaced;
     answer.levels_ = admission::AnswerLevels::parse(headerValue(headers, header::level));
     answer.budgetLeft_ = static_cast<std::uint32_t>(numberUpTo(headers, header::budget, maxBudget));
+    answer.completedCalls_ = static_cast<std::uint32_t>(
+            numberUpTo(headers, header::completedCalls, maxCompletedCalls));
     answer.queueing_ = base::Millis::fromMicros(static_cast<std::int64_t>(
             numberUpTo(headers, header::queueingMicros, maxTimeLeftMicros)));
     const auto kind = headerValue(headers, header::kind);
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -159,6 +159,7 @@
     }
     selector_.observe(call.info_, result->levels_, base::monotonicNow());
     call.report_.queueing_ = result->queueing_;
+    call.report_.completedCalls_ = result->completedCalls_;
     event.budgetLeft_ = result->budgetLeft_;
     if (const auto *notRun = std::get_if<once::NotRun>(&result->outcome_)) {
         event.result_ = attemptResultOf(*notRun);
--- a/libs/dock/src/details/EntryImpl.cpp
+++ b/libs/dock/src/details/EntryImpl.cpp
@@ -19,8 +19,11 @@
 /** Retries of a routed request on other instances while none has run or refused it. */
 constexpr std::uint32_t maxFreeRouteRetries = 3;
 
-/** Retries of a routed request on other instances after refusals by backend servers. */
-constexpr std::uint32_t maxRefusedRouteRetries = 3;
+/**
+ * Retries of a routed request on other instances after refusals by backend servers. They are
+ * limited by the executors' budgets; a smaller number would end requests that these carry through.
+ */
+constexpr std::uint32_t maxRefusedRouteRetries = 10;
 
 std::uint64_t randomSeed()
 {
@@ -52,13 +55,14 @@
                   contexts, randomSeed())
     , recorder_(settings.traceFile_)
     , sender_(reactor, client, executor, routing_, settings.id_)
-    , selector_(routing_, randomSeed(),
-                [this](const CallInfo &call, admission::Level level) {
-                    executor_.observeLevel(call.contextToken_, call.service_, level);
-                },
-                [this](const CallInfo &call, admission::Level level) {
-                    executor_.observeRepeatLevel(call.contextToken_, call.service_, level);
-                })
+    , selector_(
+              routing_, randomSeed(),
+              [this](const CallInfo &call, admission::Level level) {
+                  executor_.observeLevel(call.contextToken_, call.service_, level);
+              },
+              [this](const CallInfo &call, admission::Level level) {
+                  executor_.observeRepeatLevel(call.contextToken_, call.service_, level);
+              })
     , idempotentCalls_(
               reactor, retryIdempotent_, selector_, sender_,
               [this](const CallInfo &call) { return !isBaseline() && reader_.mustRunOnce(call); },
@@ -247,14 +251,14 @@
 
 /** Records what the distribution of repeats needs while a service has too few of them. */
 void Entry::Impl::recordForRepeats(const CallInfo &call, const once::Outcome &outcome,
-                                   base::Millis now)
+                                   std::uint32_t completedCalls, base::Millis now)
 {
     if (std::holds_alternative<once::NotRun>(outcome))
         return;
     if (!call.isChild())
         selector_.recordRootEnd(call, outcome, now);
     else if (executor_.hasRepeatLevels() && std::holds_alternative<once::Complete>(outcome))
-        contexts_.recordCompletedCall(call.contextToken_);
+        contexts_.recordCompletedCalls(call.contextToken_, completedCalls + 1);
 }
 
 void Entry::Impl::finishWithOutcome(EntryId id, const once::Outcome &outcome,
@@ -267,7 +271,7 @@
     const auto now = base::monotonicNow();
     if (!std::holds_alternative<once::NotRun>(outcome))
         usualTimes_.record(call.class_.name_, now - call.receivedAt_);
-    recordForRepeats(call, outcome, now);
+    recordForRepeats(call, outcome, report.completedCalls_, now);
     recorder_.recordFinished(call, outcome, report, now);
     failureLog_.record(call, outcome, report, now);
     const auto answered = selector_.withRetryAfter(call, outcome, now);
--- a/libs/dock/src/details/EntryImpl.h
+++ b/libs/dock/src/details/EntryImpl.h
@@ -89,7 +89,8 @@
     std::string executorOf(const Work &work) const;
     void finish(EntryId id, net::HttpResponse response);
     void forwarded(EntryId id, net::CallResult result);
-    void recordForRepeats(const CallInfo &call, const once::Outcome &outcome, base::Millis now);
+    void recordForRepeats(const CallInfo &call, const once::Outcome &outcome,
+                          std::uint32_t completedCalls, base::Millis now);
     void finishWithOutcome(EntryId id, const once::Outcome &outcome, const CallReport &report = {});
 
     const settings::Settings &settings_;
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -180,6 +180,9 @@
     if (node.empty())
         return;
     const auto &run = node.mapped();
+    const bool countsCalls = repeatLevels_.size() > 0;
+    if (const auto *running = countsCalls ? contexts_.find(run.context_) : nullptr)
+        completedCalls_ = running->completedCalls_ - run.attempt_.completedCalls_;
     budgetLeft_ = contexts_.close(run.context_);
     const bool hasStarted = run.startedAt_ > base::Millis(0);
     queueing_ = (hasStarted ? run.startedAt_ : base::monotonicNow()) - run.arrivedAt_;
@@ -415,6 +418,7 @@
     answer.outcome_ = outcome;
     answer.isReplaced_ = isReplaced;
     answer.budgetLeft_ = std::exchange(budgetLeft_, 0);
+    answer.completedCalls_ = std::exchange(completedCalls_, 0);
     answer.queueing_ = std::exchange(queueing_, base::Millis());
     answer.isDraining_ = backend_.serving_ == model::ServingState::Draining;
     if (!isBaseline()) {
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -130,8 +130,9 @@
     std::unordered_map<std::string, RunId> runByContext_;
     std::unordered_map<std::string, RunId> runByRequestId_; ///< by request id, if in use
     std::unordered_map<AttemptId, Waiter> waiters_;
-    base::Millis queueing_;        ///< of the run that ended last; reset by the next reply
-    std::uint32_t budgetLeft_ = 0; ///< of the run that ended last; reset by the next reply
+    base::Millis queueing_;            ///< of the run that ended last; reset by the next reply
+    std::uint32_t budgetLeft_ = 0;     ///< of the run that ended last; reset by the next reply
+    std::uint32_t completedCalls_ = 0; ///< by the run that ended last; reset by the next reply
     std::optional<Attempt> delegatedAttempt_; ///< while the once-only record handles it
     RunId nextRun_ = 1;
     AttemptId nextWaiter_ = 1;
--- a/libs/retry/include/retry/ArrivalBudget.h
+++ b/libs/retry/include/retry/ArrivalBudget.h
@@ -16,9 +16,10 @@
  * beside the server keeps it; the sum of these limits also bounds the whole service, however many
  * entries retry.
  *
- * The limit holds in each window of 10 s, against the first arrivals of that window or of one just
- * before it, whichever are more: failing requests make fewer first calls, and would otherwise lose
- * their repeats when they need them.
+ * The limit holds in each window of 10 s. The platform counts the first arrivals of that window or
+ * of the one before, whichever are more; the budget takes their mean, which is never more when
+ * summed over executors. Failing requests make fewer first calls, and would otherwise lose their
+ * repeats when they need them.
  *
  * When failed calls outnumber the permitted repeats, requests of the best ranks get them, those
  * with most completed calls first, since they need the fewest to be completed. Among equals the
--- a/libs/retry/include/retry/ContextTable.h
+++ b/libs/retry/include/retry/ContextTable.h
@@ -35,8 +35,8 @@
     /** The budget of the running call, or nullptr. */
     ChainBudget *budget(std::string_view token);
 
-    /** Counts a call that the running call has completed. */
-    void recordCompletedCall(std::string_view token);
+    /** Counts calls that the running call has completed. */
+    void recordCompletedCalls(std::string_view token, std::uint32_t calls);
 
     /** Closes a context and returns its remaining extra attempts, to be reported to the caller. */
     std::uint32_t close(std::string_view token);
--- a/libs/retry/include/retry/RunningCall.h
+++ b/libs/retry/include/retry/RunningCall.h
@@ -16,7 +16,7 @@
     std::string customer_;
     base::Millis deadline_;
     ChainBudget budget_;
-    std::uint32_t depth_ = 0; ///< 0 for the root request
+    std::uint32_t depth_ = 0;          ///< 0 for the root request
     std::uint32_t completedCalls_ = 0; ///< of the root request before and in this call, if counted
     bool isRepeat_ = false; ///< a backend server may have received it, or its caller's run, before
 
--- a/libs/retry/include/retry/SlidingCount.h
+++ b/libs/retry/include/retry/SlidingCount.h
@@ -28,11 +28,11 @@
     /** Events in the window that ends with the current slot. */
     std::uint64_t inWindow() const { return inWindow_; }
 
-    /**
-     * Highest count of the window that ends with the current slot, the one before it, and the one
-     * that ends in the middle of it.
-     */
-    std::uint64_t highestWindow() const;
+    /** Events in the window before that one. */
+    std::uint64_t inWindowBefore() const { return inWindowBefore_; }
+
+    /** Whether counting began before both windows. */
+    bool coversBothWindows() const { return closedSlots_ == slotCount; }
 
 private:
     static constexpr std::size_t slotCount = 2 * slotsPerWindow;
@@ -45,8 +45,8 @@
 
     std::array<std::uint32_t, slotCount> slots_ = {};
     std::size_t currentSlot_ = 0;
+    std::size_t closedSlots_ = 0; ///< at most slotCount
     std::uint64_t inWindow_ = 0;
-    std::uint64_t inHalfShiftedWindow_ = 0;
     std::uint64_t inWindowBefore_ = 0;
 };
 
--- a/libs/retry/src/ArrivalBudget.cpp
+++ b/libs/retry/src/ArrivalBudget.cpp
@@ -18,6 +18,12 @@
 /** Share of the budget for reruns; each of them repeats its calls as well. */
 constexpr double rerunShare = 0.25;
 
+/**
+ * Factor for the mean of two windows, which needs less of the margin in the ratio than the count of
+ * one: it follows rising load late, and the platform counts the larger of both windows.
+ */
+constexpr double meanWeight = 1.2;
+
 /** Limit on windows closed after an idle time, after which all counts are 0. */
 constexpr int maxWindowsClosedAtOnce = 2 * SlidingCount::slotsPerWindow;
 
@@ -29,18 +35,22 @@
 /** Priority for repeats: within a rank, requests with more completed calls come first. */
 Priority repeatPriority(const Priority &priority, std::uint32_t completedCalls)
 {
-    const auto step =
-            static_cast<int>(std::min<std::uint32_t>(completedCalls, progressSteps - 1));
+    const auto step = static_cast<int>(std::min<std::uint32_t>(completedCalls, progressSteps - 1));
     return {.rank_ = priority.rank_,
-            .bucket_ = (progressSteps - 1 - step) * bucketsPerStep
-                       + priority.bucket_ / progressSteps};
+            .bucket_ =
+                    (progressSteps - 1 - step) * bucketsPerStep + priority.bucket_ / progressSteps};
 }
 
 } // namespace
 
+/** Repeats that may be sent in a window of 10 s. */
 double ArrivalBudget::allowance() const
 {
-    return ratio_ * static_cast<double>(firstArrivals_.highestWindow());
+    const auto inWindow = static_cast<double>(firstArrivals_.inWindow());
+    if (!firstArrivals_.coversBothWindows())
+        return ratio_ * inWindow;
+    const auto inWindowBefore = static_cast<double>(firstArrivals_.inWindowBefore());
+    return ratio_ * meanWeight * (inWindow + inWindowBefore) / 2;
 }
 
 double ArrivalBudget::tokenCap() const
--- a/libs/retry/src/ContextTable.cpp
+++ b/libs/retry/src/ContextTable.cpp
@@ -46,10 +46,10 @@
     return found == calls_.end() ? nullptr : &found->second.budget_;
 }
 
-void ContextTable::recordCompletedCall(std::string_view token)
+void ContextTable::recordCompletedCalls(std::string_view token, std::uint32_t calls)
 {
     if (const auto found = calls_.find(std::string(token)); found != calls_.end())
-        ++found->second.completedCalls_;
+        found->second.completedCalls_ += calls;
 }
 
 std::uint32_t ContextTable::close(std::string_view token)
--- a/libs/retry/src/Core.cpp
+++ b/libs/retry/src/Core.cpp
@@ -37,6 +37,15 @@
     return result == AttemptResult::NotSent || result == AttemptResult::Overloaded;
 }
 
+/** Whether a backend server refused the attempt without running it. */
+bool isRefusal(const AttemptEnded &event)
+{
+    return event.result_ == AttemptResult::NotRun && event.reachedBackend_;
+}
+
+/** Delays after refusals stop doubling here, as executors limit their rate. */
+constexpr std::uint32_t maxRefusalBackoff = 3;
+
 } // namespace
 
 struct Core::Impl
@@ -119,7 +128,8 @@
         ++call.overloadRefusals_;
         call.excludedInstances_.push_back(event.instance_);
     }
-    const auto delay = backoff(call.attempt_);
+    const bool isFree = isRefusal(event) && settings_.maxRefusalRetries_ > 0;
+    const auto delay = backoff(isFree ? std::min(call.attempt_, maxRefusalBackoff) : call.attempt_);
     const auto expectedEnd = now + delay + call.ratio_->meanDuration_;
     if (const auto stop = spend(call, event, expectedEnd)) {
         commands.push_back(GiveUp{event.call_, *stop});
@@ -150,8 +160,7 @@
         ++call.unreachedRetries_;
         return std::nullopt;
     }
-    const bool isRefusal = event.result_ == AttemptResult::NotRun && event.reachedBackend_;
-    if (isRefusal && settings_.maxRefusalRetries_ > 0) {
+    if (isRefusal(event) && settings_.maxRefusalRetries_ > 0) {
         if (call.refusalRetries_ >= settings_.maxRefusalRetries_)
             return StopReason::RefusalsRepeated;
         ++call.refusalRetries_;
--- a/libs/retry/src/SlidingCount.cpp
+++ b/libs/retry/src/SlidingCount.cpp
@@ -1,15 +1,7 @@
 #include <retry/SlidingCount.h>
 
-#include <algorithm>
-
 namespace retry {
 
-namespace {
-
-constexpr std::size_t halfWindow = SlidingCount::slotsPerWindow / 2;
-
-} // namespace
-
 void SlidingCount::add(std::uint32_t events)
 {
     slots_[currentSlot_] += events;
@@ -18,19 +10,15 @@
 
 void SlidingCount::closeSlot()
 {
-    // Slots that leave one window enter the next one.
-    inHalfShiftedWindow_ += slots_[slotBefore(halfWindow - 1)];
-    inHalfShiftedWindow_ -= slots_[slotBefore(halfWindow + slotsPerWindow - 1)];
-    inWindowBefore_ += slots_[slotBefore(slotsPerWindow - 1)];
+    // The oldest slot of each window leaves it; that of the later window enters the earlier one.
+    const auto leaving = slots_[slotBefore(slotsPerWindow - 1)];
+    inWindowBefore_ += leaving;
     inWindowBefore_ -= slots_[slotBefore(2 * slotsPerWindow - 1)];
-    inWindow_ -= slots_[slotBefore(slotsPerWindow - 1)];
+    inWindow_ -= leaving;
     currentSlot_ = (currentSlot_ + 1) % slotCount;
+    if (closedSlots_ < slotCount)
+        ++closedSlots_;
     slots_[currentSlot_] = 0;
 }
 
-std::uint64_t SlidingCount::highestWindow() const
-{
-    return std::max({inWindow_, inHalfShiftedWindow_, inWindowBefore_});
-}
-
 } // namespace retry
--- a/libs/retry/src/StartGate.cpp
+++ b/libs/retry/src/StartGate.cpp
@@ -10,7 +10,7 @@
  * A caller may not repeat such a request after a failure, but it may come back after a refusal, so
  * a small chance is worse than none.
  */
-constexpr double minChance = 0.25;
+constexpr double minChance = 0.15;
 
 /** Below this, nearly all work would be wasted. */
 constexpr double minChanceOfIdempotent = 0.02;
--- a/libs/retry/tests/ArrivalBudgetTest.cpp
+++ b/libs/retry/tests/ArrivalBudgetTest.cpp
@@ -50,6 +50,9 @@
         checkWindow();
     }
 
+    /** Sends this share of all requests to the first half of the executors. */
+    void moveLoad(double firstHalfShare) { firstHalfShare_ = firstHalfShare; }
+
     /** Restarts that many random daemons; their counts are lost. */
     void restart(std::size_t count)
     {
@@ -57,6 +60,9 @@
             randomBudget() = ArrivalBudget(platformRatio * executorShare);
     }
 
+    /** Repeats in the whole run. */
+    double repeats() const { return repeats_; }
+
     /** Repeats per first arrival over the whole run. */
     double retryRatio() const { return repeats_ / std::max(1.0, firsts_); }
 
@@ -68,7 +74,12 @@
         double repeats_ = 0;
     };
 
-    ArrivalBudget &randomBudget() { return budgets_[random_.below(budgets_.size())]; }
+    ArrivalBudget &randomBudget()
+    {
+        const auto half = budgets_.size() / 2;
+        const bool isInFirstHalf = random_.unit() < firstHalfShare_;
+        return budgets_[random_.below(half) + (isInFirstHalf ? 0 : half)];
+    }
 
     /** Checks the last window against its first arrivals and those of the window before. */
     void checkWindow()
@@ -90,6 +101,7 @@
     }
 
     std::vector<ArrivalBudget> budgets_;
+    double firstHalfShare_ = 0.5; ///< of the requests
     base::Random random_{1};
     Millis now_{1000};
     std::deque<StepCounts> steps_;
@@ -138,6 +150,29 @@
     }
 }
 
+// The windows with most first arrivals differ between executors.
+TEST_P(Executors, keepPlatformLimitWhileLoadMoves)
+{
+    Service service(GetParam());
+    for (int i = 0; i < stepsInSeconds(60); ++i) {
+        if (i % stepsInSeconds(10) == 0)
+            service.moveLoad(i % stepsInSeconds(20) == 0 ? 0.9 : 0.1);
+        service.run(60, 0.5);
+    }
+}
+
+// Requests that fail make fewer calls; repeats are granted as if there were as many as before.
+TEST_P(Executors, useTheWindowBeforeAFault)
+{
+    Service service(GetParam());
+    for (int i = 0; i < stepsInSeconds(21); ++i)
+        service.run(60, 0);
+    const double repeatsPerSecond = 0.55 * platformRatio * 60 * stepsInSeconds(1);
+    for (int i = 0; i < stepsInSeconds(8); ++i)
+        service.run(25, 0.8);
+    EXPECT_GT(service.repeats(), 8 * repeatsPerSecond);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, Executors, testing::Values(4, 30, 100, 300));
 
 TEST(ArrivalBudget, permitsOneRepeatBeforeAnyFirstArrival)
