--- a/libs/admission/tests/LevelsTest.cpp
+++ b/libs/admission/tests/LevelsTest.cpp
@@ -59,6 +59,23 @@
     EXPECT_TRUE(shed.admits(levels.routingPriority(withinShare, priority, Millis(1))));
 }
 
+TEST(EntryLevels, coverRepeatsUntilALevelIsReported)
+{
+    EntryLevels levels;
+    const CallScope scope{"orders", "order", "schools"};
+    const Priority priority{.rank_ = 1, .bucket_ = 64};
+    const Millis now(1000);
+    levels.observe(scope, {}, now);
+    EXPECT_TRUE(levels.coversRepeats(scope, priority, now));
+    levels.observe(scope, {.repeats_ = Level::of({.rank_ = 1, .bucket_ = 63})}, now);
+    EXPECT_FALSE(levels.coversRepeats(scope, priority, now));
+    EXPECT_TRUE(levels.coversRepeats(scope, {.rank_ = 1, .bucket_ = 63}, now));
+    EXPECT_TRUE(levels.coversRepeats({"orders", "query", "schools"}, priority, now));
+    // Requests themselves are still admitted.
+    EXPECT_TRUE(levels.admits(scope, priority, now));
+    EXPECT_TRUE(levels.coversRepeats(scope, priority, now + Millis(1000)));
+}
+
 TEST(AnswerLevels, malformedNumbersParseAsAll)
 {
     const Level all = Level::all();
--- a/libs/dock/tests/AttemptCodecTest.cpp
+++ b/libs/dock/tests/AttemptCodecTest.cpp
@@ -60,6 +60,7 @@
                     .timeLeft_ = base::Millis::fromMicros(1'234'567),
                     .budget_ = budget % 1000,
                     .depth_ = depth % 1000,
+                    .completedCalls_ = budget % 3,
                     .subKey_ = once::SubKey{{"home", 7}, 9, {"executor", 8}},
                     .settledBelow_ = 5};
     attempt.request_ = {.method_ = "POST", .target_ = "/r", .headers_ = {{"x", "y"}}, .body_ = "b"};
@@ -87,7 +88,9 @@
     for (const auto &outcome : outcomes) {
         const AttemptAnswer answer{.outcome_ = outcome,
                                    .levels_ = {admission::Level::none(), admission::Level::all(),
-                                               admission::Level::fromNumber(300)},
+                                               admission::Level::fromNumber(300),
+                                               admission::Level::fromNumber(40)},
+                                   .completedCalls_ = 7,
                                    .budgetLeft_ = 2,
                                    .queueing_ = base::Millis(3),
                                    .isDraining_ = true};
@@ -96,3 +99,13 @@
         EXPECT_EQ(*decoded, answer);
     }
 }
+
+// Nothing is added to messages while no service has too few repeats.
+TEST(AttemptCodec, defaultsOfRepeatsAreNotSent)
+{
+    const auto response = dock::encodeAnswer({.outcome_ = once::Unknown{}});
+    EXPECT_EQ(net::headerValue(response.headers_, dock::header::level), "1279 1279 1279");
+    EXPECT_EQ(net::headerValue(response.headers_, dock::header::completedCalls), "");
+    const auto request = dock::encodeAttempt(Attempt());
+    EXPECT_EQ(net::headerValue(request.headers_, dock::header::completedCalls), "");
+}
