Keep the concurrency limit of a server that refuses at random

Cause: refusals halve the limit although they do not depend on load; the queue then sheds, and entries refuse roots as overloaded while slots are free. Change: refusals at low and at high load are compared; the limit is lowered only where the server refuses more at high load. Measured: Shedding.randomRefusalsKeepAllSlots ended at half of the slots before.

--- a/libs/admission/src/details/State.cpp
+++ b/libs/admission/src/details/State.cpp
@@ -98,6 +98,7 @@
     if (found == running_.end())
         return;
     const RunningRequest ended = found->second;
+    refusals_.record(outcome == Outcome::Shed, 2 * running_.size() > slots_);
     running_.erase(found);
     customers_.recordEnd(ended.customer_);
     switch (outcome) {
@@ -139,10 +140,11 @@
     overloadedWindows_ = isOverloaded_ ? overloadedWindows_ + 1 : 0;
     const ConcurrencyLimit::Window window = {
             .served_ = serviceTimes_.closeWindow(!windowLimitReached_),
-            .hasShed_ = windowBackendShed_,
+            .hasShed_ = windowBackendShed_ && refusals_.isLoadDependent(),
             .wasLimitReached_ = windowLimitReached_,
             .isReportedFull_ = isReportedFull_};
     limit_.closeWindow(window);
+    refusals_.closeWindow();
     windowQueueDelay_ = base::Millis();
     windowService_ = base::Millis();
     windowStarts_ = 0;
--- a/libs/admission/src/details/State.h
+++ b/libs/admission/src/details/State.h
@@ -14,6 +14,7 @@
 #include <admission/Options.h>
 #include <details/ConcurrencyLimit.h>
 #include <details/Customers.h>
+#include <details/RefusalPattern.h>
 #include <details/ServiceTimes.h>
 #include <details/WaitQueue.h>
 
@@ -70,6 +71,7 @@
     Customers customers_;
     ServiceTimes serviceTimes_;
     ConcurrencyLimit limit_;
+    RefusalPattern refusals_;
     LevelController levelController_;
     WaitQueue queue_;
     std::unordered_map<RequestId, RunningRequest> running_;
--- a/libs/admission/tests/ExpiryTest.cpp
+++ b/libs/admission/tests/ExpiryTest.cpp
@@ -1,6 +1,7 @@
 #include <admission/Core.h>
 
 #include <deque>
+#include <functional>
 #include <map>
 
 #include <gtest/gtest.h>
@@ -138,3 +139,64 @@
     }
     EXPECT_GE(core.limit(), 50U);
 }
+
+namespace {
+
+/** Limit of 100 slots after 5 s of a load that would use 80 of them; refused requests end at once.
+ */
+std::uint32_t limitAfter(const std::function<bool(std::size_t running, base::Random &)> &isRefused)
+{
+    constexpr int requestsPerMs = 4;
+    constexpr Millis serviceTime(20);
+    Core core;
+    core.handle(Configured{.slots_ = 100}, Millis(0));
+    base::Random random(1);
+    std::deque<std::pair<Millis, RequestId>> running;
+    RequestId id = 0;
+    const std::function<void(const std::vector<Command> &, Millis)> start = [&](const std::vector<
+                                                                                        Command>
+                                                                                        &commands,
+                                                                                Millis now) {
+        for (const auto &command : commands) {
+            const auto *started = std::get_if<Start>(&command);
+            if (started == nullptr)
+                continue;
+            if (isRefused(running.size(), random))
+                start(core.handle(Finished{started->id_, Outcome::Shed, Millis(1)}, now), now);
+            else
+                running.emplace_back(now + serviceTime, started->id_);
+        }
+    };
+    for (int step = 1; step <= 5000; ++step) {
+        const Millis now(step);
+        while (!running.empty() && running.front().first <= now) {
+            const auto ended = running.front().second;
+            running.pop_front();
+            start(core.handle(Finished{ended, Outcome::Ok, serviceTime}, now), now);
+        }
+        for (int i = 0; i < requestsPerMs; ++i)
+            start(core.handle(Arrived{.id_ = ++id,
+                                      .requestClass_ = "c",
+                                      .deadline_ = now + Millis(1000)},
+                              now),
+                  now);
+    }
+    return core.limit();
+}
+
+} // namespace
+
+// Fewer requests at a time would not be refused less often, but would wait.
+TEST(Shedding, randomRefusalsKeepAllSlots)
+{
+    const auto limit =
+            limitAfter([](std::size_t, base::Random &random) { return random.unit() < 0.45; });
+    EXPECT_GE(limit, 90U);
+}
+
+TEST(Shedding, refusalsOfAFullServerLowerTheLimit)
+{
+    const auto limit =
+            limitAfter([](std::size_t running, base::Random &) { return running >= 60; });
+    EXPECT_LE(limit, 70U);
+}
