Let callers back soon after refusals that do not depend on load

Cause: a request that a server refused at random, or that was not started for lack of repeats, was told to wait as in an overload, 1 to 5 s; its chance is the same at once, and its aim is shorter. Change: 0.1 to 0.3 s, spread, unless the service is overloaded or nothing of the rank is covered.

--- a/libs/admission/include/admission/EntryLevels.h
+++ b/libs/admission/include/admission/EntryLevels.h
@@ -45,6 +45,9 @@
     /** Whether calls below a new root request are repeated as often as needed. */
     bool coversRepeats(const CallScope &scope, const Priority &priority, base::Millis now) const;
 
+    /** Worst priority whose calls are repeated as often as needed. */
+    Level repeatLevel(const CallScope &scope, base::Millis now) const;
+
     /** Removes expired levels. */
     void prune(base::Millis now);
 
--- a/libs/admission/include/admission/RetryAfterEstimator.h
+++ b/libs/admission/include/admission/RetryAfterEstimator.h
@@ -28,12 +28,17 @@
     /** Records a refusal in the scope and returns the time to wait before a retry. */
     base::Millis recordRefusal(const std::string &scope, base::Millis now);
 
+    /** Time to wait after a refusal that does not depend on load, so that a retry may succeed now. */
+    base::Millis independentOfLoad();
+
     /** Removes scopes without a recent refusal. */
     void prune(base::Millis now);
 
     std::size_t scopeCount() const { return episodes_.size(); }
 
 private:
+    base::Millis jittered(base::Millis mean, double deviation);
+
     /** Refusals of one scope, each within episodeGap of the one before. */
     struct Episode
     {
--- a/libs/admission/src/EntryLevels.cpp
+++ b/libs/admission/src/EntryLevels.cpp
@@ -29,10 +29,12 @@
 bool EntryLevels::coversRepeats(const CallScope &scope, const Priority &priority,
                                 base::Millis now) const
 {
-    if (repeats_.size() == 0)
-        return true;
-    return repeats_.effective(scopeKey(scope.requestClass_, scope.customer_), Level::all(), now)
-            .covers(priority);
+    return repeats_.size() == 0 || repeatLevel(scope, now).covers(priority);
+}
+
+Level EntryLevels::repeatLevel(const CallScope &scope, base::Millis now) const
+{
+    return repeats_.effective(scopeKey(scope.requestClass_, scope.customer_), Level::all(), now);
 }
 
 bool EntryLevels::admits(const CallScope &scope, const Priority &priority, base::Millis now) const
--- a/libs/admission/src/RetryAfterEstimator.cpp
+++ b/libs/admission/src/RetryAfterEstimator.cpp
@@ -18,6 +18,12 @@
 /** Maximum relative deviation of the returned times, in both directions. */
 constexpr double jitter = 0.25;
 
+/** Short, as callers want their answer within a few hundred milliseconds. */
+constexpr base::Millis retryAfterIndependentOfLoad(200);
+
+/** So that callers refused in one burst do not come back in one. */
+constexpr double wideJitter = 0.5;
+
 } // namespace
 
 base::Millis RetryAfterEstimator::recordRefusal(const std::string &scope, base::Millis now)
@@ -27,9 +33,19 @@
         episode.startedAt_ = now;
     episode.lastRefusalAt_ = now;
     const auto retryAfter = std::clamp(now - episode.startedAt_, minRetryAfter, maxRetryAfter);
-    const double factor = 1 - jitter + 2 * jitter * random_.unit();
+    return jittered(retryAfter, jitter);
+}
+
+base::Millis RetryAfterEstimator::independentOfLoad()
+{
+    return jittered(retryAfterIndependentOfLoad, wideJitter);
+}
+
+base::Millis RetryAfterEstimator::jittered(base::Millis mean, double deviation)
+{
+    const double factor = 1 - deviation + 2 * deviation * random_.unit();
     return base::Millis::fromMicros(
-            static_cast<std::int64_t>(static_cast<double>(retryAfter.micros()) * factor));
+            static_cast<std::int64_t>(static_cast<double>(mean.micros()) * factor));
 }
 
 void RetryAfterEstimator::prune(base::Millis now)
--- a/libs/admission/tests/RetryAfterEstimatorTest.cpp
+++ b/libs/admission/tests/RetryAfterEstimatorTest.cpp
@@ -81,3 +81,19 @@
     EXPECT_LT(refusedAgain, 1000);
     EXPECT_GT(refusedAgain + served, 900);
 }
+
+TEST(RetryAfterEstimator, retryAfterIndependentOfLoadIsShortAndSpread)
+{
+    RetryAfterEstimator estimator(1);
+    Millis minRetryAfter = Millis::max();
+    Millis maxRetryAfter;
+    for (int i = 0; i < 100; ++i) {
+        const auto retryAfter = estimator.independentOfLoad();
+        minRetryAfter = std::min(minRetryAfter, retryAfter);
+        maxRetryAfter = std::max(maxRetryAfter, retryAfter);
+    }
+    EXPECT_GE(minRetryAfter, Millis(100));
+    EXPECT_LT(minRetryAfter, Millis(120));
+    EXPECT_GT(maxRetryAfter, Millis(280));
+    EXPECT_LE(maxRetryAfter, Millis(300));
+}
--- a/libs/dock/include/dock/InstanceSelector.h
+++ b/libs/dock/include/dock/InstanceSelector.h
@@ -70,6 +70,7 @@
 
 private:
     once::NotRun overloadedRefusal(const CallInfo &call, base::Millis now);
+    once::NotRun notStartedRefusal(const CallInfo &call, base::Millis now);
     bool mayStart(const CallInfo &call, base::Millis now);
 
     routing::Core &routing_;
--- a/libs/dock/src/InstanceSelector.cpp
+++ b/libs/dock/src/InstanceSelector.cpp
@@ -48,8 +48,7 @@
     if (!levels_.admits(scope, call.priority_, now))
         return tl::unexpected(overloadedRefusal(call, now));
     if (!call.isChild() && tried.empty() && !mayStart(call, now))
-        return tl::unexpected(
-                once::NotRun{once::Reason::RepeatLimit, overloadedRefusal(call, now).retryAfter_});
+        return tl::unexpected(notStartedRefusal(call, now));
     const auto routingPriority = levels_.routingPriority(scope, call.priority_, now);
     if (!tried.empty()) {
         auto excluded = avoid;
@@ -71,6 +70,17 @@
     return Selected{*choice->member_, routingPriority};
 }
 
+once::NotRun InstanceSelector::notStartedRefusal(const CallInfo &call, base::Millis now)
+{
+    // A part of the first rank that is not covered gets repeats, by a bucket that differs next
+    // time.
+    const auto level = levels_.repeatLevel(scopeOf(call), now);
+    const bool isPartlyCovered =
+            (level.value_ + 1) / admission::Priority::bucketCount == call.priority_.rank_;
+    return {once::Reason::RepeatLimit, isPartlyCovered ? retryAfterEstimator_.independentOfLoad()
+                                                       : overloadedRefusal(call, now).retryAfter_};
+}
+
 /** Whether a new root request is likely to succeed, given the repeats that its calls get. */
 bool InstanceSelector::mayStart(const CallInfo &call, base::Millis now)
 {
@@ -95,6 +105,11 @@
     const auto *notRun = std::get_if<once::NotRun>(&outcome);
     if (notRun == nullptr || notRun->retryAfter_ > base::Millis(0) || !isTransient(notRun->reason_))
         return outcome;
+    const bool isRefusedByBackend = notRun->reason_ == once::Reason::BackendRefused
+                                    || notRun->reason_ == once::Reason::RepeatLimit;
+    const bool isOverloaded = routing_.level(call.service_, now) != admission::Level::all();
+    if (isRefusedByBackend && !isOverloaded)
+        return once::NotRun{notRun->reason_, retryAfterEstimator_.independentOfLoad()};
     return once::NotRun{notRun->reason_, overloadedRefusal(call, now).retryAfter_};
 }
 
