--- a/libs/retry/tests/RefusingServiceTest.cpp
+++ b/libs/retry/tests/RefusingServiceTest.cpp
@@ -194,12 +194,7 @@
         repeatsLeft = left * requests;
         best += weight * served * requests;
         reached += weight * tallies[rank].served_;
-        std::printf("p=%.2f n=%d rank=%zu of %.0f: served %.0f, refused %.0f, planner %.0f\n",
-                    refusalProbability, calls, rank, requests, tallies[rank].served_,
-                    tallies[rank].refused_, served * requests);
     }
-    std::printf("p=%.2f n=%d ratio %.3f repeats %.0f of %.0f\n", refusalProbability, calls,
-                reached / best, service.repeats(), allowed);
     EXPECT_GE(reached, 0.9 * best);
 }
 
--- a/libs/retry/tests/RepeatLevelTest.cpp
+++ b/libs/retry/tests/RepeatLevelTest.cpp
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 
 using admission::Level;
-using admission::Priority;
 using retry::RepeatLevel;
 
 namespace {
