Report the level and the counts of repeats

Cause: an operator could not see that repeats are short, nor which requests get them. Measured: nothing; unit tests of dock and retry pass.

--- a/libs/dock/include/dock/Executor.h
+++ b/libs/dock/include/dock/Executor.h
@@ -16,6 +16,7 @@
 #include <drain/Expectation.h>
 #include <model/Config.h>
 #include <once/Incarnation.h>
+#include <retry/RepeatStatus.h>
 
 namespace net {
 class ByteBudget;
@@ -105,6 +106,9 @@
     void observeRepeatLevel(std::string_view contextToken, std::string_view callee,
                             admission::Level level);
 
+    /** Repeats at the backend server; nothing if the entries limit them. */
+    retry::RepeatStatus repeats() const;
+
     /** Whether a called service has lately refused more calls than may be repeated. */
     bool hasRepeatLevels() const;
 
--- a/libs/dock/include/dock/Messages.h
+++ b/libs/dock/include/dock/Messages.h
@@ -14,6 +14,7 @@
 #include <model/Config.h>
 #include <model/Member.h>
 #include <once/Incarnation.h>
+#include <retry/RepeatStatus.h>
 
 namespace dock {
 
@@ -80,6 +81,7 @@
     std::size_t activeRequests_ = 0;     ///< running or queued at the backend server
     std::uint32_t concurrencyLimit_ = 0; ///< requests that may run at once
     admission::Level level_;
+    retry::RepeatStatus repeats_;
     std::map<std::string, std::uint64_t> failures_;        ///< calls not run or unknown, by reason
     std::map<std::string, std::uint64_t> redelegations_;   ///< by the reason that allowed them
     std::map<std::string, std::uint64_t> backendFailures_; ///< by outcome and how they were matched
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -323,6 +323,7 @@
                             .activeRequests_ = executor_.activeCount(),
                             .concurrencyLimit_ = executor_.limit(),
                             .level_ = executor_.level(),
+                            .repeats_ = executor_.repeats(),
                             .failures_ = entry_.recorder().failures(),
                             .redelegations_ = entry_.redelegations(),
                             .backendFailures_ = executor_.backendFailures(),
--- a/libs/dock/src/Executor.cpp
+++ b/libs/dock/src/Executor.cpp
@@ -180,6 +180,11 @@
         impl_->repeatLevels_.observe(*scope, callee, level, base::monotonicNow());
 }
 
+retry::RepeatStatus Executor::repeats() const
+{
+    return impl_->arrivalBudget_ ? impl_->arrivalBudget_->status() : retry::RepeatStatus();
+}
+
 bool Executor::hasRepeatLevels() const
 {
     return impl_->repeatLevels_.size() > 0;
--- a/libs/dock/src/StatusReport.cpp
+++ b/libs/dock/src/StatusReport.cpp
@@ -133,6 +133,12 @@
     values.push_back(gauge("concurrency_limit", "requests that may run at once",
                            dataStatus_.concurrencyLimit_));
     values.push_back(gauge("level", "worst priority that is admitted", dataStatus_.level_.value_));
+    values.push_back(gauge("repeat_level", "worst priority whose refused calls are all repeated",
+                           dataStatus_.repeats_.coveredLevel_.value_));
+    values.push_back(counter("repeats_granted_total", "repeats sent to the backend server",
+                             static_cast<double>(dataStatus_.repeats_.granted_)));
+    values.push_back(counter("repeats_refused_total", "repeats refused to keep the ratio",
+                             static_cast<double>(dataStatus_.repeats_.refused_)));
     values.push_back(gauge("running", "requests running or queued at the backend server",
                            static_cast<double>(dataStatus_.activeRequests_)));
     values.push_back(gauge("open_requests", "requests of callers without an answer yet",
--- a/libs/retry/include/retry/ArrivalBudget.h
+++ b/libs/retry/include/retry/ArrivalBudget.h
@@ -7,6 +7,7 @@
 #include <base/Millis.h>
 #include <retry/RepeatKind.h>
 #include <retry/RepeatLevel.h>
+#include <retry/RepeatStatus.h>
 #include <retry/SlidingCount.h>
 
 namespace retry {
@@ -55,6 +56,9 @@
     /** Number of repeats refused since the start. */
     std::uint64_t refused() const { return refused_; }
 
+    /** Current level and counts. */
+    RepeatStatus status() const { return {coveredLevel(), granted_, refused_}; }
+
 private:
     /** Lower bound of the cap on tokens, so that a server with few requests can get a repeat. */
     static constexpr double minTokenCap = 1;
@@ -73,6 +77,7 @@
     SlidingCount repeats_;
     RepeatLevel level_;
     base::Millis windowEnd_; ///< end of the current window of level_ and of the counts
+    std::uint64_t granted_ = 0;
     std::uint64_t refused_ = 0;
 };
 
--- a/libs/retry/src/ArrivalBudget.cpp
+++ b/libs/retry/src/ArrivalBudget.cpp
@@ -85,6 +85,7 @@
 {
     closeWindows(now);
     if (kind == RepeatKind::OfRepeatedRun) {
+        ++granted_;
         repeats_.add();
         tokens_ = std::max(-tokenCap(), tokens_ - 1);
         return true;
@@ -96,6 +97,7 @@
         ++refused_;
         return false;
     }
+    ++granted_;
     repeats_.add();
     tokens_ -= 1;
     if (isRerun)
