--- a/libs/admission/tests/LevelsTest.cpp
+++ b/libs/admission/tests/LevelsTest.cpp
@@ -59,18 +59,36 @@
     EXPECT_TRUE(shed.admits(levels.routingPriority(withinShare, priority, Millis(1))));
 }
 
+TEST(EntryLevels, coverRepeatsUntilALevelIsReported)
+{
+    EntryLevels levels;
+    const CallScope scope{"orders", "order", "schools"};
+    const Priority priority{.rank_ = 1, .bucket_ = 64};
+    const Millis now(1000);
+    levels.observe(scope, {}, now);
+    EXPECT_TRUE(levels.coversRepeats(scope, priority, now));
+    levels.observe(scope, {.repeats_ = Level::of({.rank_ = 1, .bucket_ = 63})}, now);
+    EXPECT_FALSE(levels.coversRepeats(scope, priority, now));
+    EXPECT_TRUE(levels.coversRepeats(scope, {.rank_ = 1, .bucket_ = 63}, now));
+    EXPECT_TRUE(levels.coversRepeats({"orders", "query", "schools"}, priority, now));
+    // Requests themselves are still admitted.
+    EXPECT_TRUE(levels.admits(scope, priority, now));
+    EXPECT_TRUE(levels.coversRepeats(scope, priority, now + Millis(1000)));
+}
+
 TEST(AnswerLevels, malformedNumbersParseAsAll)
 {
     const Level all = Level::all();
     EXPECT_EQ(AnswerLevels::parse(""), (AnswerLevels{all, all, all}));
     EXPECT_EQ(AnswerLevels::parse("7 x -99999999999999999999"), (AnswerLevels{{7}, all, all}));
-    EXPECT_EQ(AnswerLevels::parse("-5 99999 3 4"), (AnswerLevels{Level::none(), all, {3}}));
+    EXPECT_EQ(AnswerLevels::parse("-5 99999 3 x"), (AnswerLevels{Level::none(), all, {3}}));
+    EXPECT_EQ(AnswerLevels::parse("-5 99999 3 4 5"), (AnswerLevels{Level::none(), all, {3}, {4}}));
 }
 
 RC_GTEST_PROP(AnswerLevelsProperty, parseInvertsText, ())
 {
     const auto level = rc::gen::map(rc::gen::inRange(-1, Level::highest + 1),
                                     [](int value) { return Level{value}; });
-    const AnswerLevels levels = {*level, *level, *level};
+    const AnswerLevels levels = {*level, *level, *level, *level};
     RC_ASSERT(AnswerLevels::parse(levels.toString()) == levels);
 }
--- a/libs/dock/include/dock/Executor.h
+++ b/libs/dock/include/dock/Executor.h
@@ -16,6 +16,7 @@
 #include <drain/Expectation.h>
 #include <model/Config.h>
 #include <once/Incarnation.h>
+#include <retry/RepeatStatus.h>
 
 namespace net {
 class ByteBudget;
@@ -98,6 +99,19 @@
     void observeLevel(std::string_view contextToken, std::string_view callee,
                       admission::Level level);
 
+    /**
+     * Records the worst priority whose calls are repeated as often as needed at a service that a
+     * running request has called.
+     */
+    void observeRepeatLevel(std::string_view contextToken, std::string_view callee,
+                            admission::Level level);
+
+    /** Repeats at the backend server; nothing if the entries limit them. */
+    retry::RepeatStatus repeats() const;
+
+    /** Whether a called service has lately refused more calls than may be repeated. */
+    bool hasRepeatLevels() const;
+
     /** Number of running and queued requests. */
     std::size_t activeCount() const;
 
--- a/libs/dock/src/AttemptCodec.cpp
+++ b/libs/dock/src/AttemptCodec.cpp
@@ -25,6 +25,7 @@
 constexpr std::uint64_t maxRetryAfterMs = 3'600'000;
 constexpr std::uint64_t maxBudget = 1000;
 constexpr std::uint64_t maxDepth = 1000;
+constexpr std::uint64_t maxCompletedCalls = 1000;
 
 std::string_view textOf(AttemptKind kind)
 {
@@ -137,6 +138,8 @@
     add(headers, header::depth, std::to_string(attempt.depth_));
     if (attempt.repeat_ != retry::RepeatKind::First)
         add(headers, header::repeat, std::to_string(static_cast<int>(attempt.repeat_)));
+    if (attempt.completedCalls_ > 0)
+        add(headers, header::completedCalls, std::to_string(attempt.completedCalls_));
     if (attempt.subKey_) {
         add(headers, header::subKey, attempt.subKey_->text());
         add(headers, header::settledBelow, std::to_string(attempt.settledBelow_));
@@ -164,6 +167,8 @@
     attempt.depth_ = static_cast<std::uint32_t>(numberUpTo(headers, header::depth, maxDepth));
     attempt.repeat_ = static_cast<retry::RepeatKind>(numberUpTo(
             headers, header::repeat, static_cast<std::uint64_t>(retry::RepeatKind::OfRepeatedRun)));
+    attempt.completedCalls_ = static_cast<std::uint32_t>(
+            numberUpTo(headers, header::completedCalls, maxCompletedCalls));
     if (const auto text = headerValue(headers, header::subKey); !text.empty()) {
         auto subKey = once::SubKey::parse(text);
         if (!subKey)
@@ -186,6 +191,8 @@
     add(response.headers_, header::level, answer.levels_.toString());
     add(response.headers_, header::budget, std::to_string(answer.budgetLeft_));
     add(response.headers_, header::queueingMicros, std::to_string(answer.queueing_.micros()));
+    if (answer.completedCalls_ > 0)
+        add(response.headers_, header::completedCalls, std::to_string(answer.completedCalls_));
     if (answer.isReplaced_)
         add(response.headers_, header::flags, std::string(flagReplaced));
     else if (answer.isDraining_)
@@ -202,6 +209,8 @@
     answer.isReplaced_ = flags == flagReplaced;
     answer.levels_ = admission::AnswerLevels::parse(headerValue(headers, header::level));
     answer.budgetLeft_ = static_cast<std::uint32_t>(numberUpTo(headers, header::budget, maxBudget));
+    answer.completedCalls_ = static_cast<std::uint32_t>(
+            numberUpTo(headers, header::completedCalls, maxCompletedCalls));
     answer.queueing_ = base::Millis::fromMicros(static_cast<std::int64_t>(
             numberUpTo(headers, header::queueingMicros, maxTimeLeftMicros)));
     const auto kind = headerValue(headers, header::kind);
--- a/libs/retry/tests/ArrivalBudgetTest.cpp
+++ b/libs/retry/tests/ArrivalBudgetTest.cpp
@@ -43,13 +43,16 @@
             const admission::Priority priority{.rank_ = 0,
                                                .bucket_ = static_cast<int>(random_.below(128))};
             while (random_.unit() < failureProbability
-                   && randomBudget().spend(RepeatKind::AfterRefusal, priority, now_))
+                   && randomBudget().spend(RepeatKind::AfterRefusal, priority, 0, now_))
                 ++counts.repeats_;
         }
         steps_.push_back(counts);
         checkWindow();
     }
 
+    /** Sends this share of all requests to the first half of the executors. */
+    void moveLoad(double firstHalfShare) { firstHalfShare_ = firstHalfShare; }
+
     /** Restarts that many random daemons; their counts are lost. */
     void restart(std::size_t count)
     {
@@ -57,6 +60,9 @@
             randomBudget() = ArrivalBudget(platformRatio * executorShare);
     }
 
+    /** Repeats in the whole run. */
+    double repeats() const { return repeats_; }
+
     /** Repeats per first arrival over the whole run. */
     double retryRatio() const { return repeats_ / std::max(1.0, firsts_); }
 
@@ -68,7 +74,12 @@
         double repeats_ = 0;
     };
 
-    ArrivalBudget &randomBudget() { return budgets_[random_.below(budgets_.size())]; }
+    ArrivalBudget &randomBudget()
+    {
+        const auto half = budgets_.size() / 2;
+        const bool isInFirstHalf = random_.unit() < firstHalfShare_;
+        return budgets_[random_.below(half) + (isInFirstHalf ? 0 : half)];
+    }
 
     /** Checks the last window against its first arrivals and those of the window before. */
     void checkWindow()
@@ -90,6 +101,7 @@
     }
 
     std::vector<ArrivalBudget> budgets_;
+    double firstHalfShare_ = 0.5; ///< of the requests
     base::Random random_{1};
     Millis now_{1000};
     std::deque<StepCounts> steps_;
@@ -138,13 +150,36 @@
     }
 }
 
+// The windows with most first arrivals differ between executors.
+TEST_P(Executors, keepPlatformLimitWhileLoadMoves)
+{
+    Service service(GetParam());
+    for (int i = 0; i < stepsInSeconds(60); ++i) {
+        if (i % stepsInSeconds(10) == 0)
+            service.moveLoad(i % stepsInSeconds(20) == 0 ? 0.9 : 0.1);
+        service.run(60, 0.5);
+    }
+}
+
+// Requests that fail make fewer calls; repeats are granted as if there were as many as before.
+TEST_P(Executors, useTheWindowBeforeAFault)
+{
+    Service service(GetParam());
+    for (int i = 0; i < stepsInSeconds(21); ++i)
+        service.run(60, 0);
+    const double repeatsPerSecond = 0.55 * platformRatio * 60 * stepsInSeconds(1);
+    for (int i = 0; i < stepsInSeconds(8); ++i)
+        service.run(25, 0.8);
+    EXPECT_GT(service.repeats(), 8 * repeatsPerSecond);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, Executors, testing::Values(4, 30, 100, 300));
 
 TEST(ArrivalBudget, permitsOneRepeatBeforeAnyFirstArrival)
 {
     ArrivalBudget budget(platformRatio);
-    EXPECT_TRUE(budget.spend(RepeatKind::AfterRefusal, {}, Millis(1000)));
-    EXPECT_FALSE(budget.spend(RepeatKind::AfterRefusal, {}, Millis(1000)));
+    EXPECT_TRUE(budget.spend(RepeatKind::AfterRefusal, {}, 0, Millis(1000)));
+    EXPECT_FALSE(budget.spend(RepeatKind::AfterRefusal, {}, 0, Millis(1000)));
 }
 
 TEST(ArrivalBudget, permitsOccasionalRepeatsWithFewRequests)
@@ -152,8 +187,8 @@
     ArrivalBudget budget(platformRatio);
     for (int i = 0; i < 10; ++i)
         budget.recordFirstArrival(Millis(1000 + i * 5000));
-    EXPECT_TRUE(budget.spend(RepeatKind::AfterRefusal, {}, Millis(60'000)));
-    EXPECT_FALSE(budget.spend(RepeatKind::AfterRefusal, {}, Millis(60'000)));
+    EXPECT_TRUE(budget.spend(RepeatKind::AfterRefusal, {}, 0, Millis(60'000)));
+    EXPECT_FALSE(budget.spend(RepeatKind::AfterRefusal, {}, 0, Millis(60'000)));
 }
 
 TEST(ArrivalBudget, callsOfRepeatedRunsAreAdmittedAndCharged)
@@ -161,13 +196,13 @@
     ArrivalBudget budget(platformRatio);
     const Millis now(1000);
     for (int i = 0; i < 5; ++i)
-        EXPECT_TRUE(budget.spend(RepeatKind::OfRepeatedRun, {}, now));
-    for (int i = 0; i < 5; ++i)
+        EXPECT_TRUE(budget.spend(RepeatKind::OfRepeatedRun, {}, 0, now));
+    for (int i = 0; i < 25; ++i)
         budget.recordFirstArrival(now);
-    EXPECT_FALSE(budget.spend(RepeatKind::AfterRefusal, {}, now));
+    EXPECT_FALSE(budget.spend(RepeatKind::AfterRefusal, {}, 0, now));
     for (int i = 0; i < 5; ++i)
         budget.recordFirstArrival(now);
-    EXPECT_TRUE(budget.spend(RepeatKind::AfterRefusal, {}, now));
+    EXPECT_TRUE(budget.spend(RepeatKind::AfterRefusal, {}, 0, now));
 }
 
 TEST(ArrivalBudget, rerunsAreLimitedToAShareOfTheBudget)
@@ -178,8 +213,8 @@
     for (int i = 0; i < 5000; ++i) {
         const Millis now(1000 + i);
         budget.recordFirstArrival(now);
-        reruns += budget.spend(RepeatKind::Rerun, {}, now) ? 1 : 0;
-        afterRefusals += budget.spend(RepeatKind::AfterRefusal, {}, now) ? 1 : 0;
+        reruns += budget.spend(RepeatKind::Rerun, {}, 0, now) ? 1 : 0;
+        afterRefusals += budget.spend(RepeatKind::AfterRefusal, {}, 0, now) ? 1 : 0;
     }
     EXPECT_LE(reruns, 0.25 * platformRatio * 5000 + 1);
     EXPECT_GT(reruns + afterRefusals, 0.9 * platformRatio * 5000);
