Spread calls by reported load, behind the setting evenLoad

Cause: an entry knew its own calls in flight only. Servers of one service differ in speed and many daemons choose at once, so servers queued while others of their service had free slots. Change: an executor adds its load (requests, limit, mean slot time) to its answers; routing ages the reports towards the fair share, draws by measured rate and spills when the local wait is longer. Status and metrics show the view. Off by default.

--- a/libs/dock/include/dock/Attempt.h
+++ b/libs/dock/include/dock/Attempt.h
@@ -30,6 +30,8 @@
     base::Millis timeLeft_;    ///< until the caller's deadline
     std::uint32_t budget_ = 0; ///< retries for the calls below this one
     std::uint32_t depth_ = 0;  ///< number of calls above this one, up to the root
+    /** The executor may hand the request back if it would wait for longer; whole milliseconds. */
+    std::optional<base::Millis> maxWait_;
     retry::RepeatKind repeat_ = retry::RepeatKind::First;
     std::optional<once::SubKey> subKey_; ///< set for non-idempotent classes
     std::uint64_t settledBelow_ = 0;     ///< see once::Delegate
--- a/libs/dock/include/dock/AttemptSender.h
+++ b/libs/dock/include/dock/AttemptSender.h
@@ -62,6 +62,7 @@
     struct Pending
     {
         std::string instance_;
+        std::uint64_t generation_ = 0;
         admission::Priority routingPriority_;
         bool isControl_ = false;
         bool isLocal_ = false;
--- a/libs/dock/include/dock/CallInterface.h
+++ b/libs/dock/include/dock/CallInterface.h
@@ -36,6 +36,11 @@
     std::string expectedInstanceField_; ///< other instances refuse the request with status 421
     /** In answers: the request was not run. If empty, header::outcome is used instead. */
     std::string notExecutedField_;
+    /**
+     * In answers of backend servers: numbers separated by commas, of which the fourth says how long
+     * work takes on the server's machine now; 100: as usual. It may be missing.
+     */
+    std::string loadField_;
     std::string signatureField_; ///< in answers: present in each success of a backend server
     bool hasFractionalRetryAfter_ = false; ///< Retry-After may have decimals
     int lostAnswerStatus_ = 504;           ///< status if the answer is lost before the deadline
--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,7 @@
 class Executor;
 class Recorder;
 struct CallInterface;
+struct LoadViewStatus;
 
 /** Id of a request in progress at the entry; 0 if it was answered at once. */
 using EntryId = std::uint64_t;
@@ -118,6 +120,9 @@
     /** Number of re-delegations of non-idempotent requests, by the reason that allowed them. */
     const std::map<std::string, std::uint64_t> &redelegations() const;
 
+    /** Load of the instances that calls go to; none unless calls are spread by reported load. */
+    std::optional<LoadViewStatus> loadView() const;
+
     /** Metrics of the requests of this daemon's callers. */
     const Recorder &recorder() const;
 
--- a/libs/dock/include/dock/InstanceSelector.h
+++ b/libs/dock/include/dock/InstanceSelector.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,7 @@
 {
     model::Member member_;
     admission::Priority routingPriority_; ///< priority used for the selection
+    std::optional<base::Millis> maxWait_; ///< see Attempt::maxWait_
 };
 
 /**
--- a/libs/dock/include/dock/KeyedCalls.h
+++ b/libs/dock/include/dock/KeyedCalls.h
@@ -70,6 +70,7 @@
         once::WaiterId waiter_ = 0;               ///< waiter whose request created the record
         std::vector<std::string> triedInstances_; ///< instance ids of all attempts so far
         admission::Priority routingPriority_;     ///< priority used to select the executor
+        std::optional<base::Millis> maxWait_;     ///< see Attempt::maxWait_
         retry::StartAttempt attempt_;
         std::optional<std::uint32_t> budgetLeft_; ///< from the last answer
         Redelegation redelegation_;               ///< set from the second attempt on
--- a/libs/dock/include/dock/Messages.h
+++ b/libs/dock/include/dock/Messages.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -14,6 +15,8 @@
 #include <model/Config.h>
 #include <model/Member.h>
 #include <once/Incarnation.h>
+#include <routing/InstanceStatus.h>
+#include <routing/LoadCounters.h>
 
 namespace dock {
 
@@ -72,6 +75,15 @@
     bool operator==(const MessageMemoryStatus &) const = default;
 };
 
+/** Load of the instances as this daemon sees it. */
+struct LoadViewStatus
+{
+    routing::LoadCounters counters_;
+    std::map<std::string, std::vector<routing::InstanceStatus>> instances_; ///< by service
+
+    bool operator==(const LoadViewStatus &) const = default;
+};
+
 /** Status of the data task; sent once a second. */
 struct DataStatus
 {
@@ -84,6 +96,7 @@
     std::map<std::string, std::uint64_t> redelegations_;   ///< by the reason that allowed them
     std::map<std::string, std::uint64_t> backendFailures_; ///< by outcome and how they were matched
     MessageMemoryStatus messageMemory_;
+    std::optional<LoadViewStatus> loadView_; ///< set if calls are spread by reported load
     std::shared_ptr<const metrics::Snapshot> metrics_;
 };
 
--- a/libs/dock/src/AttemptCodec.cpp
+++ b/libs/dock/src/AttemptCodec.cpp
@@ -23,6 +23,7 @@
 constexpr int statusRefused = 503;
 constexpr std::uint64_t maxTimeLeftMicros = 3'600'000'000;
 constexpr std::uint64_t maxRetryAfterMs = 3'600'000;
+constexpr std::uint64_t maxWaitMsLimit = 3'600'000;
 constexpr std::uint64_t maxBudget = 1000;
 constexpr std::uint64_t maxDepth = 1000;
 
@@ -135,6 +136,8 @@
     add(headers, header::timeLeftMicros, std::to_string(attempt.timeLeft_.micros()));
     add(headers, header::budget, std::to_string(attempt.budget_));
     add(headers, header::depth, std::to_string(attempt.depth_));
+    if (attempt.maxWait_)
+        add(headers, header::maxWaitMs, std::to_string(attempt.maxWait_->count()));
     if (attempt.repeat_ != retry::RepeatKind::First)
         add(headers, header::repeat, std::to_string(static_cast<int>(attempt.repeat_)));
     if (attempt.subKey_) {
@@ -162,6 +165,9 @@
             numberUpTo(headers, header::timeLeftMicros, maxTimeLeftMicros)));
     attempt.budget_ = static_cast<std::uint32_t>(numberUpTo(headers, header::budget, maxBudget));
     attempt.depth_ = static_cast<std::uint32_t>(numberUpTo(headers, header::depth, maxDepth));
+    if (!headerValue(headers, header::maxWaitMs).empty())
+        attempt.maxWait_ = base::Millis(
+                static_cast<std::int64_t>(numberUpTo(headers, header::maxWaitMs, maxWaitMsLimit)));
     attempt.repeat_ = static_cast<retry::RepeatKind>(numberUpTo(
             headers, header::repeat, static_cast<std::uint64_t>(retry::RepeatKind::OfRepeatedRun)));
     if (const auto text = headerValue(headers, header::subKey); !text.empty()) {
@@ -186,6 +192,8 @@
     add(response.headers_, header::level, answer.levels_.toString());
     add(response.headers_, header::budget, std::to_string(answer.budgetLeft_));
     add(response.headers_, header::queueingMicros, std::to_string(answer.queueing_.micros()));
+    if (answer.load_)
+        add(response.headers_, header::load, answer.load_->toString());
     if (answer.isReplaced_)
         add(response.headers_, header::flags, std::string(flagReplaced));
     else if (answer.isDraining_)
@@ -201,6 +209,7 @@
     answer.isDraining_ = flags == flagLeaving;
     answer.isReplaced_ = flags == flagReplaced;
     answer.levels_ = admission::AnswerLevels::parse(headerValue(headers, header::level));
+    answer.load_ = balance::LoadReport::parse(headerValue(headers, header::load));
     answer.budgetLeft_ = static_cast<std::uint32_t>(numberUpTo(headers, header::budget, maxBudget));
     answer.queueing_ = base::Millis::fromMicros(static_cast<std::int64_t>(
             numberUpTo(headers, header::queueingMicros, maxTimeLeftMicros)));
--- a/libs/dock/src/AttemptSender.cpp
+++ b/libs/dock/src/AttemptSender.cpp
@@ -71,6 +71,12 @@
     return notRun != nullptr && notRun->reason_ == once::Reason::BackendUnavailable;
 }
 
+bool isHandedBack(const once::Outcome &outcome)
+{
+    const auto *notRun = std::get_if<once::NotRun>(&outcome);
+    return notRun != nullptr && notRun->reason_ == once::Reason::HandedBack;
+}
+
 } // namespace
 
 AttemptSender::AttemptSender(net::Reactor &reactor, net::PeerClient &client, Executor &local,
@@ -108,6 +114,7 @@
 {
     const auto id = nextId_++;
     pending_[id] = {.instance_ = to.id_,
+                    .generation_ = to.generation_,
                     .routingPriority_ = routingPriority,
                     .isControl_ = isControl,
                     .isLocal_ = to.id_ == selfId_,
@@ -175,7 +182,11 @@
                                           .kind_ = answerKindOf(result->outcome_),
                                           .priority_ = pending.routingPriority_,
                                           .level_ = result->levels_.instance_,
-                                          .isLeaving_ = result->isDraining_},
+                                          .isLeaving_ = result->isDraining_,
+                                          .isHandedBack_ = isHandedBack(result->outcome_),
+                                          .queueing_ = result->queueing_,
+                                          .load_ = result->load_,
+                                          .generation_ = pending.generation_},
                     now);
 }
 
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -328,6 +328,7 @@
                             .backendFailures_ = executor_.backendFailures(),
                             .messageMemory_ = {budget_.limitBytes(), budget_.reservedBytes(),
                                                budget_.refusalCount()},
+                            .loadView_ = entry_.loadView(),
                             .metrics_ = entry_.recorder().snapshot()});
     reactor_.schedule(statusInterval, [this] { sendStatus(); });
 }
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -5,6 +5,7 @@
 #include <base/Clock.h>
 #include <base/Mac.h>
 #include <dock/HeaderNames.h>
+#include <dock/Messages.h>
 
 #include "details/EntryImpl.h"
 
@@ -192,6 +193,16 @@
     return impl_->redelegationLog_.counts();
 }
 
+std::optional<LoadViewStatus> Entry::loadView() const
+{
+    if (!impl_->settings_.evenLoad_)
+        return std::nullopt;
+    LoadViewStatus view{.counters_ = impl_->routing_.loadCounters()};
+    for (const auto &service : impl_->routing_.services())
+        view.instances_[service] = impl_->routing_.instances(service, base::monotonicNow());
+    return view;
+}
+
 const Recorder &Entry::recorder() const
 {
     return impl_->recorder_;
--- a/libs/dock/src/IdempotentCalls.cpp
+++ b/libs/dock/src/IdempotentCalls.cpp
@@ -18,6 +18,8 @@
     if (why.reason_ == once::Reason::Overloaded || why.reason_ == once::Reason::CustomerLimit
         || why.reason_ == once::Reason::RepeatLimit)
         return retry::AttemptResult::Overloaded;
+    if (why.reason_ == once::Reason::HandedBack)
+        return retry::AttemptResult::HandedBack;
     return retry::AttemptResult::NotRun;
 }
 
@@ -132,7 +134,9 @@
     const auto id = order.call_;
     ++call.report_.attempts_;
     call.triedInstances_.push_back(selected->member_.id_);
-    call.send_ = sender_.send(*selected, makeAttempt(call.info_, order.calleeBudget_, now),
+    auto attempt = makeAttempt(call.info_, order.calleeBudget_, now);
+    attempt.maxWait_ = selected->maxWait_;
+    call.send_ = sender_.send(*selected, std::move(attempt),
                               [this, id, instance = selected->member_.id_](SendResult result) {
                                   attemptDone(id, instance, std::move(result));
                               });
@@ -163,6 +167,7 @@
     if (const auto *notRun = std::get_if<once::NotRun>(&result->outcome_)) {
         event.result_ = attemptResultOf(*notRun);
         event.reachedBackend_ = isBackendRefusal(*notRun);
+        call.info_.handBacks_ += event.result_ == retry::AttemptResult::HandedBack ? 1 : 0;
         call.lastRefusal_ = *notRun;
     } else if (std::holds_alternative<once::Unknown>(result->outcome_)) {
         event.result_ = retry::AttemptResult::Lost;
--- a/libs/dock/src/InstanceSelector.cpp
+++ b/libs/dock/src/InstanceSelector.cpp
@@ -1,5 +1,6 @@
 #include <dock/InstanceSelector.h>
 
+#include <balance/HandBack.h>
 #include <routing/Core.h>
 
 namespace dock {
@@ -18,6 +19,12 @@
            || reason == once::Reason::NoInstance || reason == once::Reason::RepeatLimit;
 }
 
+/** None once the call has been handed back too often: it waits in the queue then. */
+std::optional<base::Millis> maxWaitOf(const CallInfo &call, const routing::Choice &choice)
+{
+    return call.handBacks_ < balance::maxHandBacks ? choice.maxWait_ : std::nullopt;
+}
+
 } // namespace
 
 InstanceSelector::InstanceSelector(routing::Core &routing, std::uint64_t seed,
@@ -47,7 +54,7 @@
         auto excluded = avoid;
         excluded.insert(excluded.end(), tried.begin(), tried.end());
         if (const auto untried = routing_.choose(call.service_, routingPriority, excluded, now))
-            return Selected{*untried->member_, routingPriority};
+            return Selected{*untried->member_, routingPriority, maxWaitOf(call, *untried)};
     }
     const auto choice = routing_.choose(call.service_, routingPriority, avoid, now);
     if (!choice) {
@@ -60,7 +67,7 @@
             onParentLevel_(call, routing_.level(call.service_, now));
         return tl::unexpected(overloadedRefusal(call, now));
     }
-    return Selected{*choice->member_, routingPriority};
+    return Selected{*choice->member_, routingPriority, maxWaitOf(call, *choice)};
 }
 
 once::Outcome InstanceSelector::withRetryAfter(const CallInfo &call, const once::Outcome &outcome,
--- a/libs/dock/src/KeyedCalls.cpp
+++ b/libs/dock/src/KeyedCalls.cpp
@@ -162,6 +162,8 @@
                                     .budgetLeft_ =
                                             std::exchange(found->second.budgetLeft_, std::nullopt),
                                     .reachedBackend_ = isRefusedByBackend};
+    if (event.result_ == retry::AttemptResult::HandedBack)
+        ++found->second.info_.handBacks_;
     const auto commands = retry_.handle(event, now);
     for (const auto &command : commands) {
         if (std::holds_alternative<retry::GiveUp>(command)) {
@@ -207,6 +209,7 @@
     }
     const auto &member = selected->member_;
     record.routingPriority_ = selected->routingPriority_;
+    record.maxWait_ = selected->maxWait_;
     record.triedInstances_.push_back(member.id_);
     dispatch(once::Chosen{order.call_, {member.id_, member.generation_}});
 }
@@ -235,6 +238,7 @@
     auto attempt = makeAttempt(record->second.info_, record->second.attempt_.calleeBudget_,
                                base::monotonicNow());
     attempt.timeLeft_ = order.timeLeft_;
+    attempt.maxWait_ = record->second.maxWait_;
     attempt.subKey_ = order.subKey_;
     attempt.settledBelow_ = order.settledBelow_;
     sender_.send({*member, record->second.routingPriority_}, std::move(attempt),
--- a/libs/dock/src/StatusReport.cpp
+++ b/libs/dock/src/StatusReport.cpp
@@ -1,5 +1,6 @@
 #include <dock/StatusReport.h>
 
+#include <cmath>
 #include <map>
 
 #include <metrics/Prometheus.h>
@@ -68,6 +69,26 @@
     return level.value_ < 0 ? -1 : level.value_ / admission::Priority::bucketCount;
 }
 
+json loadView(const LoadViewStatus &status)
+{
+    json view = json::object();
+    for (const auto &[service, instances] : status.instances_) {
+        for (const auto &instance : instances) {
+            json entry = {{"dataCentre", instance.dataCentre_},
+                          {"ownCalls", instance.inFlight_},
+                          {"ejected", instance.isEjected_}};
+            if (instance.load_) {
+                entry["active"] = std::round(instance.load_->active_);
+                entry["limit"] = instance.load_->limit_;
+                entry["slotTimeMs"] = instance.load_->holding_.fractional();
+                entry["reportAgeMs"] = instance.load_->age_.count();
+            }
+            view[service][instance.id_] = std::move(entry);
+        }
+    }
+    return view;
+}
+
 metrics::Value gauge(const char *name, const char *help, double value)
 {
     return {.name_ = name, .help_ = help, .kind_ = metrics::ValueKind::Gauge, .value_ = value};
@@ -78,11 +99,29 @@
     return {.name_ = name, .help_ = help, .kind_ = metrics::ValueKind::Counter, .value_ = value};
 }
 
+void addLoadCounters(const routing::LoadCounters &counters, std::vector<metrics::Value> &values)
+{
+    constexpr double millisPerSecond = 1000.0;
+    values.push_back(counter("choices_total", "selections of an instance",
+                             static_cast<double>(counters.choices_)));
+    values.push_back(counter("choices_with_report_total",
+                             "selections of an instance that had reported its load",
+                             static_cast<double>(counters.choicesWithReport_)));
+    values.push_back(counter("load_report_age_seconds_total",
+                             "age of the reports of selected instances, added up",
+                             counters.reportAges_.fractional() / millisPerSecond));
+    values.push_back(counter("handed_back_total", "calls that an instance handed back unsent",
+                             static_cast<double>(counters.handedBack_)));
+    values.push_back(counter("uneven_waits_total",
+                             "calls that waited or were shed while another instance was free",
+                             static_cast<double>(counters.unevenWaits_)));
+}
+
 } // namespace
 
 std::string StatusReport::json() const
 {
-    const nlohmann::json view = {
+    nlohmann::json view = {
             {"id", id_},
             {"dataCentre", dataCentre_},
             {"draining", isDraining_},
@@ -101,6 +140,8 @@
             {"openRequests", dataStatus_.openRequests_},
             {"notComplete", dataStatus_.failures_},
     };
+    if (dataStatus_.loadView_)
+        view["load"] = loadView(*dataStatus_.loadView_);
     return view.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
@@ -163,6 +204,8 @@
                 "allowed_by");
     addCounters(dataStatus_.backendFailures_, "backend_failures_total",
                 "calls that the backend server refused or whose answer was lost", "outcome");
+    if (dataStatus_.loadView_)
+        addLoadCounters(dataStatus_.loadView_->counters_, values);
     return renderPrometheus(snapshot);
 }
 
--- a/libs/dock/src/details/BackendExchange.cpp
+++ b/libs/dock/src/details/BackendExchange.cpp
@@ -90,6 +90,24 @@
     return request;
 }
 
+std::optional<double> reportedSlowness(const net::Headers &headers, const CallInterface &interface)
+{
+    constexpr int slownessPosition = 3;
+    constexpr double usual = 100.0;
+    if (interface.loadField_.empty())
+        return std::nullopt;
+    auto text = net::headerValue(headers, interface.loadField_);
+    for (int i = 0; i < slownessPosition; ++i) {
+        const auto comma = text.find(',');
+        if (comma == std::string_view::npos)
+            return std::nullopt;
+        text.remove_prefix(comma + 1);
+    }
+    text = text.substr(0, text.find(','));
+    const auto value = numberOr(text, 0);
+    return value > 0 ? std::optional(static_cast<double>(value) / usual) : std::nullopt;
+}
+
 BackendResult backendResultOf(net::CallResult result, const CallInterface &interface)
 {
     if (!result)
--- a/libs/dock/src/details/BackendExchange.h
+++ b/libs/dock/src/details/BackendExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include <admission/Event.h>
@@ -26,6 +27,12 @@
                                 const std::string &contextToken, const std::string &instanceId,
                                 const CallInterface &interface);
 
+/**
+ * How long work takes on the machine of the backend server, from an answer of the server; 1: as
+ * usual, none if the answer does not say.
+ */
+std::optional<double> reportedSlowness(const net::Headers &headers, const CallInterface &interface);
+
 /** Classifies the result of a call to the backend server. */
 BackendResult backendResultOf(net::CallResult result, const CallInterface &interface);
 
--- a/libs/dock/src/details/EntryImpl.cpp
+++ b/libs/dock/src/details/EntryImpl.cpp
@@ -1,5 +1,6 @@
 #include "details/EntryImpl.h"
 
+#include <balance/HandBack.h>
 #include <base/Clock.h>
 #include <base/Mac.h>
 #include <base/Overloaded.h>
@@ -42,12 +43,11 @@
     , routing_({.daemonId_ = settings.id_,
                 .dataCentre_ = settings.dataCentre_,
                 .region_ = settings.region_,
-                .seed_ = randomSeed()})
+                .seed_ = randomSeed(),
+                .evenLoad_ = settings.evenLoad_})
     , home_(std::in_place, self_, homeSettings(settings), base::randomSecret())
     , retryIdempotent_(retrySettings(settings, interface), contexts, randomSeed())
-    , retryKeyed_(interface.hasRoutes() ? retrySettings(settings, interface)
-                                        : retry::RetrySettings(),
-                  contexts, randomSeed())
+    , retryKeyed_(retrySettingsOfKeyed(settings, interface), contexts, randomSeed())
     , recorder_(settings.traceFile_)
     , sender_(reactor, client, executor, routing_, settings.id_)
     , selector_(routing_, randomSeed(),
@@ -84,6 +84,8 @@
                                                 const CallInterface &interface)
 {
     retry::RetrySettings result;
+    if (settings.evenLoad_)
+        result.maxHandBacks_ = balance::maxHandBacks;
     if (interface.hasRoutes()) {
         result.enforcesRatio_ = false;
         result.maxUnreachedRetries_ = maxFreeRouteRetries;
@@ -98,6 +100,14 @@
     return result;
 }
 
+retry::RetrySettings Entry::Impl::retrySettingsOfKeyed(const settings::Settings &settings,
+                                                       const CallInterface &interface)
+{
+    if (interface.hasRoutes())
+        return retrySettings(settings, interface);
+    return {.maxHandBacks_ = settings.evenLoad_ ? balance::maxHandBacks : 0};
+}
+
 const model::Member *Entry::Impl::findMember(const std::string &id) const
 {
     const auto found = memberById_.find(id);
--- a/libs/dock/src/details/EntryImpl.h
+++ b/libs/dock/src/details/EntryImpl.h
@@ -69,6 +69,8 @@
     static once::HomeSettings homeSettings(const settings::Settings &settings);
     static retry::RetrySettings retrySettings(const settings::Settings &settings,
                                               const CallInterface &interface);
+    static retry::RetrySettings retrySettingsOfKeyed(const settings::Settings &settings,
+                                                     const CallInterface &interface);
     net::HttpResponse drainingRefusal() const;
     bool isBaseline() const { return settings_.mode_ == settings::Mode::Baseline; }
     bool needsKey(const CallInfo &call) const;
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -1,6 +1,7 @@
 #include "details/ExecutorImpl.h"
 
 #include <admission/EntryLevels.h>
+#include <balance/HandBack.h>
 #include <base/Clock.h>
 #include <base/Overloaded.h>
 #include <events/Catalogue.h>
@@ -18,6 +19,9 @@
 using once::Reason;
 using retry::RepeatKind;
 
+/** Lowest status that means that the backend server failed; such answers may be quick. */
+constexpr int firstServerError = 500;
+
 constexpr base::Millis tickInterval(20);
 
 /**
@@ -114,12 +118,32 @@
             !accepts_ || accepts_({attempt.timeLeft_, usualTimes_.of(attempt.requestClass_)});
     if (!canEnd)
         return NotRun{Reason::Draining, {}};
+    if (isHandedBack(attempt))
+        return NotRun{Reason::HandedBack, {}};
     const bool isOverBudget =
             arrivalBudget_ && attempt.repeat_ != RepeatKind::First
             && !arrivalBudget_->spend(attempt.repeat_, attempt.priority_, base::monotonicNow());
     return isOverBudget ? std::optional(NotRun{Reason::RepeatLimit, {}}) : std::nullopt;
 }
 
+balance::LoadReport Executor::Impl::loadReport() const
+{
+    return {.active_ = static_cast<std::uint32_t>(admission_.running() + admission_.queued()),
+            .limit_ = std::max<std::uint32_t>(1, admission_.limit()),
+            .holding_ = holdingTime_.mean()};
+}
+
+/** Whether the attempt would wait here for longer than its entry expects elsewhere. */
+bool Executor::Impl::isHandedBack(const Attempt &attempt) const
+{
+    if (!settings_.evenLoad_ || !attempt.maxWait_)
+        return false;
+    std::size_t ahead = 0;
+    for (int rank = 0; rank <= attempt.priority_.rank_; ++rank)
+        ahead += admission_.queued(rank);
+    return balance::isHandedBack(loadReport(), static_cast<std::uint32_t>(ahead), attempt.maxWait_);
+}
+
 std::uint32_t Executor::Impl::admissionSlots() const
 {
     return backend_.serving_ == model::ServingState::Absent ? 0 : backend_.slots_;
@@ -137,6 +161,10 @@
         backend.serving_ = model::ServingState::Draining;
     if (backend == backend_)
         return;
+    const bool isNewServer = backend.serving_ == model::ServingState::Ready
+                             && backend_.serving_ != model::ServingState::Ready;
+    if (isNewServer || backend.instanceId_ != backend_.instanceId_)
+        holdingTime_.reset();
     backend_ = std::move(backend);
     configureAdmission();
     onBackendChanged_(backend_);
@@ -266,12 +294,24 @@
     const auto found = runs_.find(id);
     if (found == runs_.end())
         return;
+    if (settings_.evenLoad_)
+        measure(found->second, result);
     const auto reply = details::BackendReply::of(result);
     const auto ended = details::backendResultOf(std::move(result), interface_);
     backendLog_.record(found->second.requestId_, reply, ended.outcome_, base::monotonicNow());
     finish(id, ended.admissionOutcome_, ended.outcome_);
 }
 
+void Executor::Impl::measure(const Run &run, const net::CallResult &result)
+{
+    if (!result)
+        return;
+    if (const auto slowness = details::reportedSlowness(result->headers_, interface_))
+        holdingTime_.recordSlowness(*slowness);
+    if (result->status_ < firstServerError)
+        holdingTime_.recordCompletion(base::monotonicNow() - run.startedAt_);
+}
+
 void Executor::Impl::finish(RunId id, admission::Outcome admissionOutcome,
                             const once::Outcome &outcome)
 {
@@ -393,6 +433,8 @@
     answer.isReplaced_ = isReplaced;
     answer.budgetLeft_ = std::exchange(budgetLeft_, 0);
     answer.queueing_ = std::exchange(queueing_, base::Millis());
+    if (settings_.evenLoad_ && isServing())
+        answer.load_ = loadReport();
     answer.isDraining_ = backend_.serving_ == model::ServingState::Draining;
     if (!isBaseline()) {
         const auto scope = admission::scopeKey(waiter.requestClass_, waiter.customer_);
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -8,6 +8,8 @@
 
 #include <admission/Core.h>
 #include <admission/DownstreamLevels.h>
+#include <balance/HoldingTime.h>
+#include <balance/LoadReport.h>
 #include <dock/CallInterface.h>
 #include <dock/Executor.h>
 #include <drain/UsualTimes.h>
@@ -76,6 +78,8 @@
     static std::optional<retry::ArrivalBudget>
     makeArrivalBudget(const settings::Settings &settings);
     std::optional<once::NotRun> refusalOf(const Attempt &attempt);
+    bool isHandedBack(const Attempt &attempt) const;
+    balance::LoadReport loadReport() const;
     std::uint32_t admissionSlots() const;
     RunId findRun(const once::SubKey &subKey) const;
 
@@ -91,6 +95,7 @@
     void refuse(RunId id, const once::NotRun &why);
     void send(RunId id, base::Millis timeLeft);
     void backendDone(RunId id, net::CallResult result);
+    void measure(const Run &run, const net::CallResult &result);
     void finish(RunId id, admission::Outcome admissionOutcome, const once::Outcome &outcome);
     void reportToRecord(const once::SubKey &subKey, const once::Outcome &outcome);
     void reply(AttemptId waiter, const once::Outcome &outcome, bool isReplaced = false);
@@ -109,6 +114,7 @@
     std::optional<retry::ArrivalBudget> arrivalBudget_; ///< unset: the entries limit retries
     admission::Core admission_;
     admission::DownstreamLevels levels_;
+    balance::HoldingTime holdingTime_;
     std::optional<once::Executor> once_;
     BackendChanged onBackendChanged_;
     ContextFunction onContextEnded_;
--- a/libs/dock/tests/AttemptCodecTest.cpp
+++ b/libs/dock/tests/AttemptCodecTest.cpp
@@ -60,6 +60,7 @@
                     .timeLeft_ = base::Millis::fromMicros(1'234'567),
                     .budget_ = budget % 1000,
                     .depth_ = depth % 1000,
+                    .maxWait_ = base::Millis(12),
                     .subKey_ = once::SubKey{{"home", 7}, 9, {"executor", 8}},
                     .settledBelow_ = 5};
     attempt.request_ = {.method_ = "POST", .target_ = "/r", .headers_ = {{"x", "y"}}, .body_ = "b"};
@@ -90,6 +91,7 @@
                                                admission::Level::fromNumber(300)},
                                    .budgetLeft_ = 2,
                                    .queueing_ = base::Millis(3),
+                                   .load_ = balance::LoadReport{7, 5, base::Millis(40)},
                                    .isDraining_ = true};
         const auto decoded = dock::decodeAnswer(dock::encodeAnswer(answer));
         ASSERT_TRUE(decoded);
--- a/libs/dock/tests/TestSystem.h
+++ b/libs/dock/tests/TestSystem.h
@@ -112,8 +112,9 @@
 {
 public:
     Dock(Loop &loop, const std::string &id, std::uint64_t generation = 1,
-         const CallInterface &interface = {})
+         const CallInterface &interface = {}, bool evenLoad = false)
     {
+        settings_.evenLoad_ = evenLoad;
         if (interface.hasRoutes())
             settings_.platform_.emplace().service_ = "home";
         settings_.id_ = id;
@@ -147,6 +148,14 @@
     }
 
     bool hasDrained() const { return hasDrained_; }
+
+    /** Status that the data task sent last; it sends one every second. */
+    DataStatus lastStatus() const
+    {
+        const std::lock_guard lock(statusMutex_);
+        return lastStatus_;
+    }
+
     const model::Address &address() const { return settings_.dataAddress_; }
 
     settings::Settings settings_;
@@ -158,10 +167,16 @@
     {
         if (std::holds_alternative<DrainEnded>(message))
             hasDrained_ = true;
+        if (const auto *status = std::get_if<DataStatus>(&message)) {
+            const std::lock_guard lock(statusMutex_);
+            lastStatus_ = *status;
+        }
     }
 
     model::Member member_;
     std::atomic<bool> hasDrained_ = false;
+    mutable std::mutex statusMutex_;
+    DataStatus lastStatus_;
 };
 
 /** Makes calls and waits for their answers. */
--- a/libs/dock/tests/ThreeDaemons.h
+++ b/libs/dock/tests/ThreeDaemons.h
@@ -53,9 +53,10 @@
             dock->task_->deliver(dock::MembersUpdated{members});
     }
 
-    void announce(const Dock &dock, std::uint16_t port)
+    void announce(const Dock &dock, std::uint16_t port, int announcedSlots = slots)
     {
-        const nlohmann::json body = {{"service", "wallet"}, {"port", port}, {"slots", slots}};
+        const nlohmann::json body = {
+                {"service", "wallet"}, {"port", port}, {"slots", announcedSlots}};
         const auto answer = caller_.call(
                 dock.address(),
                 {.method_ = "PUT", .target_ = "/.fuchsiadock/backend", .body_ = body.dump()});
--- a/libs/once/include/once/Reason.h
+++ b/libs/once/include/once/Reason.h
@@ -34,6 +34,7 @@
     AllowanceSpent,      ///< the customer has used its allowance
     AllowanceUnknown,    ///< no daemon that allots the customer's allowance answered
     Unconfirmed,         ///< the configuration was not confirmed recently enough
+    HandedBack,          ///< another instance is likely to start it sooner
 };
 
 /** Stable text of a reason for headers and logs, such as "no-instance". */
--- a/libs/once/src/Reason.cpp
+++ b/libs/once/src/Reason.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 27> reasonTexts = {
+constexpr std::array<std::string_view, 28> reasonTexts = {
         "none",
         "bad-key",
         "no-instance",
@@ -35,8 +35,9 @@
         "allowance-spent",
         "allowance-unknown",
         "unconfirmed",
+        "handed-back",
 };
-static_assert(reasonTexts.size() == static_cast<std::size_t>(Reason::Unconfirmed) + 1);
+static_assert(reasonTexts.size() == static_cast<std::size_t>(Reason::HandedBack) + 1);
 
 } // namespace
 
--- a/libs/retry/include/retry/Event.h
+++ b/libs/retry/include/retry/Event.h
@@ -62,6 +62,7 @@
     NotSent,    ///< no byte reached the peer's application
     Overloaded, ///< refused by admission; did not run
     NotRun,     ///< did not run for another reason
+    HandedBack, ///< not queued, as another instance may start it sooner; costs no retry
     Lost,       ///< may have run
 };
 
--- a/libs/retry/include/retry/RetrySettings.h
+++ b/libs/retry/include/retry/RetrySettings.h
@@ -17,6 +17,9 @@
     std::size_t maxBuckets_ = 1024;         ///< pairs of customer and class tracked separately
     std::uint32_t maxOverloadRefusals_ = 2; ///< overload refusals after which a call is not retried
 
+    /** Limit on attempts of a call after hand-backs; they start at once and are not charged. */
+    std::uint32_t maxHandBacks_ = 0;
+
     /** Limit on free retries of a call after attempts that did not reach a backend server. */
     std::uint32_t maxUnreachedRetries_ = 0;
 
--- a/libs/retry/src/Core.cpp
+++ b/libs/retry/src/Core.cpp
@@ -24,6 +24,7 @@
     std::uint32_t attempt_ = 0;
     std::uint32_t calleeBudget_ = 0;
     std::uint32_t overloadRefusals_ = 0;
+    std::uint32_t handBacks_ = 0;
     std::uint32_t unreachedRetries_ = 0; ///< free retries
     std::uint32_t refusalRetries_ = 0;   ///< retries after refusals by a backend server
     std::uint32_t budgetedRetries_ = 0;  ///< all other retries
@@ -34,7 +35,8 @@
 
 bool didNotStart(AttemptResult result)
 {
-    return result == AttemptResult::NotSent || result == AttemptResult::Overloaded;
+    return result == AttemptResult::NotSent || result == AttemptResult::Overloaded
+           || result == AttemptResult::HandedBack;
 }
 
 } // namespace
@@ -119,6 +121,12 @@
         ++call.overloadRefusals_;
         call.excludedInstances_.push_back(event.instance_);
     }
+    if (event.result_ == AttemptResult::HandedBack && call.handBacks_ < settings_.maxHandBacks_
+        && now < call.deadline_) {
+        ++call.handBacks_;
+        commands.push_back(start(event.call_, call, base::Millis(0), now));
+        return;
+    }
     const auto delay = backoff(call.attempt_);
     const auto expectedEnd = now + delay + call.ratio_->meanDuration_;
     if (const auto stop = spend(call, event, expectedEnd)) {
--- a/libs/retry/tests/CoreTest.cpp
+++ b/libs/retry/tests/CoreTest.cpp
@@ -152,3 +152,23 @@
     core.handle(call, now_);
     EXPECT_FALSE(isRetried(1, true));
 }
+
+TEST_F(CoreTest, handBacksAreBoundedAndCostNoRetry)
+{
+    using enum AttemptResult;
+    settings_.maxHandBacks_ = 2;
+    Core core(settings_, contexts_, 1);
+    core.handle(CallStarted{.call_ = 1, .origin_ = RootCall{1}, .deadline_ = Millis(1000)}, now_);
+    for (std::uint32_t attempt = 1; attempt <= 2; ++attempt) {
+        const auto commands =
+                core.handle(AttemptEnded{1, attempt, HandedBack, "d", std::nullopt, false}, now_);
+        ASSERT_EQ(commands.size(), 1U);
+        ASSERT_TRUE(std::holds_alternative<StartAttempt>(commands[0]));
+        EXPECT_EQ(std::get<StartAttempt>(commands[0]).delay_, Millis());
+    }
+    // The third one is charged like any attempt that did not run; then the budget is spent.
+    EXPECT_TRUE(std::holds_alternative<StartAttempt>(
+            core.handle(AttemptEnded{1, 3, HandedBack, "d", std::nullopt, false}, now_)[0]));
+    EXPECT_TRUE(std::holds_alternative<GiveUp>(
+            core.handle(AttemptEnded{1, 4, HandedBack, "d", std::nullopt, false}, now_)[0]));
+}
--- a/libs/routing/include/routing/Choice.h
+++ b/libs/routing/include/routing/Choice.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 #include <base/Millis.h>
 #include <model/Member.h>
@@ -13,6 +14,8 @@
 {
     std::shared_ptr<const model::Member> member_; ///< never null
     bool isSpilled_ = false;                      ///< the instance is in another data centre
+    /** The instance is to hand the call back rather than to let it wait for longer. */
+    std::optional<base::Millis> maxWait_;
 
     bool operator==(const Choice &) const = default;
 };
--- a/libs/routing/include/routing/Core.h
+++ b/libs/routing/include/routing/Core.h
@@ -13,6 +13,7 @@
 #include <routing/Choice.h>
 #include <routing/Event.h>
 #include <routing/InstanceStatus.h>
+#include <routing/LoadCounters.h>
 #include <routing/Options.h>
 #include <tl/expected.hpp>
 
@@ -49,6 +50,12 @@
     /** Number of calls sent to the instance that are not answered yet. */
     std::size_t inFlight(std::string_view instance) const;
 
+    /** Counts of the selection by reported load; all 0 unless it is in use. */
+    const LoadCounters &loadCounters() const;
+
+    /** Ids of the services with instances. */
+    std::vector<std::string> services() const;
+
     /** The instances of the service in the subset of this daemon. */
     std::vector<InstanceStatus> instances(std::string_view service, base::Millis now) const;
 
--- a/libs/routing/include/routing/Event.h
+++ b/libs/routing/include/routing/Event.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include <admission/Level.h>
 #include <admission/Priority.h>
+#include <balance/LoadReport.h>
+#include <base/Millis.h>
 #include <model/Member.h>
 
 namespace routing {
@@ -45,6 +48,10 @@
     admission::Priority priority_;
     admission::Level level_; ///< from the answer; Level::all() when the answer carries none
     bool isLeaving_ = false; ///< the answer marks the instance as draining
+    bool isHandedBack_ = false;               ///< not queued, as the wait was too long
+    base::Millis queueing_;                   ///< time that the call waited for a slot
+    std::optional<balance::LoadReport> load_; ///< from the answer
+    std::uint64_t generation_ = 0;            ///< of the process that the call was sent to
 
     bool operator==(const CallAnswered &) const = default;
 };
--- a/libs/routing/include/routing/InstanceStatus.h
+++ b/libs/routing/include/routing/InstanceStatus.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include <admission/Level.h>
+#include <routing/LoadStatus.h>
 
 namespace routing {
 
@@ -16,6 +18,7 @@
     admission::Level level_;
     bool isEjected_ = false;
     bool isDraining_ = false;
+    std::optional<LoadStatus> load_; ///< none if no report is known
 
     bool operator==(const InstanceStatus &) const = default;
 };
--- a/libs/routing/include/routing/Options.h
+++ b/libs/routing/include/routing/Options.h
@@ -37,6 +37,16 @@
     base::Millis drainingExpiry_ = base::Millis(10000); ///< of a draining mark from an answer
     base::Millis reportExpiry_ = base::Millis(5000);    ///< of a health or load report
 
+    /** Selects by the load that instances report, and not by calls in flight only. */
+    bool evenLoad_ = false;
+    /** Wait in the local data centre for which a call does not yet go to another one. */
+    base::Millis spillWait_ = base::Millis(10);
+    /** Wait for which a call is not worth another attempt while the service has free slots: about
+     * the time of that attempt. */
+    base::Millis handBackWait_ = base::Millis(2);
+    /** Wait beyond the mean for which it is not worth one while all slots are in use. */
+    base::Millis fullHandBackWait_ = base::Millis(10);
+
     bool operator==(const Options &) const = default;
 };
 
--- a/libs/routing/src/Core.cpp
+++ b/libs/routing/src/Core.cpp
@@ -1,6 +1,7 @@
 #include <routing/Core.h>
 
 #include <details/State.h>
+#include <details/TierLoad.h>
 
 namespace routing {
 
@@ -41,19 +42,33 @@
     return found != nullptr ? found->inFlight() : 0;
 }
 
+const LoadCounters &Core::loadCounters() const
+{
+    return impl_->state_.loadCounters();
+}
+
+std::vector<std::string> Core::services() const
+{
+    return impl_->state_.services();
+}
+
 std::vector<InstanceStatus> Core::instances(std::string_view service, base::Millis now) const
 {
     std::vector<InstanceStatus> result;
     const details::Pool *pool = impl_->state_.pool(service);
     if (pool == nullptr)
         return result;
-    for (const auto &instance : pool->instances()) {
-        result.push_back({.id_ = instance->member().id_,
-                          .dataCentre_ = instance->member().dataCentre_,
-                          .inFlight_ = instance->inFlight(),
-                          .level_ = instance->level(now),
-                          .isEjected_ = instance->isEjected(now),
-                          .isDraining_ = instance->isDraining(now)});
+    for (const auto &tier : pool->tiers()) {
+        const details::TierLoad load(tier, now);
+        for (const auto &instance : tier) {
+            result.push_back({.id_ = instance->member().id_,
+                              .dataCentre_ = instance->member().dataCentre_,
+                              .inFlight_ = instance->inFlight(),
+                              .level_ = instance->level(now),
+                              .isEjected_ = instance->isEjected(now),
+                              .isDraining_ = instance->isDraining(now),
+                              .load_ = load.status(*instance)});
+        }
     }
     return result;
 }
--- a/libs/routing/src/details/Instance.cpp
+++ b/libs/routing/src/details/Instance.cpp
@@ -41,6 +41,7 @@
     consecutiveFailures_ = 0;
     ejectionCount_ = 0;
     failureRate_ = 0.0;
+    observedLoad_.reset();
 }
 
 void Instance::recordSent(const admission::Priority &priority, const Options &options,
@@ -78,6 +79,8 @@
         updateFailureRate(answer.kind_ == AnswerKind::Failed);
     if (answer.isLeaving_)
         drainingUntil_ = now + options.drainingExpiry_;
+    if (answer.load_ && answer.generation_ == member_->generation_)
+        observedLoad_.emplace(*answer.load_, inFlight_, now);
     level_ = answer.level_;
     levelExpiresAt_ = now + options.levelExpiry_;
     if (answer.kind_ == AnswerKind::Shed && level_.covers(answer.priority_)) {
--- a/libs/routing/src/details/Instance.h
+++ b/libs/routing/src/details/Instance.h
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 #include <admission/Level.h>
 #include <admission/Priority.h>
+#include <balance/ObservedLoad.h>
 #include <base/Millis.h>
 #include <model/Member.h>
 #include <routing/Event.h>
@@ -50,6 +52,9 @@
     /** Moving average of the failed share of its calls, 0 to 1. */
     double failureRate() const { return failureRate_; }
 
+    /** Last load report of this process and its backend server. */
+    const std::optional<balance::ObservedLoad> &observedLoad() const { return observedLoad_; }
+
     /** Level from the last answer, or Level::all() once that has expired. */
     admission::Level level(base::Millis now) const;
     base::Millis levelExpiresAt() const { return levelExpiresAt_; }
@@ -77,6 +82,7 @@
     double failureRate_ = 0.0;
     int consecutiveFailures_ = 0;
     int ejectionCount_ = 0;
+    std::optional<balance::ObservedLoad> observedLoad_;
 };
 
 } // namespace routing::details
--- a/libs/routing/src/details/Pool.cpp
+++ b/libs/routing/src/details/Pool.cpp
@@ -6,7 +6,9 @@
 #include <utility>
 
 #include <details/Instance.h>
+#include <details/Ranking.h>
 #include <details/Subset.h>
+#include <details/TierLoad.h>
 
 namespace routing::details {
 
@@ -46,9 +48,8 @@
         , now_(now)
     {}
 
-    /** Power-of-two-choices selection: the less loaded of two random candidates of the tier, or
-     * null. */
-    const Instance *pick(const Pool::Instances &tier, Pass pass);
+    /** The least loaded of a few candidates drawn from the tier at random by weight, or null. */
+    const Instance *pick(const Pool::Instances &tier, const Ranking &ranking, Pass pass);
 
     NoChoice noChoice() const;
 
@@ -123,27 +124,28 @@
     return candidateCount_;
 }
 
-const Instance *Search::pick(const Pool::Instances &tier, Pass pass)
+const Instance *Search::pick(const Pool::Instances &tier, const Ranking &ranking, Pass pass)
 {
     candidateCount_ = 0;
     totalWeight_ = 0.0;
     for (const auto &instance : tier) {
         if (!isCandidate(*instance, pass))
             continue;
-        const double weight = instance->weight(options_, now_);
+        const double weight = ranking.weight(*instance, options_, now_);
         candidates_[candidateCount_++] = {instance.get(), weight};
         totalWeight_ += weight;
     }
-    if (candidateCount_ == 0)
-        return nullptr;
-    const Candidate first = candidates_[draw()];
-    if (candidateCount_ == 0)
-        return first.instance_;
-    const Candidate second = candidates_[draw()];
-    const auto load = [](const Candidate &candidate) {
-        return candidate.instance_->inFlight() / candidate.weight_;
-    };
-    return load(second) < load(first) ? second.instance_ : first.instance_;
+    const Instance *best = nullptr;
+    double lowestLoad = 0.0;
+    for (int i = 0; i < ranking.draws() && candidateCount_ > 0; ++i) {
+        const Candidate candidate = candidates_[draw()];
+        const double load = ranking.load(*candidate.instance_, candidate.weight_);
+        if (best == nullptr || load < lowestLoad) {
+            best = candidate.instance_;
+            lowestLoad = load;
+        }
+    }
+    return best;
 }
 
 NoChoice Search::noChoice() const
@@ -154,6 +156,14 @@
     return {reason, options_.levelExpiry_};
 }
 
+Choice choiceOf(const Instance &instance, const Ranking &ranking, const Options &options,
+                std::size_t tier)
+{
+    return {.member_ = instance.sharedMember(),
+            .isSpilled_ = tier > 0,
+            .maxWait_ = ranking.maxWait(options)};
+}
+
 } // namespace
 
 Pool::Pool(const Options &options, const Instances &serving)
@@ -178,11 +188,23 @@
             lowestFailureRate = std::min(lowestFailureRate, instance->failureRate());
     }
     Search search(options, priority, excluded, lowestFailureRate, random, now);
+    const std::array<Ranking, tierCount> rankings = {Ranking(options, tiers_[0], now),
+                                                     Ranking(options, tiers_[1], now),
+                                                     Ranking(options, tiers_[2], now)};
     for (const Pass pass :
          {Pass::Preferred, Pass::AlsoSaturated, Pass::AlsoInProgress, Pass::AlsoEjected}) {
-        for (const Instances &tier : tiers_) {
-            if (const Instance *instance = search.pick(tier, pass))
-                return Choice{instance->sharedMember(), &tier != &tiers_.front()};
+        for (std::size_t tier = 0; tier < tierCount; ++tier) {
+            const Instance *instance = search.pick(tiers_[tier], rankings[tier], pass);
+            if (instance == nullptr)
+                continue;
+            const auto wait = rankings[tier].wait(*instance);
+            for (std::size_t other = tier + 1; other < tierCount && wait > options.spillWait_;
+                 ++other) {
+                const Instance *remote = search.pick(tiers_[other], rankings[other], pass);
+                if (remote != nullptr && rankings[other].wait(*remote) + options.spillWait_ < wait)
+                    return choiceOf(*remote, rankings[other], options, other);
+            }
+            return choiceOf(*instance, rankings[tier], options, tier);
         }
     }
     return tl::unexpected(search.noChoice());
@@ -219,12 +241,18 @@
     return best.value_or(admission::Level::all());
 }
 
-Pool::Instances Pool::instances() const
+bool Pool::hasFreeSlotBeside(const Instance &instance, base::Millis now) const
 {
-    Instances result;
-    for (const Instances &tier : tiers_)
-        result.insert(result.end(), tier.begin(), tier.end());
-    return result;
+    for (const Instances &tier : tiers_) {
+        const TierLoad load(tier, now);
+        for (const auto &other : tier) {
+            const bool isUsable = other.get() != &instance && other->observedLoad()
+                                  && !other->isDraining(now) && !other->isEjected(now);
+            if (isUsable && load.active(*other) + 1 <= other->observedLoad()->limit())
+                return true;
+        }
+    }
+    return false;
 }
 
 } // namespace routing::details
--- a/libs/routing/src/details/Pool.h
+++ b/libs/routing/src/details/Pool.h
@@ -45,11 +45,16 @@
 
     admission::Level level(base::Millis now) const;
 
-    /** All instances of all tiers, nearest tier first. */
-    Instances instances() const;
+    using Tiers = std::array<Instances, tierCount>;
+
+    /** The instances of each tier, nearest tier first. */
+    const Tiers &tiers() const { return tiers_; }
+
+    /** Whether an instance other than this one is expected to have a free slot now. */
+    bool hasFreeSlotBeside(const Instance &instance, base::Millis now) const;
 
 private:
-    std::array<Instances, tierCount> tiers_;
+    Tiers tiers_;
 };
 
 } // namespace routing::details
--- a/libs/routing/src/details/State.cpp
+++ b/libs/routing/src/details/State.cpp
@@ -84,8 +84,42 @@
 
 void State::on(const CallAnswered &event, base::Millis now)
 {
-    if (Instance *found = instance(event.instance_))
-        found->recordAnswered(event, options_, now);
+    Instance *found = instance(event.instance_);
+    if (found == nullptr)
+        return;
+    found->recordAnswered(event, options_, now);
+    if (options_.evenLoad_)
+        countUneven(*found, event, now);
+}
+
+void State::countUneven(const Instance &instance, const CallAnswered &event, base::Millis now)
+{
+    if (event.isHandedBack_)
+        ++loadCounters_.handedBack_;
+    const bool hasWaited = event.queueing_ > options_.handBackWait_;
+    if (!hasWaited && event.kind_ != AnswerKind::Shed)
+        return;
+    const Pool *servicePool = pool(instance.member().service_);
+    if (servicePool != nullptr && servicePool->hasFreeSlotBeside(instance, now))
+        ++loadCounters_.unevenWaits_;
+}
+
+void State::countChoice(const Choice &choice, base::Millis now)
+{
+    ++loadCounters_.choices_;
+    const Instance *chosen = instance(choice.member_->id_);
+    if (chosen == nullptr || !chosen->observedLoad())
+        return;
+    ++loadCounters_.choicesWithReport_;
+    loadCounters_.reportAges_ = loadCounters_.reportAges_ + chosen->observedLoad()->age(now);
+}
+
+std::vector<std::string> State::services() const
+{
+    std::vector<std::string> result;
+    for (const auto &[service, pool] : pools_)
+        result.push_back(service);
+    return result;
 }
 
 void State::on(const CallFailed &event, base::Millis now)
@@ -112,7 +146,10 @@
     const Pool *found = pool(service);
     if (found == nullptr)
         return tl::unexpected(NoChoice{NoChoiceReason::NoInstance, options_.levelExpiry_});
-    return found->choose(options_, priority, excluded, random_, now);
+    const auto choice = found->choose(options_, priority, excluded, random_, now);
+    if (choice && options_.evenLoad_)
+        countChoice(*choice, now);
+    return choice;
 }
 
 const Pool *State::pool(std::string_view service) const
--- a/libs/routing/src/details/State.h
+++ b/libs/routing/src/details/State.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <base/Millis.h>
 #include <base/Random.h>
@@ -13,6 +14,7 @@
 #include <details/Pool.h>
 #include <routing/Choice.h>
 #include <routing/Event.h>
+#include <routing/LoadCounters.h>
 #include <routing/Options.h>
 
 namespace routing::details {
@@ -36,6 +38,9 @@
     /** The pool of a service, or null. */
     const Pool *pool(std::string_view service) const;
 
+    const LoadCounters &loadCounters() const { return loadCounters_; }
+    std::vector<std::string> services() const;
+
     /** An instance by its id, or null. */
     Instance *instance(std::string_view id) const;
 
@@ -49,6 +54,8 @@
     /** Adds or updates the instance of a member; returns whether the pools must be rebuilt. */
     bool updateInstance(const model::Member &member, base::Millis now);
 
+    void countChoice(const Choice &choice, base::Millis now);
+    void countUneven(const Instance &instance, const CallAnswered &event, base::Millis now);
     bool eraseAbsent();
     void rebuildPools();
 
@@ -58,6 +65,7 @@
     std::uint64_t membershipVersion_ = 0; ///< number of MembersChanged events
     std::map<std::string, TrackedInstance, std::less<>> instances_;
     std::map<std::string, Pool, std::less<>> pools_;
+    LoadCounters loadCounters_;
 };
 
 } // namespace routing::details
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -38,6 +38,8 @@
     std::string logLevel_ = "info";
     std::string traceFile_;
     Mode mode_ = Mode::Full;
+    /** Selects instances by the load they report, and hands calls back rather than queue them. */
+    bool evenLoad_ = false;
     std::size_t memoryBytes_ = std::size_t{512} * 1024 * 1024; ///< of the whole process
     std::size_t maxBodyBytes_ = 16 * 1024 * 1024;
     std::uint32_t maxConnections_ = 4096;
--- a/libs/settings/src/Loader.cpp
+++ b/libs/settings/src/Loader.cpp
@@ -149,6 +149,15 @@
     return {};
 }
 
+Problem readFlag(const YAML::Node &node, bool &target)
+{
+    const std::string text = node.IsScalar() ? node.Scalar() : "";
+    if (text != "true" && text != "false")
+        return "must be 'true' or 'false'";
+    target = text == "true";
+    return {};
+}
+
 Problem readLogLevel(const YAML::Node &node, std::string &target)
 {
     static const std::set<std::string> levels = {"debug", "info", "warning", "error"};
@@ -313,6 +322,11 @@
               [](const Node &n, Settings &s) {
                   return readMode(n, s.mode_);
               }}},
+            {"evenLoad",
+             {false,
+              [](const Node &n, Settings &s) {
+                  return readFlag(n, s.evenLoad_);
+              }}},
             {"memoryMiB",
              {false,
               [](const Node &n, Settings &s) {
@@ -417,6 +431,8 @@
 
     void checkCombinations()
     {
+        if (settings_.evenLoad_ && settings_.mode_ == Mode::Baseline)
+            addFault(0, "evenLoad", "cannot be given together with 'mode: baseline'");
         if (settings_.platform_) {
             requireFields(platformFields);
             if (seen_.contains("log"))
--- a/libs/settings/tests/LoaderTest.cpp
+++ b/libs/settings/tests/LoaderTest.cpp
@@ -63,6 +63,14 @@
     EXPECT_EQ(parseFaults(standaloneYaml + "adminTokenFile: no-such-file\n").size(), 2U);
 }
 
+TEST(Settings, evenLoadIsOffUnlessSetAndNeedsAdmission)
+{
+    EXPECT_FALSE(settings::parse(standaloneYaml, "f")->evenLoad_);
+    EXPECT_TRUE(settings::parse(standaloneYaml + "evenLoad: true\n", "f")->evenLoad_);
+    EXPECT_EQ(parseFaults(standaloneYaml + "evenLoad: yes\n").size(), 1U);
+    EXPECT_EQ(parseFaults(standaloneYaml + "evenLoad: true\nmode: baseline\n").size(), 1U);
+}
+
 TEST(Settings, missingFileIsReported)
 {
     const auto result = settings::loadFile("no-such-file.yaml");
