--- a/libs/balance/include/balance/HoldingTime.h
+++ b/libs/balance/include/balance/HoldingTime.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include <base/Millis.h>
 
 namespace balance {
@@ -28,6 +30,7 @@
 
 private:
     double meanMs_ = 0.0;
+    std::uint64_t completions_ = 0;
     double slownessNow_ = 0.0; ///< 0: no figure received
     double slownessUsual_ = 0.0;
 };
--- a/libs/balance/include/balance/ObservedLoad.h
+++ b/libs/balance/include/balance/ObservedLoad.h
@@ -43,9 +43,12 @@
     /** Requests that may run at once. It changes slowly, so it is used at any age. */
     std::uint32_t limit() const { return report_.limit_; }
 
-    /** Mean time for which a request holds its slot; 0 if not measured. Used at any age. */
+    /** Mean time for which a request holds its slot; 0 if not measured. */
     base::Millis holding() const { return report_.holding_; }
 
+    /** Speed of the server relative to the mean, which it tends to as the report ages. */
+    double relativeSpeed(double meanHoldingMs, base::Millis now) const;
+
     bool operator==(const ObservedLoad &) const = default;
 
 private:
--- a/libs/balance/src/HoldingTime.cpp
+++ b/libs/balance/src/HoldingTime.cpp
@@ -26,7 +26,10 @@
 void HoldingTime::recordCompletion(base::Millis serviceTime)
 {
     constexpr double minMs = 0.001;
-    smooth(meanMs_, std::max(minMs, serviceTime.fractional()), completionSmoothing);
+    // The plain mean of the first completions: a single one may be far off.
+    ++completions_;
+    const double factor = std::max(completionSmoothing, 1.0 / static_cast<double>(completions_));
+    smooth(meanMs_, std::max(minMs, serviceTime.fractional()), factor);
 }
 
 void HoldingTime::recordSlowness(double slowness)
--- a/libs/routing/src/details/TierLoad.cpp
+++ b/libs/routing/src/details/TierLoad.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-// Bounds of the speed of an instance relative to that of its tier: a wrong report can neither draw
-// nor repel much more than its share.
-constexpr double minRelativeSpeed = 0.1;
-constexpr double maxRelativeSpeed = 2.5;
-
 base::Millis millisOf(double millis)
 {
     return base::Millis::fromMicros(std::llround(millis * 1000.0));
@@ -39,43 +34,48 @@
     }
 }
 
+double TierLoad::meanHoldingMs() const
+{
+    return rate_ > 0 ? limit_ / rate_ : 1.0;
+}
+
+double TierLoad::limit(const Instance &instance) const
+{
+    const auto &observed = instance.observedLoad();
+    return observed ? observed->limit() : std::max<std::uint32_t>(1, instance.member().slots_);
+}
+
 double TierLoad::rate(const Instance &instance) const
 {
-    const double ratePerSlot = limit_ > 0 ? rate_ / limit_ : 1.0;
-    if (!hasRate(instance))
-        return std::max<std::uint32_t>(1, instance.member().slots_) * ratePerSlot;
-    const auto &observed = *instance.observedLoad();
-    const double speed = 1.0 / (observed.holding().fractional() * ratePerSlot);
-    return observed.limit() * ratePerSlot * std::clamp(speed, minRelativeSpeed, maxRelativeSpeed);
+    const auto &observed = instance.observedLoad();
+    const double speed = observed ? observed->relativeSpeed(meanHoldingMs(), now_) : 1.0;
+    return limit(instance) / meanHoldingMs() * speed;
 }
 
 double TierLoad::active(const Instance &instance) const
 {
-    if (!instance.observedLoad())
-        return instance.inFlight();
-    return instance.observedLoad()->active(instance.inFlight(), fairShare(instance), now_);
+    const auto &observed = instance.observedLoad();
+    const double own = instance.inFlight();
+    return observed ? observed->active(instance.inFlight(), fairShare(instance), now_)
+                    : std::max(own, fairShare(instance));
 }
 
 // Servers of different speeds are evenly loaded if equal shares of their slots are in use, and
 // beyond that if they have equal waits.
 double TierLoad::fairShare(const Instance &instance) const
 {
-    const double limit = instance.observedLoad()->limit();
-    if (limit_ <= 0 || rate_ <= 0)
-        return limit;
+    if (rate_ <= 0)
+        return 0.0;
     const double usedShare = std::min(1.0, active_ / limit_);
     const double queued = std::max(0.0, active_ - limit_);
-    return usedShare * limit + queued * rate(instance) / rate_;
+    return usedShare * limit(instance) + queued * rate(instance) / rate_;
 }
 
 double TierLoad::relativeLoad(const Instance &instance) const
 {
     const double requests = active(instance) + 1.0;
-    const double limit = instance.observedLoad() ? instance.observedLoad()->limit()
-                                                 : std::max<std::uint32_t>(1, instance.member().slots_);
-    const double queued = std::max(0.0, requests - limit);
-    const double meanHolding = rate_ > 0 ? limit_ / rate_ : 1.0;
-    return std::min(1.0, requests / limit) + queued / rate(instance) / meanHolding;
+    const double queued = std::max(0.0, requests - limit(instance));
+    return std::min(1.0, requests / limit(instance)) + queued / rate(instance) / meanHoldingMs();
 }
 
 base::Millis TierLoad::wait(const Instance &instance) const
--- a/libs/routing/src/details/TierLoad.h
+++ b/libs/routing/src/details/TierLoad.h
@@ -43,6 +43,9 @@
     std::optional<LoadStatus> status(const Instance &instance) const;
 
 private:
+    double meanHoldingMs() const;
+    double limit(const Instance &instance) const;
+
     /** Requests that the instance would hold if the load were even. */
     double fairShare(const Instance &instance) const;
 
--- a/libs/routing/tests/ServiceModel.h
+++ b/libs/routing/tests/ServiceModel.h
@@ -207,7 +207,7 @@
     {
         Core &core = *cores_[call.daemon_];
         auto choice = core.choose("wallet", {}, call.tried_, now());
-        if (!choice)
+        if (!choice || call.handBacks_ >= balance::maxHandBacks)
             choice = core.choose("wallet", {}, {}, now());
         if (!choice)
             return;
