Test the even load in virtual time against one queue

Cause: the bounds of the feature had no test. Change: routing cores and queue models over 1 to 300 daemons and 3 to 40 servers; a wait in the own data centre is compared with that elsewhere.

--- a/libs/balance/include/balance/ObservedLoad.h
+++ b/libs/balance/include/balance/ObservedLoad.h
@@ -31,8 +31,8 @@
     double freshness(base::Millis now) const;
 
     /**
-     * Expected requests running and queued. ownCalls: calls of this daemon in flight now; fairShare:
-     * requests that the instance would hold if the load of its service were even.
+     * Expected requests running and queued. ownCalls: calls of this daemon in flight now;
+     * fairShare: requests that the instance would hold if the load of its service were even.
      */
     double active(std::uint32_t ownCalls, double fairShare, base::Millis now) const;
 
--- a/libs/balance/src/ObservedLoad.cpp
+++ b/libs/balance/src/ObservedLoad.cpp
@@ -24,7 +24,8 @@
     const double holdingMs = report_.holding_.fractional();
     if (holdingMs <= 0 || meanHoldingMs <= 0)
         return 1.0;
-    const double reported = std::clamp(meanHoldingMs / holdingMs, minRelativeSpeed, maxRelativeSpeed);
+    const double reported =
+            std::clamp(meanHoldingMs / holdingMs, minRelativeSpeed, maxRelativeSpeed);
     return 1.0 + (reported - 1.0) * std::exp(-std::max(0.0, age(now).fractional()) / speedMemoryMs);
 }
 
--- a/libs/balance/tests/ObservedLoadTest.cpp
+++ b/libs/balance/tests/ObservedLoadTest.cpp
@@ -24,7 +24,8 @@
     EXPECT_TRUE(isHandedBack(full, 0, Millis(4)));
     EXPECT_FALSE(isHandedBack(full, 0, Millis(5)));
     EXPECT_FALSE(isHandedBack(full, 0, std::nullopt));
-    EXPECT_FALSE(isHandedBack({.active_ = 19, .limit_ = 20, .holding_ = Millis(100)}, 0, Millis(0)));
+    EXPECT_FALSE(
+            isHandedBack({.active_ = 19, .limit_ = 20, .holding_ = Millis(100)}, 0, Millis(0)));
 }
 
 TEST(HoldingTime, followsCompletionsAndTheRelativeSlowness)
--- a/libs/dock/include/dock/AttemptAnswer.h
+++ b/libs/dock/include/dock/AttemptAnswer.h
@@ -15,11 +15,11 @@
 {
     once::Outcome outcome_;
     admission::AnswerLevels levels_;
-    std::uint32_t budgetLeft_ = 0; ///< unused retries of Attempt::budget_
-    base::Millis queueing_;        ///< time spent waiting for a slot
+    std::uint32_t budgetLeft_ = 0;            ///< unused retries of Attempt::budget_
+    base::Millis queueing_;                   ///< time spent waiting for a slot
     std::optional<balance::LoadReport> load_; ///< of the backend server
-    bool isDraining_ = false;      ///< the instance is draining
-    bool isReplaced_ = false;      ///< not the addressed incarnation; nothing was run
+    bool isDraining_ = false;                 ///< the instance is draining
+    bool isReplaced_ = false;                 ///< not the addressed incarnation; nothing was run
 
     bool operator==(const AttemptAnswer &) const = default;
 };
--- a/libs/dock/include/dock/CallInfo.h
+++ b/libs/dock/include/dock/CallInfo.h
@@ -41,7 +41,7 @@
     std::string contextToken_;       ///< of the parent call running here; may be empty
     bool hasUnknownContext_ = false; ///< has a context token that no running call here has
     retry::RepeatKind repeat_ = retry::RepeatKind::First; ///< of the next attempt
-    std::uint32_t handBacks_ = 0; ///< attempts that instances handed back
+    std::uint32_t handBacks_ = 0;                         ///< attempts that instances handed back
 
     /** Whether the backend server made the call for a request that still runs here. */
     bool isChild() const { return !contextToken_.empty(); }
--- a/libs/dock/include/dock/HeaderNames.h
+++ b/libs/dock/include/dock/HeaderNames.h
@@ -32,7 +32,7 @@
 inline const std::string retryAfterMs = "fd-retry-after-ms";
 inline const std::string queueingMicros = "fd-queueing-us";
 inline const std::string flags = "fd-flags";
-inline const std::string load = "fd-load";           ///< balance::LoadReport
+inline const std::string load = "fd-load";             ///< balance::LoadReport
 inline const std::string maxWaitMs = "fd-max-wait-ms"; ///< only of calls that may be handed back
 
 } // namespace dock::header
--- a/libs/routing/include/routing/Event.h
+++ b/libs/routing/include/routing/Event.h
@@ -46,10 +46,10 @@
     std::string instance_;
     AnswerKind kind_ = AnswerKind::Complete;
     admission::Priority priority_;
-    admission::Level level_; ///< from the answer; Level::all() when the answer carries none
-    bool isLeaving_ = false; ///< the answer marks the instance as draining
-    bool isHandedBack_ = false;               ///< not queued, as the wait was too long
-    base::Millis queueing_;                   ///< time that the call waited for a slot
+    admission::Level level_;    ///< from the answer; Level::all() when the answer carries none
+    bool isLeaving_ = false;    ///< the answer marks the instance as draining
+    bool isHandedBack_ = false; ///< not queued, as the wait was too long
+    base::Millis queueing_;     ///< time that the call waited for a slot
     std::optional<balance::LoadReport> load_; ///< from the answer
     std::uint64_t generation_ = 0;            ///< of the process that the call was sent to
 
--- a/libs/routing/include/routing/Options.h
+++ b/libs/routing/include/routing/Options.h
@@ -45,7 +45,7 @@
      * the time of that attempt. */
     base::Millis handBackWait_ = base::Millis(2);
     /** Wait beyond the mean for which it is not worth one while all slots are in use. */
-    base::Millis fullHandBackWait_ = base::Millis(10);
+    base::Millis fullHandBackWait_ = base::Millis(5);
 
     bool operator==(const Options &) const = default;
 };
--- a/libs/routing/src/details/Pool.cpp
+++ b/libs/routing/src/details/Pool.cpp
@@ -156,12 +156,26 @@
     return {reason, options_.levelExpiry_};
 }
 
-Choice choiceOf(const Instance &instance, const Ranking &ranking, const Options &options,
-                std::size_t tier)
+using Rankings = std::array<Ranking, Pool::tierCount>;
+
+/** Wait from which the call is better served elsewhere, in its own tier or in another one. */
+std::optional<base::Millis> maxWait(const Rankings &rankings, std::size_t chosen,
+                                    const Options &options)
+{
+    auto shortest = rankings[chosen].maxWait(options);
+    for (std::size_t tier = 0; shortest && tier < rankings.size(); ++tier) {
+        if (const auto wait = rankings[tier].maxWait(options); tier != chosen && wait)
+            shortest = std::min(*shortest, *wait + options.spillWait_);
+    }
+    return shortest;
+}
+
+Choice choiceOf(const Instance &instance, std::size_t tier, const Rankings &rankings,
+                const Options &options)
 {
     return {.member_ = instance.sharedMember(),
             .isSpilled_ = tier > 0,
-            .maxWait_ = ranking.maxWait(options)};
+            .maxWait_ = maxWait(rankings, tier, options)};
 }
 
 } // namespace
@@ -188,9 +202,8 @@
             lowestFailureRate = std::min(lowestFailureRate, instance->failureRate());
     }
     Search search(options, priority, excluded, lowestFailureRate, random, now);
-    const std::array<Ranking, tierCount> rankings = {Ranking(options, tiers_[0], now),
-                                                     Ranking(options, tiers_[1], now),
-                                                     Ranking(options, tiers_[2], now)};
+    const Rankings rankings = {Ranking(options, tiers_[0], now), Ranking(options, tiers_[1], now),
+                               Ranking(options, tiers_[2], now)};
     for (const Pass pass :
          {Pass::Preferred, Pass::AlsoSaturated, Pass::AlsoInProgress, Pass::AlsoEjected}) {
         for (std::size_t tier = 0; tier < tierCount; ++tier) {
@@ -202,9 +215,9 @@
                  ++other) {
                 const Instance *remote = search.pick(tiers_[other], rankings[other], pass);
                 if (remote != nullptr && rankings[other].wait(*remote) + options.spillWait_ < wait)
-                    return choiceOf(*remote, rankings[other], options, other);
+                    return choiceOf(*remote, other, rankings, options);
             }
-            return choiceOf(*instance, rankings[tier], options, tier);
+            return choiceOf(*instance, tier, rankings, options);
         }
     }
     return tl::unexpected(search.noChoice());
--- a/libs/routing/src/details/Ranking.cpp
+++ b/libs/routing/src/details/Ranking.cpp
@@ -44,12 +44,11 @@
 
 double Ranking::load(const Instance &instance, double weight) const
 {
-    return std::visit(
-            base::Overloaded{
-                    [&](ByOwnCalls) { return instance.inFlight() / weight; },
-                    [&](const TierLoad &load) { return load.relativeLoad(instance); },
-            },
-            basis_);
+    return std::visit(base::Overloaded{
+                              [&](ByOwnCalls) { return instance.inFlight() / weight; },
+                              [&](const TierLoad &load) { return load.relativeLoad(instance); },
+                      },
+                      basis_);
 }
 
 base::Millis Ranking::wait(const Instance &instance) const
@@ -61,7 +60,7 @@
 std::optional<base::Millis> Ranking::maxWait(const Options &options) const
 {
     const auto *load = std::get_if<TierLoad>(&basis_);
-    if (load == nullptr)
+    if (load == nullptr || load->isEmpty())
         return std::nullopt;
     const auto wait = load->evenWait();
     return wait > base::Millis() ? wait + options.fullHandBackWait_ : options.handBackWait_;
--- a/libs/routing/src/details/TierLoad.h
+++ b/libs/routing/src/details/TierLoad.h
@@ -21,6 +21,9 @@
 public:
     TierLoad(const std::vector<std::shared_ptr<Instance>> &tier, base::Millis now);
 
+    /** Whether no instance has reported its load. */
+    bool isEmpty() const { return rate_ <= 0; }
+
     /** Requests that the instance serves in a millisecond; relative if no report is known. */
     double rate(const Instance &instance) const;
 
--- a/libs/routing/tests/ServiceModel.h
+++ b/libs/routing/tests/ServiceModel.h
@@ -29,17 +29,23 @@
     double localDemand_ = 0.0; ///< additional share of the demand in the first data centre
     double workMs_ = 100.0;
     double seconds_ = 8.0;
-    std::function<double(int server)> speed_ = [](int) { return 1.0; };
-    std::function<double(double ms)> demand_ = [](double) { return 1.0; };
-    std::function<bool(int server, double ms)> isPresent_ = [](int, double) { return true; };
+    std::function<double(int server)> speed_ = [](int) {
+        return 1.0;
+    };
+    std::function<double(double ms)> demand_ = [](double) {
+        return 1.0;
+    };
+    std::function<bool(int server, double ms)> isPresent_ = [](int, double) {
+        return true;
+    };
 };
 
 /** What callers and servers saw after the first quarter of the run. */
 struct ServiceResult
 {
-    double waitP99Ms_ = 0.0; ///< from arrival to start
+    double waitP99Ms_ = 0.0;        ///< from arrival to start
     double centralWaitP99Ms_ = 0.0; ///< with one queue and the same servers and requests
-    double leastBusy_ = 1.0; ///< lowest share of slots in use of any server
+    double leastBusy_ = 1.0;        ///< lowest share of slots in use of any server
     double refused_ = 0.0;
     double handedBack_ = 0.0; ///< for each call
     double reportAgeMs_ = 0.0;
@@ -56,12 +62,12 @@
         for (int i = 0; i < scenario_.servers_; ++i)
             servers_.push_back({.speed_ = scenario_.speed_(i)});
         for (int i = 0; i < scenario_.daemons_; ++i)
-            cores_.push_back(std::make_unique<Core>(
-                    Options{.daemonId_ = "d" + std::to_string(i),
-                            .dataCentre_ = dataCentreOf(i),
-                            .region_ = "r",
-                            .seed_ = static_cast<std::uint64_t>(i) + 1,
-                            .evenLoad_ = scenario_.evenLoad_}));
+            cores_.push_back(
+                    std::make_unique<Core>(Options{.daemonId_ = "d" + std::to_string(i),
+                                                   .dataCentre_ = dataCentreOf(i),
+                                                   .region_ = "r",
+                                                   .seed_ = static_cast<std::uint64_t>(i) + 1,
+                                                   .evenLoad_ = scenario_.evenLoad_}));
     }
 
     ServiceResult run()
@@ -116,10 +122,7 @@
         return std::string(1, static_cast<char>('a' + index % scenario_.dataCentres_));
     }
     bool isMeasured() const { return now_ > scenario_.seconds_ * 250.0; }
-    base::Millis now() const
-    {
-        return base::Millis::fromMicros(std::llround(now_ * 1000.0) + 1);
-    }
+    base::Millis now() const { return base::Millis::fromMicros(std::llround(now_ * 1000.0) + 1); }
     double delayMs(int daemon, int server) const
     {
         return dataCentreOf(daemon) == dataCentreOf(server) ? 0.5 : 1.4;
@@ -168,7 +171,8 @@
         auto daemon = static_cast<int>(random_.below(scenario_.daemons_));
         if (random_.unit() < scenario_.localDemand_)
             daemon -= daemon % scenario_.dataCentres_;
-        const Call call{.daemon_ = daemon, .arrivedMs_ = now_, .work_ = exponential(scenario_.workMs_)};
+        const Call call{
+                .daemon_ = daemon, .arrivedMs_ = now_, .work_ = exponential(scenario_.workMs_)};
         at(now_ + 0.5, [this, call] { arriveAtCentralQueue(call); });
         send(call);
     }
@@ -185,8 +189,8 @@
     {
         int fastest = -1;
         for (int i = 0; i < scenario_.servers_; ++i) {
-            const bool isFree = scenario_.isPresent_(i, now_)
-                                && servers_[i].centralRunning_ < scenario_.slots_;
+            const bool isFree =
+                    scenario_.isPresent_(i, now_) && servers_[i].centralRunning_ < scenario_.slots_;
             if (isFree && (fastest < 0 || servers_[i].speed_ > servers_[fastest].speed_))
                 fastest = i;
         }
@@ -209,8 +213,10 @@
         auto choice = core.choose("wallet", {}, call.tried_, now());
         if (!choice || call.handBacks_ >= balance::maxHandBacks)
             choice = core.choose("wallet", {}, {}, now());
-        if (!choice)
+        if (!choice) {
+            refused_ += isMeasured() ? 1.0 : 0.0;
             return;
+        }
         const std::string id = choice->member_->id_;
         core.handle(CallSent{id, {}}, now());
         call.tried_.push_back(id);
@@ -306,7 +312,8 @@
     {
         if (values.empty())
             return 0.0;
-        const auto position = values.begin() + static_cast<std::ptrdiff_t>(values.size() * 99 / 100);
+        const auto position =
+                values.begin() + static_cast<std::ptrdiff_t>(values.size() * 99 / 100);
         std::nth_element(values.begin(), position, values.end());
         return *position;
     }
@@ -316,9 +323,9 @@
         ServiceResult result{.waitP99Ms_ = p99(waits_), .centralWaitP99Ms_ = p99(centralWaits_)};
         for (auto &server : servers_) {
             changeRunning(server, 0);
-            result.leastBusy_ = std::min(result.leastBusy_,
-                                         server.busyMs_ / (scenario_.seconds_ * 750.0)
-                                                 / scenario_.slots_);
+            result.leastBusy_ =
+                    std::min(result.leastBusy_,
+                             server.busyMs_ / (scenario_.seconds_ * 750.0) / scenario_.slots_);
         }
         result.refused_ = refused_ / std::max(1.0, refused_ + static_cast<double>(waits_.size()));
         result.handedBack_ = handedBack_ / std::max(1.0, static_cast<double>(waits_.size()));
