--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -8,6 +8,8 @@
 
 #include <admission/Core.h>
 #include <admission/DownstreamLevels.h>
+#include <balance/HoldingTime.h>
+#include <balance/LoadReport.h>
 #include <dock/CallInterface.h>
 #include <dock/Executor.h>
 #include <drain/UsualTimes.h>
@@ -77,6 +79,8 @@
     static std::optional<retry::ArrivalBudget>
     makeArrivalBudget(const settings::Settings &settings);
     std::optional<once::NotRun> refusalOf(const Attempt &attempt);
+    bool isHandedBack(const Attempt &attempt) const;
+    balance::LoadReport loadReport() const;
     std::uint32_t admissionSlots() const;
     admission::Level repeatLevel(const std::string &scope, bool isRoot) const;
     RunId findRun(const once::SubKey &subKey) const;
@@ -94,6 +98,7 @@
     void refuse(RunId id, const once::NotRun &why);
     void send(RunId id, base::Millis timeLeft);
     void backendDone(RunId id, net::CallResult result);
+    void measure(const Run &run, const net::CallResult &result);
     void finish(RunId id, admission::Outcome admissionOutcome, const once::Outcome &outcome);
     void reportToRecord(const once::SubKey &subKey, const once::Outcome &outcome);
     void reply(AttemptId waiter, const once::Outcome &outcome, bool isReplaced = false);
@@ -113,6 +118,7 @@
     admission::Core admission_;
     admission::DownstreamLevels levels_;
     admission::DownstreamLevels repeatLevels_;
+    balance::HoldingTime holdingTime_;
     std::optional<once::Executor> once_;
     BackendChanged onBackendChanged_;
     ContextFunction onContextEnded_;
--- a/libs/once/include/once/Reason.h
+++ b/libs/once/include/once/Reason.h
@@ -35,6 +35,7 @@
     AllowanceUnknown,    ///< no daemon that allots the customer's allowance answered
     Unconfirmed,         ///< the configuration was not confirmed recently enough
     UnknownKey,          ///< no customer holds the request's access key
+    HandedBack,          ///< another instance is likely to start it sooner
 };
 
 /** Stable text of a reason for headers and logs, such as "no-instance". */
--- a/libs/once/src/Reason.cpp
+++ b/libs/once/src/Reason.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 28> reasonTexts = {
+constexpr std::array<std::string_view, 29> reasonTexts = {
         "none",
         "bad-key",
         "no-instance",
@@ -36,8 +36,9 @@
         "allowance-unknown",
         "unconfirmed",
         "unknown-key",
+        "handed-back",
 };
-static_assert(reasonTexts.size() == static_cast<std::size_t>(Reason::UnknownKey) + 1);
+static_assert(reasonTexts.size() == static_cast<std::size_t>(Reason::HandedBack) + 1);
 
 } // namespace
 
