Let the fault matrix withdraw an access key

Cause: the matrix knew one customer and no keys, so a fault could have run a request in another customer's name, or with a withdrawn key, unseen.

Change: the daemons of the matrix decide by identity::Core, whose evidence they read from a log in the first data centre; calls inherit the customer. Callers belong to two customers, and every run at a backend server is checked for the name. In scenarios with a withdrawal, a third customer sends 30 requests while its key is withdrawn, and none sent later than the revocation time may run: with each single fault, and in half of the random ones.

--- a/libs/faultmatrix/tests/BackendServer.h
+++ b/libs/faultmatrix/tests/BackendServer.h
@@ -14,6 +14,7 @@
     std::string name_;    ///< of the logical request
     std::string context_; ///< token for outgoing calls
     std::size_t hop_ = 0;
+    std::string customer_;
 };
 
 /**
@@ -37,7 +38,7 @@
 
     void run(const BackendRequest &request, const Respond &respond)
     {
-        ++history_.requests_[request.name_].runs_;
+        history_.recordRun(request.name_, request.customer_);
         const bool isCold = network_.now() < coldUntil_;
         const auto time = base::Millis(isCold ? 100 : 10);
         network_.passPoint(Point{Step::Running, request.hop_}, id_, [=, this] {
--- a/libs/faultmatrix/tests/Daemon.cpp
+++ b/libs/faultmatrix/tests/Daemon.cpp
@@ -2,6 +2,10 @@
 
 namespace {
 
+constexpr base::Millis readInterval(500);
+constexpr base::Millis lastRead(14'000);
+constexpr base::Millis evidenceInTouch(2'000);
+
 once::HomeSettings homeSettings(bool isMemoryTight)
 {
     once::HomeSettings settings;
@@ -99,25 +103,69 @@
     routing_ = std::make_unique<routing::Core>(options);
     admission_ = std::make_unique<admission::Core>();
     admission_->handle(admission::Configured{self_.slots_, {}}, network_.now());
+    identity_ = std::make_unique<identity::Core>(
+            identity::Limits::of(cluster_.revocationTime_, evidenceInTouch));
+    if (hasConfig_) {
+        identity_->configure(cluster_.config_);
+        identity_->confirm(network_.now());
+    }
+    if (cluster_.revocationTime_ > base::Millis())
+        readLog();
     membersChanged();
 }
 
+/** The log is in the data centre of the first daemon. */
+void Daemon::readLog()
+{
+    if (!network_.isLogDown() && !network_.isPartitioned(id_, 0)) {
+        network_.inProcess(id_, Network::messageDelay,
+                           [this, config = cluster_.config_, readAt = network_.now()] {
+                               identity_->configure(config);
+                               identity_->confirm(readAt);
+                           });
+    }
+    if (network_.now() < lastRead)
+        network_.inProcess(id_, readInterval, [this] { readLog(); });
+}
+
 void Daemon::membersChanged()
 {
     routing_->handle(routing::MembersChanged{cluster_.members_}, network_.now());
 }
 
-std::string Daemon::issueKey(const std::string &service)
+std::string Daemon::issueKey(const std::string &customer, const std::string &service)
 {
     return home_->issueKey(customer, service, network_.now()).text();
 }
 
+/** Decides whose the request is. */
 void Daemon::receive(const CallerRequest &request, const Respond &respond)
+{
+    const auto *parent = contexts_->find(request.context_);
+    const identity::Request access{.key_ = request.accessKey_, .isChild_ = parent != nullptr};
+    const auto decision = identity_->decide(access, network_.now());
+    if (const auto *admitted = std::get_if<identity::Admitted>(&decision)) {
+        auto accepted = request;
+        if (admitted->customer_ != nullptr)
+            accepted.customer_ = admitted->customer_->name_;
+        else if (parent != nullptr)
+            accepted.customer_ = parent->customer_;
+        accept(accepted, respond);
+        return;
+    }
+    if (once::mayHaveRun(request.key_, !request.context_.empty()))
+        respond(Response{once::homeUnreachable(), false, {}});
+    else
+        respond(Response{once::NotRun{once::Reason::Unconfirmed, base::Millis(200)}, false, {}});
+}
+
+/** Serves a request with a customer, also for a daemon that forwards it to its home. */
+void Daemon::accept(const CallerRequest &request, const Respond &respond)
 {
     const once::WaiterId waiter = nextId_++;
     once::Request event;
     event.waiter_ = waiter;
-    event.customer_ = customer;
+    event.customer_ = request.customer_;
     event.service_ = request.service_;
     event.digest_ = 1;
     event.deadline_ = network_.now() + request.timeLeft_;
@@ -144,7 +192,7 @@
                                network_.call(
                                        {id_, other, std::nullopt, std::nullopt, request.timeLeft_},
                                        [&home, request](const Respond &answer) {
-                                           home.receive(request, answer);
+                                           home.accept(request, answer);
                                        },
                                        [respond](const RemoteResult &result) {
                                            respond(result.value_or(
--- a/libs/faultmatrix/tests/Daemon.h
+++ b/libs/faultmatrix/tests/Daemon.h
@@ -13,6 +13,7 @@
 #include <Network.h>
 #include <admission/Core.h>
 #include <base/Overloaded.h>
+#include <identity/Core.h>
 #include <once/Entry.h>
 #include <once/Executor.h>
 #include <once/Home.h>
@@ -29,6 +30,8 @@
     std::string context_;
     std::size_t hop_ = 0;
     base::Millis timeLeft_;
+    std::optional<std::string> accessKey_; ///< of a customer; calls of running requests have none
+    std::string customer_;                 ///< as decided by the daemon that received it
 };
 
 class Daemon;
@@ -41,6 +44,8 @@
     std::vector<std::unique_ptr<Daemon>> daemons_;
     std::vector<model::Member> members_; ///< membership view, which may be stale
     std::uint32_t budget_ = 0;
+    base::Millis revocationTime_;                 ///< 0: no bound, and daemons read no log
+    std::shared_ptr<const model::Config> config_; ///< newest one in the log
 };
 
 /** Fake daemon: connects the decision libraries as the real one does, in virtual time. */
@@ -53,7 +58,7 @@
     void receive(const CallerRequest &request, const Respond &respond);
     void membersChanged();
     void drain();
-    std::string issueKey(const std::string &service);
+    std::string issueKey(const std::string &customer, const std::string &service);
     void generateBackgroundLoad(base::Millis until);
 
     BackendServer &backend() { return backend_; }
@@ -62,8 +67,6 @@
     ProcessId backendProcess() const;
     bool isUp() const { return network_.processes_[id_].isUp_; }
 
-    static constexpr const char *customer = "north";
-
 private:
     /** Request of a record at this home, and its current attempt. */
     struct Record
@@ -87,7 +90,9 @@
     };
 
     void start();
+    void readLog();
     once::Incarnation incarnation() const;
+    void accept(const CallerRequest &request, const Respond &respond);
 
     void dispatchToHome(const once::HomeEvent &event);
     void reply(const once::Reply &reply, std::optional<std::uint32_t> budgetLeft);
@@ -132,6 +137,7 @@
     std::unique_ptr<retry::ContextTable> contexts_;
     std::unique_ptr<retry::Core> retry_;
     std::unique_ptr<routing::Core> routing_;
+    std::unique_ptr<identity::Core> identity_;
     std::unique_ptr<admission::Core> admission_;
     BackendServer backend_;
 
--- a/libs/faultmatrix/tests/DaemonAsExecutor.cpp
+++ b/libs/faultmatrix/tests/DaemonAsExecutor.cpp
@@ -5,6 +5,7 @@
 /** Rank of the observed requests; the background load has a worse one. */
 constexpr int protectedRank = 0;
 constexpr int backgroundRank = 5;
+constexpr const char *backgroundCustomer = "north";
 constexpr admission::RequestId firstBackgroundId = 1'000'000;
 
 } // namespace
@@ -90,8 +91,10 @@
                                          once::NotRun{once::Reason::Draining, base::Millis(0)}});
         return;
     }
-    const auto priority = admission::Priority::ofRoot(protectedRank, jobs_.at(id).request_.name_);
-    dispatchToAdmission(admission::Arrived{id, priority, customer, "redeem", admit.startBy_});
+    const auto &request = jobs_.at(id).request_;
+    const auto priority = admission::Priority::ofRoot(protectedRank, request.name_);
+    dispatchToAdmission(
+            admission::Arrived{id, priority, request.customer_, "redeem", admit.startBy_});
 }
 
 void Daemon::dispatchToAdmission(const admission::Event &event)
@@ -141,11 +144,12 @@
         cluster_.history_.violations_.push_back(
                 "request sent to a backend server more than 3 s after its drain began");
     job.token_ = contexts_
-                         ->open({.customer_ = customer,
+                         ->open({.customer_ = job.request_.customer_,
                                  .budget_ = retry::ChainBudget(job.calleeBudget_),
                                  .depth_ = job.depth_})
                          .value();
-    const BackendRequest request{job.request_.name_, job.token_, job.request_.hop_};
+    const BackendRequest request{job.request_.name_, job.token_, job.request_.hop_,
+                                 job.request_.customer_};
     const RemoteCall call{id_, backendProcess(), Point{Step::ToBackend, request.hop_},
                           Point{Step::AnswerToExecutor, request.hop_}, command.timeLeft_};
     network_.call(
@@ -187,7 +191,7 @@
         return;
     const auto id = firstBackgroundId + nextId_++;
     const auto priority = admission::Priority::ofRoot(backgroundRank, std::to_string(id));
-    dispatchToAdmission(admission::Arrived{id, priority, customer, "balance",
+    dispatchToAdmission(admission::Arrived{id, priority, backgroundCustomer, "balance",
                                            network_.now() + base::Millis(300)});
     network_.inProcess(id_, base::Millis(5), [=, this] { generateBackgroundLoad(until); });
 }
--- a/libs/faultmatrix/tests/DaemonAsHome.cpp
+++ b/libs/faultmatrix/tests/DaemonAsHome.cpp
@@ -49,7 +49,7 @@
         auto &record = records_[choose.record_];
         record.request_ = waiters_.at(choose.waiter_).request_;
         retry::CallStarted event{.call_ = choose.record_,
-                                 .customer_ = customer,
+                                 .customer_ = record.request_.customer_,
                                  .requestClass_ = record.request_.service_,
                                  .ratio_ = 1,
                                  .deadline_ = network_.now() + record.request_.timeLeft_};
--- a/libs/faultmatrix/tests/FaultMatrixTest.cpp
+++ b/libs/faultmatrix/tests/FaultMatrixTest.cpp
@@ -10,8 +10,9 @@
 // Each run checks the user-visible guarantees that the request path can violate: attempts within
 // the retry budget of the chain, no protected rank shed while a worse one is queued, a complete
 // answer to the caller's own request, NotRun only for requests that never run, at most one run, no
-// new requests at a draining instance, and no request aborted by a graceful shutdown. The guarantee
-// that an accepted release note stays in force is not checked, as it does not depend on the request
+// new requests at a draining instance, no request aborted by a graceful shutdown, no run in the
+// name of another customer, and none with a key that was withdrawn for too long. The guarantee that
+// an accepted release note stays in force is not checked, as it does not depend on the request
 // path.
 
 namespace {
@@ -74,6 +75,17 @@
     EXPECT_EQ(result.outcomes_[2], once::Outcome(once::Unknown{once::Reason::KeyExpired}));
 }
 
+TEST(FaultMatrix, withdrawnKeyIsUsedUntilDaemonsLearnOfIt)
+{
+    const auto result = runScenario({.isKeyWithdrawn_ = true});
+    EXPECT_TRUE(result.violations_.empty()) << describe(result);
+    std::size_t runs = 0;
+    for (const auto &[name, request] : result.history_.requests_)
+        runs += request.customer_ == "east" && !name.ends_with("/debit") ? request.runs_ : 0;
+    EXPECT_GE(runs, 3u);
+    EXPECT_LE(runs, 6u);
+}
+
 class OneFault : public testing::TestWithParam<Cell>
 {
 protected:
@@ -107,6 +119,13 @@
     EXPECT_TRUE(result.violations_.empty()) << describe(result);
 }
 
+TEST_P(OneFault, violatesNoGuaranteeWhileAKeyIsWithdrawn)
+{
+    const auto result = runScenario({.plan_ = {GetParam()}, .isKeyWithdrawn_ = true});
+    ++cellsRun;
+    EXPECT_TRUE(result.violations_.empty()) << describe(result);
+}
+
 INSTANTIATE_TEST_SUITE_P(Matrix, OneFault, testing::ValuesIn(applicableCells()),
                          [](const auto &info) { return info.param.name(); });
 
@@ -147,6 +166,7 @@
     scenario.callers_ = *rc::gen::inRange<std::size_t>(1, 6);
     scenario.isMemoryTight_ = *rc::gen::arbitrary<bool>();
     scenario.isOverloaded_ = *rc::gen::arbitrary<bool>();
+    scenario.isKeyWithdrawn_ = *rc::gen::arbitrary<bool>();
     scenario.randomFaultProbability_ = *rc::gen::elementOf(std::vector<double>{0.01, 0.05, 0.2});
     for (std::uint64_t i = 0; i < 10; ++i, ++scenario.seed_) {
         const auto result = runScenario(scenario);
--- a/libs/faultmatrix/tests/Network.h
+++ b/libs/faultmatrix/tests/Network.h
@@ -80,6 +80,10 @@
 
     base::Millis now() const { return time_.now(); }
     bool isLogDown() const { return now() < logDownUntil_; }
+    bool isPartitioned(ProcessId a, ProcessId b) const
+    {
+        return now() < partitionedUntil_ && processes_[a].dataCentre_ != processes_[b].dataCentre_;
+    }
 
     /** Runs the function in the process, delayed while it is paused; dropped if it has ended. */
     void inProcess(ProcessId id, base::Millis after, std::function<void()> function);
@@ -112,10 +116,6 @@
         bool isDone_ = false;
     };
 
-    bool isPartitioned(ProcessId a, ProcessId b) const
-    {
-        return now() < partitionedUntil_ && processes_[a].dataCentre_ != processes_[b].dataCentre_;
-    }
     std::optional<Fault> takePlannedFault(std::optional<Point> point);
     std::optional<Fault> randomFault(std::optional<Point> point, bool isInTransit);
     void transmit(std::optional<Point> point, ProcessId from, ProcessId to,
--- a/libs/faultmatrix/tests/Scenario.cpp
+++ b/libs/faultmatrix/tests/Scenario.cpp
@@ -8,11 +8,38 @@
 constexpr base::Millis callerTimeout = base::Millis(1'000);
 constexpr int maxRequests = 14;
 
+constexpr std::array customers = {"north", "south"};
+
+/** Whose key is withdrawn, and when. */
+constexpr const char *withdrawnCustomer = "east";
+constexpr base::Millis withdrawalTime(1'000);
+constexpr base::Millis revocationTime(2'500);
+constexpr base::Millis lateInterval(250);
+constexpr std::size_t lateRequests = 30;
+
+std::string keyOf(const std::string &customer)
+{
+    return "key of " + customer;
+}
+
+std::shared_ptr<const model::Config> configOf(bool isKeyWithdrawn)
+{
+    auto config = std::make_shared<model::Config>();
+    config->requiresKeys_ = true;
+    for (const auto *name : customers)
+        config->addCustomer({.name_ = name, .keys_ = {model::KeyDigest::of(keyOf(name))}});
+    if (!isKeyWithdrawn)
+        config->addCustomer({.name_ = withdrawnCustomer,
+                             .keys_ = {model::KeyDigest::of(keyOf(withdrawnCustomer))}});
+    return config;
+}
+
 /** A caller that repeats one request under one key, also after its outcome is known. */
 struct Caller
 {
     std::string name_;
     std::string key_;
+    std::string customer_;
     int requestsAfterOutcome_ = 0; ///< requests sent since the outcome became known
 };
 
@@ -23,6 +50,7 @@
 
     void refreshMembers();
     void request(Caller &caller, int number);
+    void addLateRequests();
     void scheduleRequest(Caller &caller, int number, base::Millis after);
 
     Network network_;
@@ -49,7 +77,13 @@
 
 Simulation::Simulation(const Scenario &scenario)
     : network_(scenario.plan_, scenario.seed_, scenario.randomFaultProbability_)
-    , cluster_{network_, history_, {}, {}, scenario.budget_}
+    , cluster_{network_,
+               history_,
+               {},
+               {},
+               scenario.budget_,
+               scenario.isKeyWithdrawn_ ? revocationTime : base::Millis(),
+               configOf(false)}
     , seed_(scenario.seed_)
 {
     // Process ids: first the daemons, then their backend servers, then the client.
@@ -81,10 +115,40 @@
     callers_.resize(scenario.callers_);
     for (std::size_t i = 0; i < callers_.size(); ++i) {
         callers_[i].name_ = "redemption-" + std::to_string(i);
-        callers_[i].key_ = cluster_.daemons_[0]->issueKey("redeem");
+        callers_[i].customer_ = customers[i % customers.size()];
+        callers_[i].key_ = cluster_.daemons_[0]->issueKey(callers_[i].customer_, "redeem");
+        history_.add(callers_[i].name_, callers_[i].customer_, false);
         const auto start = static_cast<std::int64_t>(i * 60 + (scenario.isOverloaded_ ? 150 : 1));
         scheduleRequest(callers_[i], 1, base::Millis(start));
     }
+    if (scenario.isKeyWithdrawn_)
+        addLateRequests();
+}
+
+/** Requests, each sent once, with a key that is withdrawn meanwhile. */
+void Simulation::addLateRequests()
+{
+    network_.time_.schedule(network_.now() + withdrawalTime,
+                            [this] { cluster_.config_ = configOf(true); });
+    for (std::size_t i = 0; i < lateRequests; ++i) {
+        const auto at = lateInterval * static_cast<std::int64_t>(i + 1);
+        const auto name = "late-" + std::to_string(i);
+        history_.add(name, withdrawnCustomer, at > withdrawalTime + revocationTime);
+        CallerRequest request{name, "redeem", "", "", 0, callerTimeout};
+        request.key_ = cluster_.daemons_[0]->issueKey(withdrawnCustomer, "redeem");
+        request.accessKey_ = keyOf(withdrawnCustomer);
+        network_.inProcess(client_, at, [this, entry = i % 2, request] {
+            network_.call(
+                    {client_, entry, std::nullopt, std::nullopt, callerTimeout},
+                    [this, entry, request](const Respond &respond) {
+                        cluster_.daemons_[entry]->receive(request, respond);
+                    },
+                    [this, name = request.name_](const RemoteResult &result) {
+                        if (result)
+                            history_.requests_[name].outcomes_.push_back(result->outcome_);
+                    });
+        });
+    }
 }
 
 /** Updates the membership periodically, so that a restart is visible only after a delay. */
@@ -117,7 +181,8 @@
     if (number > maxRequests)
         return;
     const ProcessId entry = number % 3 == 2 ? 1 : 0;
-    const CallerRequest request{caller.name_, "redeem", caller.key_, "", 0, callerTimeout};
+    CallerRequest request{caller.name_, "redeem", caller.key_, "", 0, callerTimeout};
+    request.accessKey_ = keyOf(caller.customer_);
     std::optional<Point> toHome;
     std::optional<Point> answerToCaller;
     if (entry == 0) {
@@ -180,8 +245,10 @@
     result.violations_ = simulation.history_.violations_;
     for (const auto &[name, request] : simulation.history_.requests_)
         checkRequest(name, request, result.violations_);
+    const auto rootRequests =
+            scenario.callers_ + (scenario.isKeyWithdrawn_ ? lateRequests : std::size_t{0});
     if (simulation.history_.attempts_
-        > simulation.history_.firstCalls_ + scenario.budget_ * scenario.callers_)
+        > simulation.history_.firstCalls_ + scenario.budget_ * rootRequests)
         result.violations_.push_back("more attempts than first calls plus retry budget");
     for (const auto &daemon : simulation.cluster_.daemons_) {
         if (daemon->isUp() && daemon->homeCounts().waiting_ + daemon->executorCounts().waiting_ > 0)
--- a/libs/faultmatrix/tests/Scenario.h
+++ b/libs/faultmatrix/tests/Scenario.h
@@ -17,8 +17,9 @@
     std::uint32_t budget_ = 3;
     double randomFaultProbability_ = 0; ///< at each step
     std::size_t callers_ = 1;
-    bool isMemoryTight_ = false; ///< daemons can retain only one or two records
-    bool isOverloaded_ = false;  ///< instances receive twice their capacity, of a worse rank
+    bool isMemoryTight_ = false;  ///< daemons can retain only one or two records
+    bool isOverloaded_ = false;   ///< instances receive twice their capacity, of a worse rank
+    bool isKeyWithdrawn_ = false; ///< one customer's key is withdrawn while requests come with it
 };
 
 /** Result of a run. */
