Add the decisions that keep allowances over all daemons

Cause: a customer's rate and burst hold over all daemons together, also while they are cut off from each other; nothing kept them.

Change: libs/allowance, without I/O: Authority (lease fenced by conditional appends to the log), Allotter (bucket and ledger of a group of customers), Wallet (tokens, demand and held requests of one daemon), Bounds, Codec, and a design note. Nothing uses it yet.

--- /dev/null
+++ b/libs/allowance/include/allowance/Authority.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include <allowance/Append.h>
+#include <allowance/AppendResult.h>
+#include <allowance/Settings.h>
+#include <allowance/Tenure.h>
+#include <base/Millis.h>
+
+namespace allowance {
+
+/**
+ * Decides when this daemon is the allotter of one group: a lease that is kept by conditional
+ * appends to a partition of the log, which is linearizable. No I/O.
+ *
+ * `now` is a clock that also counts pauses of the process and the machine.
+ */
+class Authority
+{
+public:
+    explicit Authority(const Settings &settings);
+
+    /** Another daemon needs an allotter, or this one is to be it. Keeps a held authority alive. */
+    void claim(base::Millis now);
+
+    /** The former allotter ended its authority when the partition ended at `end`. */
+    void claimAfterHandOver(std::uint64_t end, base::Millis now);
+
+    /** The append to send now, if any; onResult() must follow. */
+    std::optional<Append> due(base::Millis now);
+
+    /** Result of an append that due() returned. */
+    void onResult(const Append &append, const AppendResult &result, base::Millis now);
+
+    /**
+     * Ends the authority for good. Returns the end of the partition if this daemon had authority
+     * last, for claimAfterHandOver() of another.
+     */
+    std::optional<std::uint64_t> release();
+
+    /** Present authority, if any. */
+    std::optional<Tenure> tenure(base::Millis now) const;
+
+private:
+    struct Call
+    {
+        Append append_;
+        base::Millis firstSent_;
+        base::Millis resendAt_;
+        bool isInFlight_ = false;
+        bool isHandOver_ = false;
+    };
+
+    std::optional<std::uint64_t> endToAppendAt(base::Millis now) const;
+    void onAppended(std::uint64_t end, base::Millis now);
+    void onEndMoved(std::uint64_t end, base::Millis now);
+
+    Settings settings_;
+    std::optional<Call> call_;              ///< without a conclusive answer so far
+    std::optional<std::uint64_t> end_;      ///< of the partition, when last heard
+    std::optional<std::uint64_t> handOver_; ///< end at which the former allotter resigned
+    base::Millis endKnownAt_;               ///< when end_ was heard first
+    base::Millis claimUntil_;
+    base::Millis renewAt_;
+    Tenure tenure_;
+    bool wasLast_ = false; ///< the last known record of the partition is this daemon's
+    bool isReleased_ = false;
+    std::uint64_t series_ = 0;
+    std::uint64_t sequence_ = 0;
+};
+
+} // namespace allowance
--- /dev/null
+++ b/libs/allowance/include/allowance/Bounds.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <allowance/Settings.h>
+#include <model/Allowance.h>
+
+namespace allowance {
+
+/**
+ * How an allowance is divided. In any window at most
+ * `rate * window + centralCapacity + carry` requests are admitted, where `centralCapacity + carry`
+ * stays below `burst` and the tolerated excess.
+ */
+struct Bounds
+{
+    double ratePerSecond_ = 0;
+    double centralCapacity_ = 0; ///< of the allotter's bucket
+    double carry_ = 0;           ///< tokens that all daemons together may hold at any time
+
+    static Bounds of(const model::Allowance &allowance, const Settings &settings);
+
+    /** Bound on the sum of the reserve rates of all daemons. */
+    double maxReserveRate() const { return 0.8 * ratePerSecond_; }
+
+    /** Bound on the sum of the stocks of all daemons; the rest is for held requests. */
+    double maxStock() const { return carry_ < 5 ? 0 : 0.6 * carry_; }
+
+    bool operator==(const Bounds &) const = default;
+};
+
+} // namespace allowance
--- /dev/null
+++ b/libs/allowance/src/Authority.cpp
@@ -0,0 +1,117 @@
+#include <allowance/Authority.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <base/Overloaded.h>
+
+namespace allowance {
+
+Authority::Authority(const Settings &settings)
+    : settings_(settings)
+{}
+
+void Authority::claim(base::Millis now)
+{
+    claimUntil_ = now + settings_.claimFor_;
+}
+
+void Authority::claimAfterHandOver(std::uint64_t end, base::Millis now)
+{
+    const bool isOld = end_ && (end < *end_ || wasLast_);
+    if (isReleased_ || isOld)
+        return;
+    claim(now);
+    handOver_ = end;
+}
+
+std::optional<std::uint64_t> Authority::endToAppendAt(base::Millis now) const
+{
+    if (handOver_)
+        return handOver_;
+    if (!end_)
+        return 0;
+    if (wasLast_)
+        return now >= renewAt_ ? end_ : std::nullopt;
+    // Whoever appended the last record had sent it before its end was heard here.
+    return now >= endKnownAt_ + settings_.lease_ + settings_.margin_ ? end_ : std::nullopt;
+}
+
+std::optional<Append> Authority::due(base::Millis now)
+{
+    if (isReleased_ || now >= claimUntil_)
+        return std::nullopt;
+    if (!call_) {
+        const auto end = endToAppendAt(now);
+        if (!end)
+            return std::nullopt;
+        call_ = Call{{*end, series_, sequence_}, now, now, false, handOver_.has_value()};
+        handOver_.reset();
+    }
+    if (call_->isInFlight_ || now < call_->resendAt_)
+        return std::nullopt;
+    call_->isInFlight_ = true;
+    return call_->append_;
+}
+
+void Authority::onResult(const Append &append, const AppendResult &result, base::Millis now)
+{
+    if (!call_ || !call_->isInFlight_ || call_->append_ != append)
+        return;
+    std::visit(base::Overloaded{
+                       [&](const Appended &appended) { onAppended(appended.end_, now); },
+                       [&](const EndMoved &moved) { onEndMoved(moved.end_, now); },
+                       [&](const NoAnswer &) {
+                           call_->isInFlight_ = false;
+                           call_->resendAt_ = now + settings_.appendRetryDelay_;
+                       },
+               },
+               result);
+}
+
+void Authority::onAppended(std::uint64_t end, base::Millis now)
+{
+    const auto call = *std::exchange(call_, std::nullopt);
+    const bool isFirst = call.append_.expectedEnd_ == 0;
+    const bool isContinued = wasLast_ && end_ == call.append_.expectedEnd_;
+    if (!isContinued) {
+        tenure_.fence_ = end;
+        tenure_.since_ = now;
+        tenure_.quietUntil_ = isFirst || call.isHandOver_
+                                      ? now
+                                      : endKnownAt_ + settings_.lease_ + settings_.partValidity_
+                                                + settings_.margin_;
+    }
+    // The append may have taken effect as early as it was first sent.
+    tenure_.validUntil_ = call.firstSent_ + settings_.lease_;
+    renewAt_ = call.firstSent_ + settings_.renewInterval_;
+    end_ = end;
+    endKnownAt_ = now;
+    wasLast_ = true;
+    ++sequence_;
+}
+
+void Authority::onEndMoved(std::uint64_t end, base::Millis now)
+{
+    call_.reset();
+    end_ = end;
+    endKnownAt_ = now;
+    wasLast_ = false;
+    tenure_ = {};
+    ++series_;
+    sequence_ = 0;
+}
+
+std::optional<std::uint64_t> Authority::release()
+{
+    isReleased_ = true;
+    tenure_ = {};
+    return wasLast_ ? end_ : std::nullopt;
+}
+
+std::optional<Tenure> Authority::tenure(base::Millis now) const
+{
+    return now < tenure_.validUntil_ ? std::optional(tenure_) : std::nullopt;
+}
+
+} // namespace allowance
