Keep allowances in the running daemon

Cause: libs/allowance decided, and no daemon asked it.

Change: dock::details::Allowances owns the wallet and the allotters on the data task; asks and hand-overs are messages between daemons. AllotterAuthority appends to the log on the control task. The entry admits, holds or refuses root requests of customers with an allowance: 429 allowance-spent, 503 allowance-unknown. A leaving daemon hands its ledgers over. Without an allowance in the configuration there is no timer, message or store call.

--- a/libs/dock/include/dock/Entry.h
+++ b/libs/dock/include/dock/Entry.h
@@ -30,6 +30,10 @@
 class Recorder;
 struct CallInterface;
 
+namespace details {
+class Allowances;
+}
+
 /** Id of a request in progress at the entry; 0 if it was answered at once. */
 using EntryId = std::uint64_t;
 
@@ -52,7 +56,7 @@
     /** All references must outlive the entry. */
     Entry(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
           net::PeerClient &client, Executor &executor, retry::ContextTable &contexts,
-          const CallInterface &interface);
+          const CallInterface &interface, details::Allowances &allowances);
     ~Entry();
     Entry(const Entry &) = delete;
     Entry &operator=(const Entry &) = delete;
--- a/libs/dock/include/dock/Messages.h
+++ b/libs/dock/include/dock/Messages.h
@@ -4,12 +4,15 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include <admission/Level.h>
+#include <allowance/Tenure.h>
 #include <base/Millis.h>
+#include <dock/AllowanceStatus.h>
 #include <dock/BackendServer.h>
 #include <metrics/Snapshot.h>
 #include <model/Config.h>
@@ -62,10 +65,24 @@
 struct BackendDraining
 {};
 
+/** This daemon has become the allotter of a group, remains it, or no longer is. */
+struct TenureChanged
+{
+    std::uint32_t group_ = 0;
+    std::optional<allowance::Tenure> tenure_;
+};
+
+/** This daemon, which was the last allotter of a group, has given that up for good. */
+struct AuthorityReleased
+{
+    std::uint32_t group_ = 0;
+    std::uint64_t end_ = 0; ///< of the group's partition
+};
+
 /** Messages from the control task to the data task. */
 using DataTaskMessage =
         std::variant<ConfigUpdated, ConfigConfirmed, MembersUpdated, IncarnationChanged, BeginDrain,
-                     BackendAnnounced, BackendDraining>;
+                     BackendAnnounced, BackendDraining, TenureChanged, AuthorityReleased>;
 
 /** The local backend server has registered, changed or left. */
 struct BackendStateChanged
@@ -95,6 +112,7 @@
     std::map<std::string, std::uint64_t> redelegations_;   ///< by the reason that allowed them
     std::map<std::string, std::uint64_t> backendFailures_; ///< by outcome and how they were matched
     MessageMemoryStatus messageMemory_;
+    std::optional<AllowanceStatus> allowances_; ///< set while customers have allowances
     std::shared_ptr<const metrics::Snapshot> metrics_;
 };
 
@@ -102,7 +120,19 @@
 struct DrainEnded
 {};
 
+/** An allotter of a group is needed; repeated while it is. */
+struct ClaimAuthority
+{
+    std::uint32_t group_ = 0;
+    std::optional<std::uint64_t> handOverEnd_; ///< set if the former allotter has resigned there
+};
+
+/** Gives up the authority over all groups, as this daemon leaves. */
+struct ReleaseAuthority
+{};
+
 /** Messages from the data task to the control task. */
-using ControlTaskMessage = std::variant<BackendStateChanged, DataStatus, DrainEnded>;
+using ControlTaskMessage =
+        std::variant<BackendStateChanged, DataStatus, DrainEnded, ClaimAuthority, ReleaseAuthority>;
 
 } // namespace dock
--- a/libs/dock/include/dock/PlatformBinding.h
+++ b/libs/dock/include/dock/PlatformBinding.h
@@ -28,6 +28,7 @@
     std::string configTopic_; ///< keyed topic that holds the configuration
     std::string configKey_;
     std::string rendezvousTopic_; ///< keyed topic in which daemons publish their addresses
+    std::string allowanceTopic_;  ///< ordinary topic that decides who allots allowances
     std::string readinessPath_;
 
     /** Opens the platform's log on the reactor. */
--- a/libs/dock/src/CallerAnswer.cpp
+++ b/libs/dock/src/CallerAnswer.cpp
@@ -57,6 +57,7 @@
     case once::Reason::KeyMismatch:
         return format.hasKeys_ ? statusKeyNeeded : statusUnavailable;
     case once::Reason::CustomerLimit:
+    case once::Reason::AllowanceSpent:
         return statusTooManyRequests;
     case once::Reason::UnknownKey:
         return statusUnauthorized;
--- a/libs/dock/src/ControlTask.cpp
+++ b/libs/dock/src/ControlTask.cpp
@@ -64,6 +64,13 @@
         return std::visit([&function](const auto &source) { return function(*source); }, source_);
     }
 
+    /** The source in use if that is the platform, else nullptr. */
+    details::PlatformSource *platformSource() const
+    {
+        const auto *source = std::get_if<std::unique_ptr<details::PlatformSource>>(&source_);
+        return source != nullptr ? source->get() : nullptr;
+    }
+
     const settings::Settings &settings_;
     const std::optional<PlatformBinding> binding_;
     once::Incarnation self_;
@@ -125,13 +132,12 @@
                                            gossip_->addSeeds(std::move(seeds));
                                        },
                                .sendToDataTask_ = sendMessage_};
-    const auto randomSeed = self_.generation_;
     if (binding_)
         source_ = std::make_unique<details::PlatformSource>(reactor_, settings_, *binding_,
-                                                            randomSeed, std::move(hooks));
+                                                            self_.generation_, std::move(hooks));
     else
-        source_ = std::make_unique<details::StandaloneSource>(reactor_, settings_, randomSeed,
-                                                              std::move(hooks));
+        source_ = std::make_unique<details::StandaloneSource>(reactor_, settings_,
+                                                              self_.generation_, std::move(hooks));
 }
 
 admin::AdminSources ControlTask::Impl::adminSources()
@@ -220,6 +226,14 @@
                        },
                        [this](const DataStatus &status) { dataStatus_ = status; },
                        [this](const DrainEnded &) { leave(); },
+                       [this](const ClaimAuthority &claim) {
+                           if (auto *platform = platformSource())
+                               platform->claimAuthority(claim);
+                       },
+                       [this](const ReleaseAuthority &) {
+                           if (auto *platform = platformSource())
+                               platform->releaseAuthority();
+                       },
                },
                message);
 }
--- a/libs/dock/src/Daemon.cpp
+++ b/libs/dock/src/Daemon.cpp
@@ -15,7 +15,7 @@
             binding ? binding->interface_ : CallInterface());
     controlTask_ = std::make_unique<ControlTask>(
             settings_, self,
-            [this](DataTaskMessage message) { dataTask_->deliver(std::move(message)); },
+            [this](const DataTaskMessage &message) { dataTask_->deliver(message); },
             [this] { ended_.set_value(); }, std::move(binding));
 }
 
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -24,6 +24,7 @@
 #include <retry/ContextTable.h>
 #include <settings/Settings.h>
 
+#include "details/Allowances.h"
 #include "details/DrainLog.h"
 
 namespace dock {
@@ -59,7 +60,8 @@
                   },
                   [this](const std::string &token) { contextEnded(token); },
                   [this](const std::string &token) { contextCancelled(token); })
-        , entry_(reactor_, settings, self, client_, executor_, contexts_, interface_)
+        , allowances_(reactor_, client_, settings, self, sendMessage_)
+        , entry_(reactor_, settings, self, client_, executor_, contexts_, interface_, allowances_)
         , backendApi_(executor_, entry_, settings.dataAddress_.host_)
     {}
 
@@ -88,6 +90,7 @@
     retry::ContextTable contexts_;
     net::PeerClient client_;
     Executor executor_;
+    details::Allowances allowances_;
     Entry entry_;
     BackendApi backendApi_;
     Cancels callerCancels_;
@@ -155,8 +158,13 @@
 
 void DataTask::Impl::onPeerRequest(net::ExchangeId id, net::HttpRequest request)
 {
-    if (net::headerValue(request.headers_, header::kind) == "home")
+    const auto kind = net::headerValue(request.headers_, header::kind);
+    if (kind == "home")
         onForwarded(id, std::move(request));
+    else if (kind == details::Allowances::askKind)
+        peerServer_->respond(id, allowances_.onAsk(request.body_));
+    else if (kind == details::Allowances::handOverKind)
+        peerServer_->respond(id, allowances_.onHandOver(request.body_));
     else
         onAttempt(id, std::move(request));
 }
@@ -213,18 +221,25 @@
                     [this](const ConfigUpdated &change) {
                         entry_.configure(change.config_);
                         executor_.configure(*change.config_);
+                        allowances_.configure(*change.config_);
                     },
                     [this](const ConfigConfirmed &evidence) {
                         entry_.confirmConfig(evidence.confirmedAt_);
                     },
-                    [this](const MembersUpdated &change) { entry_.setMembers(change.members_); },
+                    [this](const MembersUpdated &change) {
+                        entry_.setMembers(change.members_);
+                        allowances_.setMembers(change.members_);
+                    },
                     [this](const IncarnationChanged &change) {
                         entry_.setIncarnation(change.self_);
                         executor_.setIncarnation(change.self_);
+                        allowances_.setIncarnation(change.self_);
                     },
                     [this](const BeginDrain &) { beginDrain(); },
                     [this](const BackendAnnounced &change) { executor_.announce(change.backend_); },
                     [this](const BackendDraining &) { executor_.backendLeft(); },
+                    [this](const TenureChanged &change) { allowances_.onTenure(change); },
+                    [this](const AuthorityReleased &released) { allowances_.onReleased(released); },
             },
             message);
 }
@@ -236,6 +251,7 @@
     drainStart_ = base::monotonicNow();
     drain_.emplace(drain::Schedule{settings_.drainTimeout_, settings_.drainHandover_}, drainStart_);
     events::log(events::drainBegan, openWorkText());
+    allowances_.drain();
     dataServer_->closeAfterResponses();
     const auto accepts = [this](const drain::Expectation &request) {
         return drain_->accepts(request, base::monotonicNow());
@@ -331,6 +347,7 @@
                             .backendFailures_ = executor_.backendFailures(),
                             .messageMemory_ = {budget_.limitBytes(), budget_.reservedBytes(),
                                                budget_.refusalCount()},
+                            .allowances_ = allowances_.status(),
                             .metrics_ = entry_.recorder().snapshot()});
     reactor_.schedule(statusInterval, [this] { sendStatus(); });
 }
--- a/libs/dock/src/Entry.cpp
+++ b/libs/dock/src/Entry.cpp
@@ -18,9 +18,9 @@
 
 Entry::Entry(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
              net::PeerClient &client, Executor &executor, retry::ContextTable &contexts,
-             const CallInterface &interface)
+             const CallInterface &interface, details::Allowances &allowances)
     : impl_(std::make_unique<Impl>(reactor, settings, std::move(self), client, executor, contexts,
-                                   interface))
+                                   interface, allowances))
 {}
 
 Entry::~Entry() = default;
@@ -54,10 +54,10 @@
         return 0;
     }
     open.call_ = withoutContent(*call);
-    if (impl_->needsKey(*call))
-        impl_->startKeyed(id, std::move(*call), source);
+    if (const auto *allowance = impl_->allowanceOf(*call, source))
+        impl_->startWithin(*allowance, id, std::move(*call));
     else
-        impl_->startIdempotent(id, std::move(*call));
+        impl_->start(id, std::move(*call), source);
     return impl_->openRequests_.contains(id) ? id : 0;
 }
 
@@ -146,6 +146,7 @@
 
 void Entry::takeBack()
 {
+    impl_->refuseHeld(once::NotRun{once::Reason::Draining, retryAfterClosed});
     std::vector<once::WaiterId> waiters;
     for (const auto &[id, open] : impl_->openRequests_) {
         const auto *keyed = std::get_if<Impl::KeyedWork>(&open.work_);
--- a/libs/dock/src/StatusReport.cpp
+++ b/libs/dock/src/StatusReport.cpp
@@ -1,6 +1,8 @@
 #include <dock/StatusReport.h>
 
+#include <algorithm>
 #include <map>
+#include <tuple>
 
 #include <metrics/Prometheus.h>
 #include <nlohmann/json.hpp>
@@ -74,6 +76,31 @@
     return view;
 }
 
+/** Customers by the number of their requests that were refused, most first. */
+json allowancesView(const AllowanceStatus &status)
+{
+    constexpr std::size_t maxCustomers = 50;
+    auto usage = status.usage_;
+    std::sort(usage.begin(), usage.end(), [](const allowance::Usage &a, const allowance::Usage &b) {
+        return std::tie(b.refused_, b.demand_) < std::tie(a.refused_, a.demand_);
+    });
+    usage.resize(std::min(usage.size(), maxCustomers));
+    json customers = json::array();
+    for (const auto &one : usage)
+        customers.push_back({{"customer", one.customer_},
+                             {"demand", one.demand_},
+                             {"tokens", one.level_},
+                             {"stock", one.stock_},
+                             {"reserveRate", one.reserveRate_},
+                             {"admitted", one.admitted_},
+                             {"refused", one.refused_},
+                             {"overAllowance", one.isDry_}});
+    return {{"allotterOfGroups", status.groups_},
+            {"asks", status.counts_.asks_},
+            {"failedAsks", status.counts_.failedAsks_},
+            {"customersInUse", customers}};
+}
+
 /** Rank with the lowest priority of which some requests are admitted; -1 if none are. */
 int lowestAdmittedRank(const admission::Level &level)
 {
@@ -115,6 +142,8 @@
     };
     if (dataStatus_.metrics_ != nullptr && !dataStatus_.metrics_->customers_.empty())
         view["customers"] = customersView(dataStatus_.metrics_->customers_);
+    if (dataStatus_.allowances_)
+        view["allowances"] = allowancesView(*dataStatus_.allowances_);
     return view.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
@@ -177,6 +206,20 @@
                 "allowed_by");
     addCounters(dataStatus_.backendFailures_, "backend_failures_total",
                 "calls that the backend server refused or whose answer was lost", "outcome");
+    if (dataStatus_.allowances_) {
+        const auto &counts = dataStatus_.allowances_->counts_;
+        const auto add = [&values](const char *name, const char *help, std::uint64_t value) {
+            values.push_back(counter(name, help, static_cast<double>(value)));
+        };
+        add("allowance_admitted_total", "requests admitted by allowances", counts.admitted_);
+        add("allowance_held_total", "requests that waited for a token", counts.held_);
+        add("allowance_asks_total", "asks sent to allotters", counts.asks_);
+        add("allowance_failed_asks_total", "asks that no allotter answered", counts.failedAsks_);
+        addCounters({{"spent", counts.refusedSpent_}, {"unknown", counts.refusedUnknown_}},
+                    "allowance_refused_total", "requests refused by allowances", "reason");
+        values.push_back(gauge("allotter_groups", "groups that this daemon allots",
+                               static_cast<double>(dataStatus_.allowances_->groups_.size())));
+    }
     return renderPrometheus(snapshot);
 }
 
--- a/libs/dock/src/details/EntryImpl.cpp
+++ b/libs/dock/src/details/EntryImpl.cpp
@@ -32,9 +32,11 @@
 
 Entry::Impl::Impl(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
                   net::PeerClient &client, Executor &executor, retry::ContextTable &contexts,
-                  const CallInterface &interface)
-    : settings_(settings)
+                  const CallInterface &interface, details::Allowances &allowances)
+    : reactor_(reactor)
+    , settings_(settings)
     , interface_(interface)
+    , allowances_(allowances)
     , answerFormat_(answerFormatOf(interface))
     , self_(std::move(self))
     , client_(client)
@@ -66,7 +68,16 @@
               })
     , requestKeys_(settings.onceRecords_)
     , reader_(settings, interface, executor, contexts, randomSeed())
-{}
+{
+    allowances_.onChanged([this] { decideHeld(); });
+}
+
+Entry::Impl::~Impl()
+{
+    allowances_.onChanged({});
+    for (const auto &[id, held] : heldCalls_)
+        reactor_.cancel(held.timer_);
+}
 
 net::HttpResponse Entry::Impl::drainingRefusal() const
 {
@@ -111,6 +122,121 @@
     return home_->issueKey(call.keyCustomer_, call.service_, base::monotonicNow()).text();
 }
 
+/** The allowance that the request counts against, or nullptr. */
+const model::Allowance *Entry::Impl::allowanceOf(const CallInfo &call, RequestSource source)
+{
+    // Calls of running requests and requests that another daemon forwards are counted already.
+    if (call.isChild() || source == RequestSource::Daemon)
+        return nullptr;
+    const auto *allowance = allowances_.find(call.customer_);
+    if (allowance == nullptr)
+        return nullptr;
+    const bool isRepeated = interface_.hasRoutes() && needsKey(call) && !call.requestId_.empty()
+                            && requestKeys_.find(call.requestId_, call.receivedAt_) != nullptr;
+    return isRepeated ? nullptr : allowance;
+}
+
+void Entry::Impl::startWithin(const model::Allowance &allowance, EntryId id, CallInfo call)
+{
+    const auto verdict = allowances_.admit(call.customer_, allowance);
+    std::visit(base::Overloaded{
+                       [&](const allowance::Admitted &) {
+                           openRequests_.at(id).hasToken_ = true;
+                           start(id, std::move(call), RequestSource::Caller);
+                       },
+                       [&](const allowance::Held &) { hold(id, std::move(call)); },
+                       [&](const allowance::Refused &refused) { refuse(id, refused); },
+               },
+               verdict);
+}
+
+/** Keeps a request until there is a token for it, or none has come for too long. */
+void Entry::Impl::hold(EntryId id, CallInfo call)
+{
+    const auto timer = reactor_.schedule(allowances_.maxHold(), [this, id] {
+        const auto node = heldCalls_.extract(id);
+        if (node.empty())
+            return;
+        const auto verdict = allowances_.giveUp(node.mapped().call_.customer_);
+        if (const auto *refused = std::get_if<allowance::Refused>(&verdict))
+            refuse(id, *refused);
+    });
+    heldCalls_.emplace(id, HeldCall{std::move(call), timer});
+    setWork(id, HeldWork{id});
+    allowances_.ask();
+}
+
+/** Decides again on the requests that wait for a token. */
+void Entry::Impl::decideHeld()
+{
+    std::vector<EntryId> ids;
+    for (const auto &[id, held] : heldCalls_)
+        ids.push_back(id);
+    for (const auto id : ids) {
+        const auto found = heldCalls_.find(id);
+        if (found == heldCalls_.end())
+            continue;
+        const auto customer = found->second.call_.customer_;
+        if (allowances_.find(customer) == nullptr) {
+            allowances_.leave(customer);
+            startHeld(id, false);
+            continue;
+        }
+        const auto verdict = allowances_.retry(customer);
+        if (std::holds_alternative<allowance::Admitted>(verdict)) {
+            startHeld(id, true);
+        } else if (const auto *refused = std::get_if<allowance::Refused>(&verdict)) {
+            reactor_.cancel(heldCalls_.extract(id).mapped().timer_);
+            refuse(id, *refused);
+        }
+    }
+}
+
+void Entry::Impl::startHeld(EntryId id, bool hasToken)
+{
+    auto node = heldCalls_.extract(id);
+    reactor_.cancel(node.mapped().timer_);
+    auto &open = openRequests_.at(id);
+    open.work_ = {};
+    open.hasToken_ = hasToken;
+    start(id, std::move(node.mapped().call_), RequestSource::Caller);
+}
+
+/** Ends the wait of a request that is gone. */
+void Entry::Impl::endHold(EntryId id)
+{
+    const auto node = heldCalls_.extract(id);
+    if (node.empty())
+        return;
+    reactor_.cancel(node.mapped().timer_);
+    allowances_.leave(node.mapped().call_.customer_);
+}
+
+void Entry::Impl::refuseHeld(const once::NotRun &why)
+{
+    while (!heldCalls_.empty()) {
+        const auto id = heldCalls_.begin()->first;
+        endHold(id);
+        finishWithOutcome(id, why);
+    }
+}
+
+void Entry::Impl::refuse(EntryId id, const allowance::Refused &refused)
+{
+    const auto reason = refused.reason_ == allowance::RefusalReason::Spent
+                                ? once::Reason::AllowanceSpent
+                                : once::Reason::AllowanceUnknown;
+    finishWithOutcome(id, once::NotRun{reason, refused.retryAfter_});
+}
+
+void Entry::Impl::start(EntryId id, CallInfo call, RequestSource source)
+{
+    if (needsKey(call))
+        startKeyed(id, std::move(call), source);
+    else
+        startIdempotent(id, std::move(call));
+}
+
 void Entry::Impl::startIdempotent(EntryId id, CallInfo call)
 {
     const auto started = idempotentCalls_.start(
@@ -270,6 +396,8 @@
     const auto now = base::monotonicNow();
     if (!std::holds_alternative<once::NotRun>(outcome))
         usualTimes_.record(call.class_.name_, now - call.receivedAt_);
+    if (found->second.hasToken_ && std::holds_alternative<once::NotRun>(outcome))
+        allowances_.refund(call.customer_);
     recorder_.recordFinished(call, outcome, report, now);
     failureLog_.record(call, outcome, report, now);
     const auto answered = selector_.withRetryAfter(call, outcome, now);
@@ -290,6 +418,7 @@
                        [this](const IdempotentWork &one) { idempotentCalls_.cancel(one.call_); },
                        [this](const KeyedWork &one) { keyedCalls_.cancel(one.waiter_); },
                        [this](const ForwardedWork &one) { client_.cancel(one.call_); },
+                       [this](const HeldWork &one) { endHold(one.id_); },
                },
                work);
 }
@@ -298,7 +427,8 @@
 once::Outcome Entry::Impl::abandon(const Work &work)
 {
     const auto *idempotent = std::get_if<IdempotentWork>(&work);
-    if (idempotent != nullptr && !idempotentCalls_.mayHaveRun(idempotent->call_)) {
+    const bool isHeld = std::holds_alternative<HeldWork>(work);
+    if (isHeld || (idempotent != nullptr && !idempotentCalls_.mayHaveRun(idempotent->call_))) {
         cancelWork(work);
         return once::NotRun{once::Reason::Draining, retryAfterClosed};
     }
@@ -317,6 +447,7 @@
                     },
                     [this](const KeyedWork &one) { return keyedCalls_.executorOf(one.waiter_); },
                     [](const ForwardedWork &) { return std::string("home"); },
+                    [](const HeldWork &) { return std::string(); },
             },
             work);
 }
--- a/libs/dock/src/details/EntryImpl.h
+++ b/libs/dock/src/details/EntryImpl.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <variant>
 
+#include <allowance/Verdict.h>
 #include <dock/AttemptSender.h>
 #include <dock/CallInterface.h>
 #include <dock/CallerAnswer.h>
@@ -16,11 +18,13 @@
 #include <dock/Recorder.h>
 #include <drain/UsualTimes.h>
 #include <net/HttpClient.h>
+#include <net/Reactor.h>
 #include <once/Home.h>
 #include <retry/Core.h>
 #include <routing/Core.h>
 #include <settings/Settings.h>
 
+#include "details/Allowances.h"
 #include "details/DenialLog.h"
 #include "details/FailureLog.h"
 #include "details/RedelegationLog.h"
@@ -37,7 +41,8 @@
 {
     Impl(net::Reactor &reactor, const settings::Settings &settings, once::Incarnation self,
          net::PeerClient &client, Executor &executor, retry::ContextTable &contexts,
-         const CallInterface &interface);
+         const CallInterface &interface, details::Allowances &allowances);
+    ~Impl();
 
     /** A request that an idempotent call serves. */
     struct IdempotentWork
@@ -57,7 +62,19 @@
         net::CallId call_ = 0;
     };
 
-    using Work = std::variant<std::monostate, IdempotentWork, KeyedWork, ForwardedWork>;
+    /** A request that waits for a token of its customer's allowance. */
+    struct HeldWork
+    {
+        EntryId id_ = 0; ///< in heldCalls_
+    };
+
+    using Work = std::variant<std::monostate, IdempotentWork, KeyedWork, ForwardedWork, HeldWork>;
+
+    struct HeldCall
+    {
+        CallInfo call_;
+        net::TimerId timer_ = 0; ///< ends the wait
+    };
 
     /** A request in progress. */
     struct OpenRequest
@@ -65,6 +82,7 @@
         Respond respond_;
         CallInfo call_; ///< without header fields and body
         Work work_;
+        bool hasToken_ = false; ///< has used a token of its customer's allowance
     };
 
     static once::HomeSettings homeSettings(const settings::Settings &settings);
@@ -79,6 +97,15 @@
     void deny(EntryId id, const CallInfo &call);
     const model::Member *findMember(const std::string &id) const;
     std::string issueNextKey(const CallInfo &call);
+    const model::Allowance *allowanceOf(const CallInfo &call, RequestSource source);
+    void startWithin(const model::Allowance &allowance, EntryId id, CallInfo call);
+    void hold(EntryId id, CallInfo call);
+    void decideHeld();
+    void endHold(EntryId id);
+    void startHeld(EntryId id, bool hasToken);
+    void refuseHeld(const once::NotRun &why);
+    void refuse(EntryId id, const allowance::Refused &refused);
+    void start(EntryId id, CallInfo call, RequestSource source);
     void startIdempotent(EntryId id, CallInfo call);
     void startKeyed(EntryId id, CallInfo call, RequestSource source);
     void startWithRequestId(EntryId id, CallInfo call);
@@ -94,8 +121,10 @@
     void forwarded(EntryId id, net::CallResult result);
     void finishWithOutcome(EntryId id, const once::Outcome &outcome, const CallReport &report = {});
 
+    net::Reactor &reactor_;
     const settings::Settings &settings_;
     const CallInterface &interface_;
+    details::Allowances &allowances_;
     const AnswerFormat answerFormat_;
     once::Incarnation self_;
     net::PeerClient &client_;
@@ -114,6 +143,7 @@
     Members members_;
     std::unordered_map<std::string, const model::Member *> memberById_;
     std::unordered_map<EntryId, OpenRequest> openRequests_;
+    std::map<EntryId, HeldCall> heldCalls_; ///< in order of arrival
     EntryId nextId_ = 1;
     std::uint64_t nextUnnamedCall_ = 1;
     details::FailureLog failureLog_;
--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -70,7 +70,7 @@
 } // namespace
 
 PlatformSource::PlatformSource(net::Reactor &reactor, const settings::Settings &settings,
-                               const PlatformBinding &binding, std::uint64_t randomSeed,
+                               const PlatformBinding &binding, std::uint64_t generation,
                                SourceHooks hooks)
     : reactor_(reactor)
     , settings_(settings)
@@ -79,10 +79,10 @@
     , log_(binding.openLog_(reactor))
     , client_(reactor)
     , tracker_(settings.platform_->service_, settings.platform_->backendAddress_)
-    , random_(randomSeed)
+    , random_(generation)
 {
     follow::Options options;
-    options.seed_ = randomSeed;
+    options.seed_ = generation;
     config_ = std::make_unique<follow::FollowService>(
             reactor, *log_, binding.configTopic_, options,
             follow::PeerAccess{.inquire_ = [this](const auto &address,
@@ -104,8 +104,10 @@
             rendezvous::KeyedOptions{
                     .topic_ = binding.rendezvousTopic_,
                     .self_ = {settings.id_, settings.dataCentre_, settings.controlAddress_},
-                    .seed_ = randomSeed},
+                    .seed_ = generation},
             [this](std::vector<model::Address> seeds) { hooks_.onSeeds_(std::move(seeds)); });
+    authority_ = std::make_unique<AllotterAuthority>(reactor, *log_, binding.allowanceTopic_,
+                                                     settings.id_, generation, hooks_);
 }
 
 PlatformSource::~PlatformSource()
--- a/libs/dock/src/details/PlatformSource.h
+++ b/libs/dock/src/details/PlatformSource.h
@@ -18,6 +18,7 @@
 #include <net/HttpServer.h>
 #include <net/Reactor.h>
 
+#include "AllotterAuthority.h"
 #include "RevisionAnnouncement.h"
 #include "SourceHooks.h"
 
@@ -44,8 +45,9 @@
 class PlatformSource
 {
 public:
+    /** The generation is that of this process. */
     PlatformSource(net::Reactor &reactor, const settings::Settings &settings,
-                   const PlatformBinding &binding, std::uint64_t randomSeed, SourceHooks hooks);
+                   const PlatformBinding &binding, std::uint64_t generation, SourceHooks hooks);
     ~PlatformSource();
     PlatformSource(const PlatformSource &) = delete;
     PlatformSource &operator=(const PlatformSource &) = delete;
@@ -67,6 +69,9 @@
     /** Starts draining: readiness probes fail from now on. */
     void drain();
 
+    void claimAuthority(const ClaimAuthority &claim) { authority_->claim(claim); }
+    void releaseAuthority() { authority_->release(); }
+
 private:
     using ServerSlot = std::unique_ptr<net::HttpServer>;
 
@@ -101,6 +106,7 @@
     std::unique_ptr<logclient::KeyedLog> log_;
     std::unique_ptr<follow::FollowService> config_;
     std::unique_ptr<rendezvous::KeyedRendezvous> rendezvous_;
+    std::unique_ptr<AllotterAuthority> authority_;
     net::HttpClient client_;
     heartbeat::Tracker tracker_;
     ServerSlot heartbeatServer_;
--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -45,4 +45,11 @@
 inline constexpr Event meetingFailed = {502, Severity::Warning, "meeting-failed"};
 inline constexpr Event logReaderChanged = {503, Severity::Info, "log-reader-changed"};
 
+// 6xx: allowances of customers
+inline constexpr Event allotterBegan = {600, Severity::Info, "allotter-began"};
+inline constexpr Event allotterEnded = {601, Severity::Info, "allotter-ended"};
+inline constexpr Event allotterHandedOver = {602, Severity::Info, "allotter-handed-over"};
+inline constexpr Event allowanceSpent = {603, Severity::Info, "allowance-spent"};
+inline constexpr Event allowancesIgnored = {604, Severity::Warning, "allowances-ignored"};
+
 } // namespace events
