Let the bucket hold all tokens that daemons do not

Change: the bucket's capacity is what is stored less stocks and tokens on their way, as the ledger counts them; while a new allotter does not know the ledger, it is as before. Stocks of daemons with little demand are filled only from the upper half of the bucket.

--- a/libs/allowance/include/allowance/Bounds.h
+++ b/libs/allowance/include/allowance/Bounds.h
@@ -13,11 +13,14 @@
 struct Bounds
 {
     double ratePerSecond_ = 0;
-    double centralCapacity_ = 0; ///< of the allotter's bucket
+    double centralCapacity_ = 0; ///< of the allotter's bucket while daemons hold all they may
     double carry_ = 0;           ///< tokens that all daemons together may hold at any time
 
     static Bounds of(const model::Allowance &allowance, const Settings &settings);
 
+    /** Bound on the tokens in the bucket and at all daemons together. */
+    double stored() const { return centralCapacity_ + carry_; }
+
     /** Bound on the sum of the reserve rates of all daemons. */
     double maxReserveRate() const { return 0.8 * ratePerSecond_; }
 
--- a/libs/allowance/src/details/Account.cpp
+++ b/libs/allowance/src/details/Account.cpp
@@ -37,8 +37,17 @@
 {
     refill(now);
     bounds_ = bounds;
-    level_ = std::min(level_, bounds_.centralCapacity_);
     sweep(now);
+    level_ = std::min(level_, capacity(now));
+}
+
+/** What daemons do not hold of the stored tokens may be in the bucket. */
+double Account::capacity(base::Millis now)
+{
+    // Parts of the former allotter may be in force that this one has not heard of.
+    if (isQuiet(now))
+        return bounds_.centralCapacity_;
+    return std::max(0.0, bounds_.stored() - stock_ - tokensOnTheirWay(now));
 }
 
 void Account::refill(base::Millis now)
@@ -51,7 +60,7 @@
         const auto end = isSteady ? now : std::min(now, sweptAt_ + sweepInterval);
         const double elapsed = (end - refilledAt_).fractional() / 1000;
         const double rate = std::max(0.0, bounds_.ratePerSecond_ - silentRate_);
-        level_ = std::min(bounds_.centralCapacity_, level_ + rate * elapsed);
+        level_ = std::min(capacity(refilledAt_), level_ + rate * elapsed);
         refilledAt_ = end;
     }
 }
@@ -100,7 +109,6 @@
         level_ += holding.lastTokens_;
     else if (wasAnswered)
         level_ += std::min(item.returned_, std::max(0.0, holding.stock_ - item.stock_));
-    level_ = std::min(level_, bounds_.centralCapacity_);
     // The daemon uses its reserve rate only after a time without answers.
     holding.silentFrom_ = wasAnswered ? holding.reserveFrom_ : now;
     holding.reserveRate_ = item.reserveRate_;
@@ -121,6 +129,9 @@
     stock_ -= holding.stock_;
     demand_ = std::max(0.0, demand_ - demandOf(holding, now));
     book(holding, ask, item, now);
+    stock_ += holding.stock_;
+    level_ = std::min(level_, capacity(now));
+    stock_ -= holding.stock_;
     holding.reserveFrom_ = now + reserveAfter;
     const double share =
             std::min(1.0, bounds_.ratePerSecond_ / std::max(1e-9, demand_ + item.demand_));
@@ -147,6 +158,7 @@
     reserveRate_ += holding.reserveRate_;
     stock_ += holding.stock_;
     demand_ += holding.demand_;
+    level_ = std::min(level_, capacity(now));
     if (holding.reserveRate_ > 0 && holding.silentFrom_ <= sweptAt_ + sweepInterval)
         sweep(now);
     return grant;
@@ -154,15 +166,21 @@
 
 void Account::grantTokens(Holding &holding, const AskItem &item, Grant &grant, base::Millis now)
 {
-    const double room = std::max(0.0, bounds_.carry_ - bounds_.maxStock() - tokensOnTheirWay(now));
-    const auto forHeld = std::floor(std::min({level_, room, static_cast<double>(item.held_)}));
+    double available = level_;
+    if (isQuiet(now))
+        available = std::clamp(bounds_.carry_ - bounds_.maxStock() - tokensOnTheirWay(now), 0.0,
+                               level_);
+    const auto forHeld = std::floor(std::min(available, static_cast<double>(item.held_)));
     if (forHeld >= 1) {
         grant.forHeld_ = static_cast<std::uint32_t>(forHeld);
         level_ -= forHeld;
         onTheirWay_.emplace_back(now + settings_.grantAge_, forHeld);
     }
     // While tokens are scarce, one in stock at an idle daemon is missing elsewhere.
-    const double spare = grant.isOverAllowance_ ? level_ : level_ - bounds_.centralCapacity_ / 2;
+    const double kept = grant.isOverAllowance_ && item.demand_ >= minDemandForReserve
+                                ? 0
+                                : bounds_.stored() / 2;
+    const double spare = level_ - kept;
     grant.refill_ = std::clamp(spare, 0.0, std::max(0.0, grant.stock_ - item.level_));
     level_ -= grant.refill_;
     holding.lastTokens_ = forHeld + grant.refill_;
@@ -181,7 +199,7 @@
 void Account::restore(const CustomerState &state, base::Millis now)
 {
     refill(now);
-    level_ = std::min(state.level_, bounds_.centralCapacity_);
+    level_ = state.level_;
     onTheirWay_.emplace_back(now + settings_.grantAge_, state.onTheirWay_);
     for (const auto &part : state.parts_) {
         auto &holding = holdings_[Holder(part.daemon_, part.generation_)];
@@ -193,6 +211,7 @@
         holding.silentFrom_ = now;
     }
     sweep(now);
+    level_ = std::min(level_, capacity(now));
 }
 
 CustomerState Account::state(const std::string &customer, base::Millis now)
@@ -210,7 +229,7 @@
 {
     refill(now);
     sweep(now);
-    return holdings_.empty() && level_ >= bounds_.centralCapacity_ && !isQuiet(now);
+    return holdings_.empty() && level_ >= bounds_.stored() && !isQuiet(now);
 }
 
 } // namespace allowance::details
--- a/libs/allowance/src/details/Account.h
+++ b/libs/allowance/src/details/Account.h
@@ -52,6 +52,7 @@
     void sweep(base::Millis now);
     double demandOf(const Holding &holding, base::Millis now) const;
     bool isQuiet(base::Millis now) const { return now < tenure_.quietUntil_; }
+    double capacity(base::Millis now);
     double tokensOnTheirWay(base::Millis now);
     void book(Holding &holding, const Ask &ask, const AskItem &item, base::Millis now);
     void grantTokens(Holding &holding, const AskItem &item, Grant &grant, base::Millis now);
