Announce the allotter to the daemons that are asked first

Cause: after all daemons had restarted, one that knew few others yet became allotter. Those that were asked did not know it and claimed in vain until its claim had lapsed, 6 s later; then the next one began anew.

Change: at each renewal the allotter tells the first three candidates that it is the one; they pass askers on to it.

--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -165,6 +165,8 @@
         peerServer_->respond(id, allowances_.onAsk(request.body_));
     else if (kind == details::Allowances::handOverKind)
         peerServer_->respond(id, allowances_.onHandOver(request.body_));
+    else if (kind == details::Allowances::tenureKind)
+        peerServer_->respond(id, allowances_.onAnnounced(request.body_));
     else
         onAttempt(id, std::move(request));
 }
--- a/libs/dock/src/details/Allowances.cpp
+++ b/libs/dock/src/details/Allowances.cpp
@@ -29,6 +29,9 @@
 constexpr base::Millis firstClaimDelay(2000);
 
 constexpr base::Millis handOverTimeout(1000);
+
+/** As many as a daemon asks one after the other. */
+constexpr std::size_t announcedTo = 3;
 constexpr base::Millis spentLogInterval(10'000);
 constexpr int statusOk = 200;
 
@@ -144,10 +147,11 @@
         auto candidates = allotterCandidates(group, *members_);
         if (isLeaving_)
             std::erase(candidates, self_.id_);
-        const auto &state = groups_[group];
+        auto &state = groups_[group];
         isFirst = isFirst
                   || (state.hasCustomers_ && !state.hasClaimedFirst_ && !candidates.empty()
                       && candidates.front() == self_.id_);
+        state.candidates_ = candidates;
         wallet_->setCandidates(group, std::move(candidates));
     }
     if (isFirst && claimTimer_ == 0)
@@ -162,8 +166,7 @@
         auto &state = groups_[group];
         if (!state.hasCustomers_ || state.hasClaimedFirst_ || isLeaving_)
             continue;
-        const auto candidates = allotterCandidates(group, *members_);
-        if (candidates.empty() || candidates.front() != self_.id_)
+        if (state.candidates_.empty() || state.candidates_.front() != self_.id_)
             continue;
         state.hasClaimedFirst_ = true;
         claim(group);
@@ -335,12 +338,40 @@
         return {};
     if (isLeaving_)
         return {groups_[ask.group_].successor_};
-    auto hint = wallet_->allotterOf(ask.group_, base::elapsedNow());
-    if (hint.empty() || hint == self_.id_ || hint == ask.daemon_) {
-        claim(ask.group_);
-        return {};
+    const auto now = base::elapsedNow();
+    const auto &state = groups_[ask.group_];
+    const auto announced = now < state.announcedUntil_ ? state.announced_ : std::string();
+    for (const auto &hint : {wallet_->allotterOf(ask.group_, now), announced}) {
+        if (!hint.empty() && hint != self_.id_ && hint != ask.daemon_)
+            return {hint};
     }
-    return {std::move(hint)};
+    claim(ask.group_);
+    return {};
+}
+
+/** Tells those that are asked first who the allotter is, as it may not be one of them. */
+void Allowances::announce(std::uint32_t group)
+{
+    const auto &candidates = groups_[group].candidates_;
+    for (std::size_t i = 0; i < std::min(announcedTo, candidates.size()); ++i) {
+        const auto *member = candidates[i] == self_.id_ ? nullptr : findMember(candidates[i]);
+        if (member != nullptr)
+            client_.send(member->peerAddress_,
+                         peerMessage(tenureKind, std::to_string(group) + " " + self_.id_),
+                         settings_.askTimeout_, [](const net::CallResult &) {});
+    }
+}
+
+net::HttpResponse Allowances::onAnnounced(const std::string &body)
+{
+    const auto space = body.find(' ');
+    const auto group = static_cast<std::uint32_t>(body.empty() ? 0 : body.front() - '0');
+    if (space != 1 || group >= groups_.size())
+        return {.status_ = statusBadRequest};
+    auto &state = groups_[group];
+    state.announced_ = body.substr(space + 1);
+    state.announcedUntil_ = base::elapsedNow() + settings_.lease_;
+    return {};
 }
 
 net::HttpResponse Allowances::onHandOver(const std::string &body)
@@ -367,6 +398,7 @@
     state.allotter_.setTenure(tenure, now);
     if (!change.tenure_)
         return;
+    announce(change.group_);
     // The ledger is complete only if nobody has appended since the former allotter resigned.
     const auto received = std::exchange(state.received_, std::nullopt);
     if (received && tenure.fence_ == received->end_ + 1)
@@ -389,9 +421,8 @@
     if (members_ == nullptr || !isLeaving_)
         return;
     auto &state = groups_[released.group_];
-    auto candidates = allotterCandidates(released.group_, *members_);
-    std::erase(candidates, self_.id_);
-    const auto *successor = candidates.empty() ? nullptr : findMember(candidates.front());
+    const auto *successor =
+            state.candidates_.empty() ? nullptr : findMember(state.candidates_.front());
     if (successor == nullptr)
         return;
     state.successor_ = successor->id_;
--- a/libs/dock/src/details/Allowances.h
+++ b/libs/dock/src/details/Allowances.h
@@ -45,6 +45,7 @@
     /** Values of header::kind of the messages between daemons. */
     static constexpr const char *askKind = "allowance";
     static constexpr const char *handOverKind = "allowance-hand-over";
+    static constexpr const char *tenureKind = "allowance-tenure";
 
     /** All references must outlive this. */
     Allowances(net::Reactor &reactor, net::PeerClient &client, const settings::Settings &settings,
@@ -79,6 +80,7 @@
     /** Answers a message of another daemon. */
     net::HttpResponse onAsk(const std::string &body);
     net::HttpResponse onHandOver(const std::string &body);
+    net::HttpResponse onAnnounced(const std::string &body);
 
     void onTenure(const TenureChanged &change);
     void onReleased(const AuthorityReleased &released);
@@ -93,6 +95,9 @@
     struct GroupState
     {
         allowance::Allotter allotter_;
+        std::vector<std::string> candidates_;
+        std::string announced_; ///< id of the allotter that has announced itself
+        base::Millis announcedUntil_;
         std::vector<allowance::CustomerState> resigned_; ///< for the successor
         std::optional<allowance::HandOver> received_;
         std::string successor_;
@@ -106,6 +111,7 @@
     void updateCandidates();
     void claimAsFirst();
     void claim(std::uint32_t group);
+    void announce(std::uint32_t group);
     allowance::Answer answer(const allowance::Ask &ask);
     allowance::NotAllotter notAllotter(const allowance::Ask &ask);
     void send(const allowance::OutgoingAsk &outgoing);
--- a/libs/dock/tests/StatusReportTest.cpp
+++ b/libs/dock/tests/StatusReportTest.cpp
@@ -31,3 +31,18 @@
                              R"(fuchsiadock_backend_failures_total{outcome="unknown/none"} 1)"})
         EXPECT_NE(text.find(line), std::string::npos) << line << "\n" << text;
 }
+
+TEST(StatusReport, showsAllowancesOnlyWhereCustomersHaveThem)
+{
+    dock::StatusReport report;
+    EXPECT_EQ(report.json().find("allowances"), std::string::npos);
+    EXPECT_EQ(report.prometheus().find("allowance"), std::string::npos);
+    report.dataStatus_.allowances_ = {.counts_ = {.refusedSpent_ = 3},
+                                      .groups_ = {2},
+                                      .usage_ = {{.customer_ = "school-7", .refused_ = 3}}};
+    EXPECT_NE(report.json().find(R"("customer": "school-7")"), std::string::npos);
+    const auto text = report.prometheus();
+    for (const auto *line : {R"(fuchsiadock_allowance_refused_total{reason="spent"} 3)",
+                             "fuchsiadock_allotter_groups 1"})
+        EXPECT_NE(text.find(line), std::string::npos) << line << "\n" << text;
+}
