Give back the tokens that a smaller stock has no room for

Cause: as demand varies, an answer often had a smaller stock than the one before; the tokens above it were lost, neither used nor returned.

Change: the purse keeps them aside, unused, and gives them back with its next ask. (Keeping the stock as large as what is held was tried first: daemons then lack a stock, and too few requests pass while an allotter is lost; Allowances.outliveTheirAllotter failed.)

--- a/libs/allowance/src/details/Purse.cpp
+++ b/libs/allowance/src/details/Purse.cpp
@@ -143,7 +143,7 @@
         stock_ = wantedStock;
     if (now < forHeldUntil_)
         level_ = std::min(std::max(level_, stock_), level_ + forHeld_);
-    item.returned_ = std::max(0.0, level_ - stock_);
+    item.returned_ = std::exchange(returned_, 0) + std::max(0.0, level_ - stock_);
     level_ = std::min(level_, stock_);
     forHeld_ = 0;
     item.reserveRate_ = reserveRate_;
@@ -163,7 +163,9 @@
             std::min(1.0, bounds_.maxReserveRate() / std::max(1e-9, grant.reserveRate_));
     reserveRate_ = grant.reserveRate_ * scale;
     stock_ = std::min(grant.stock_, bounds_.carry_);
-    level_ = std::min(stock_, level_ + grant.refill_);
+    const double tokens = level_ + grant.refill_;
+    level_ = std::min(stock_, tokens);
+    returned_ = tokens - level_;
     expiry_ = sentAt + settings_.partValidity_;
     reserveFrom_ = now + reserveAfter;
     forHeld_ = grant.forHeld_;
--- a/libs/allowance/src/details/Purse.h
+++ b/libs/allowance/src/details/Purse.h
@@ -73,6 +73,7 @@
     double reserveRate_ = 0;
     double stock_ = 0;
     double level_ = 0;
+    double returned_ = 0; ///< tokens that a smaller stock has no room for, until the next ask
     base::Millis advancedAt_;
     base::Millis reserveFrom_; ///< the reserve rate refills the stock from then on
     base::Millis expiry_;
