Over the allowance, stock only daemons that use it at once

Cause: while a customer asks for more than its rate, a token in stock at a daemon with one request a second waits there while others refuse.

--- a/libs/allowance/src/details/Account.cpp
+++ b/libs/allowance/src/details/Account.cpp
@@ -177,9 +177,8 @@
         onTheirWay_.emplace_back(now + settings_.grantAge_, forHeld);
     }
     // While tokens are scarce, one in stock at an idle daemon is missing elsewhere.
-    const double kept = grant.isOverAllowance_ && item.demand_ >= minDemandForReserve
-                                ? 0
-                                : bounds_.stored() / 2;
+    const double kept =
+            grant.isOverAllowance_ && item.demand_ * stockSeconds >= 1 ? 0 : bounds_.stored() / 2;
     const double spare = level_ - kept;
     grant.refill_ = std::clamp(spare, 0.0, std::max(0.0, grant.stock_ - item.level_));
     level_ -= grant.refill_;
