Keep the allowance when purses are dropped, and when a ledger is incomplete, repeated or given back

A purse that was dropped between rare requests said that it had missed its last answer, and the allotter gave its tokens back. An allotter that did not yet know its predecessor's grants handed over its ledger as complete. A repeated hand-over set the bucket back. Tokens that were refunded late piled up. Authority came back when a renewal was answered after its release. And a burst within the allowance at one daemon was refused: tokens that had arrived counted as on their way for 150 ms, and a full bucket was told as spent.

Change: A new purse states all earlier asks as settled. No end is handed over before the predecessor's parts have expired. A ledger is restored once in a tenure. A refund counts within minAskInterval, and a refunded token is not refunded again. A released authority stays so. Tokens on their way end with the daemon's next ask, and the daemon asks again at once while the bucket has tokens.

--- a/libs/allowance/include/allowance/Allotter.h
+++ b/libs/allowance/include/allowance/Allotter.h
@@ -42,7 +42,7 @@
     /** Authority begins, or is prolonged if the fence is the same. */
     void setTenure(const Tenure &tenure, base::Millis now);
 
-    /** Takes the state of the former allotter; to be called after setTenure(). */
+    /** Takes the state of the former allotter; after setTenure(), and once only in a tenure. */
     void restore(const std::vector<CustomerState> &customers, base::Millis now);
 
     /** Ends the authority and returns the state for a successor. */
--- a/libs/allowance/include/allowance/Authority.h
+++ b/libs/allowance/include/allowance/Authority.h
@@ -35,8 +35,9 @@
     void onResult(const Append &append, const AppendResult &result, base::Millis now);
 
     /**
-     * Ends the authority for good. Returns the end of the partition if this daemon had authority
-     * last, for claimAfterHandOver() of another.
+     * Ends the authority for good. Returns the end of the partition, for claimAfterHandOver() of
+     * another, if this daemon had authority last and its ledger is complete: until
+     * Tenure::quietUntil_ it does not know what its predecessor granted.
      */
     std::optional<std::uint64_t> release();
 
@@ -67,6 +68,7 @@
     Tenure tenure_;
     bool wasLast_ = false; ///< the last known record of the partition is this daemon's
     bool isReleased_ = false;
+    base::Millis lastNow_; ///< of the last call with a time
     std::uint64_t series_ = 0;
     std::uint64_t sequence_ = 0;
 };
--- a/libs/allowance/include/allowance/Wallet.h
+++ b/libs/allowance/include/allowance/Wallet.h
@@ -63,10 +63,16 @@
     /** A held request is gone. */
     void leave(std::string_view customer);
 
-    /** A request that was admitted has not run after all. */
+    /**
+     * A request that was admitted has not run after all. Its token comes back only within
+     * Settings::minAskInterval_: later, tokens that are given back again and again would pile up.
+     */
     void refund(std::string_view customer, base::Millis now);
 
-    /** Asks to send now: to be called after Held, onAnswer(), and at least every 50 ms. */
+    /**
+     * Asks to send now: to be called after Held, at least every 50 ms, and after onAnswer() once
+     * held requests were decided again, as the tokens for them end with the next ask.
+     */
     std::vector<OutgoingAsk> due(base::Millis now);
 
     void onAnswer(const Answer &answer, base::Millis now);
--- a/libs/allowance/src/Allotter.cpp
+++ b/libs/allowance/src/Allotter.cpp
@@ -46,6 +46,9 @@
 
 void Allotter::restore(const std::vector<CustomerState> &customers, base::Millis now)
 {
+    // A repeated message must not undo what was granted since the first.
+    if (!accounts_.empty())
+        return;
     for (const auto &state : customers) {
         if (auto *account = accountOf(state.customer_))
             account->restore(state, now);
--- a/libs/allowance/src/Authority.cpp
+++ b/libs/allowance/src/Authority.cpp
@@ -13,6 +13,7 @@
 
 void Authority::claim(base::Millis now)
 {
+    lastNow_ = now;
     claimUntil_ = now + settings_.claimFor_;
 }
 
@@ -39,6 +40,7 @@
 
 std::optional<Append> Authority::due(base::Millis now)
 {
+    lastNow_ = now;
     if (isReleased_ || now >= claimUntil_)
         return std::nullopt;
     if (!call_) {
@@ -56,7 +58,8 @@
 
 void Authority::onResult(const Append &append, const AppendResult &result, base::Millis now)
 {
-    if (!call_ || !call_->isInFlight_ || call_->append_ != append)
+    lastNow_ = now;
+    if (isReleased_ || !call_ || !call_->isInFlight_ || call_->append_ != append)
         return;
     std::visit(base::Overloaded{
                        [&](const Appended &appended) { onAppended(appended.end_, now); },
@@ -105,8 +108,8 @@
 std::optional<std::uint64_t> Authority::release()
 {
     isReleased_ = true;
-    tenure_ = {};
-    return wasLast_ ? end_ : std::nullopt;
+    const auto quietUntil = std::exchange(tenure_, {}).quietUntil_;
+    return wasLast_ && lastNow_ >= quietUntil ? end_ : std::nullopt;
 }
 
 std::optional<Tenure> Authority::tenure(base::Millis now) const
--- a/libs/allowance/src/Wallet.cpp
+++ b/libs/allowance/src/Wallet.cpp
@@ -69,8 +69,9 @@
     auto *purse = find(customer);
     if (!purse) {
         const auto group = groupOf(customer);
-        auto created = std::make_unique<details::Purse>(
-                std::string(customer), group, Bounds::of(allowance, settings_), settings_);
+        auto created = std::make_unique<details::Purse>(std::string(customer), group,
+                                                        Bounds::of(allowance, settings_), settings_,
+                                                        groups_[group].number_);
         purse = groups_[group].purses_.emplace(customer, std::move(created)).first->second.get();
     }
     purse->recordDemand(now);
@@ -234,8 +235,12 @@
     group.silentSince_.reset();
     group.askInterval_ = std::max(granted.nextAskIn_, settings_.minAskInterval_);
     for (const auto &grant : granted.grants_) {
-        if (auto *purse = find(grant.customer_))
-            purse->apply(grant, ask.number_, ask.sentAt_, granted.reserveAfter(), now);
+        auto *purse = find(grant.customer_);
+        if (!purse)
+            continue;
+        purse->apply(grant, ask.number_, ask.sentAt_, granted.reserveAfter(), now);
+        if (grant.forHeld_ > 0 && grant.dryFor_ == base::Millis() && purse->held() > grant.forHeld_)
+            group.notBefore_ = now;
     }
     ++counts_.grants_;
 }
--- a/libs/allowance/src/details/Account.cpp
+++ b/libs/allowance/src/details/Account.cpp
@@ -85,11 +85,11 @@
 
 double Account::tokensOnTheirWay(base::Millis now)
 {
-    while (!onTheirWay_.empty() && onTheirWay_.front().first <= now)
+    while (!onTheirWay_.empty() && onTheirWay_.front().until_ <= now)
         onTheirWay_.pop_front();
     double sum = 0;
-    for (const auto &[until, tokens] : onTheirWay_)
-        sum += tokens;
+    for (const auto &entry : onTheirWay_)
+        sum += entry.tokens_;
     return sum;
 }
 
@@ -101,6 +101,8 @@
     else if (wasAnswered)
         level_ += std::min(item.returned_, std::max(0.0, holding.stock_ - item.stock_));
     level_ = std::min(level_, bounds_.centralCapacity_);
+    // A daemon that asks has taken what arrived, put it in stock, or will not take it.
+    std::erase_if(onTheirWay_, [&](const auto &entry) { return entry.to_ == &holding; });
     // The daemon uses its reserve rate only after a time without answers.
     holding.silentFrom_ = wasAnswered ? holding.reserveFrom_ : now;
     holding.reserveRate_ = item.reserveRate_;
@@ -159,7 +161,7 @@
     if (forHeld >= 1) {
         grant.forHeld_ = static_cast<std::uint32_t>(forHeld);
         level_ -= forHeld;
-        onTheirWay_.emplace_back(now + settings_.grantAge_, forHeld);
+        onTheirWay_.push_back({&holding, now + settings_.grantAge_, forHeld});
     }
     // While tokens are scarce, one in stock at an idle daemon is missing elsewhere.
     const double spare = grant.isOverAllowance_ ? level_ : level_ - bounds_.centralCapacity_ / 2;
@@ -168,6 +170,11 @@
     holding.lastTokens_ = forHeld + grant.refill_;
     if (grant.forHeld_ >= item.held_)
         return;
+    // What one answer may carry is spent, the bucket is not.
+    if (level_ >= 1) {
+        grant.isOverAllowance_ = false;
+        return;
+    }
     const double rate = std::max(0.1, bounds_.ratePerSecond_ - silentRate_);
     if (!grant.isOverAllowance_) {
         grant.dryFor_ = std::clamp(seconds((1 - std::min(level_, 1.0)) / rate),
@@ -182,7 +189,7 @@
 {
     refill(now);
     level_ = std::min(state.level_, bounds_.centralCapacity_);
-    onTheirWay_.emplace_back(now + settings_.grantAge_, state.onTheirWay_);
+    onTheirWay_.push_back({nullptr, now + settings_.grantAge_, state.onTheirWay_});
     for (const auto &part : state.parts_) {
         auto &holding = holdings_[Holder(part.daemon_, part.generation_)];
         holding.reserveRate_ = part.reserveRate_;
--- a/libs/allowance/src/details/Account.h
+++ b/libs/allowance/src/details/Account.h
@@ -46,6 +46,13 @@
         double lastTokens_ = 0;    ///< granted then
         bool isReported_ = false;  ///< has asked in this tenure
     };
+    /** Tokens for held requests that may not have arrived. */
+    struct OnTheirWay
+    {
+        const Holding *to_ = nullptr;
+        base::Millis until_;
+        double tokens_ = 0;
+    };
     using Holder = std::pair<std::string, std::uint64_t>;
 
     void refill(base::Millis now);
@@ -67,7 +74,7 @@
     double stock_ = 0;       ///< sum
     double demand_ = 0;      ///< sum
     std::map<Holder, Holding> holdings_;
-    std::deque<std::pair<base::Millis, double>> onTheirWay_; ///< tokens for held requests, until
+    std::deque<OnTheirWay> onTheirWay_;
 };
 
 } // namespace allowance::details
--- a/libs/allowance/src/details/Purse.cpp
+++ b/libs/allowance/src/details/Purse.cpp
@@ -34,11 +34,12 @@
 } // namespace
 
 Purse::Purse(std::string customer, std::uint32_t group, const Bounds &bounds,
-             const Settings &settings)
+             const Settings &settings, std::uint64_t settledNumber)
     : customer_(std::move(customer))
     , group_(group)
     , bounds_(bounds)
     , settings_(settings)
+    , answeredNumber_(settledNumber)
 {}
 
 void Purse::setBounds(const Bounds &bounds)
@@ -83,6 +84,14 @@
         level_ -= 1;
     else
         return false;
+    if (now >= takenSince_ + settings_.minAskInterval_) {
+        takenSince_ = now;
+        returnable_ = givenBack_ = 0;
+    }
+    if (givenBack_ > 0)
+        --givenBack_;
+    else
+        ++returnable_;
     served_ = decayed(served_, servedSince_, now) + 1 / secondsOf(demandTime);
     servedSince_ = now;
     ++admitted_;
@@ -91,7 +100,11 @@
 
 void Purse::giveBack(base::Millis now)
 {
+    if (returnable_ == 0 || now >= takenSince_ + settings_.minAskInterval_)
+        return;
     advance(now);
+    --returnable_;
+    ++givenBack_;
     level_ = std::min(stock_, level_ + 1);
 }
 
--- a/libs/allowance/src/details/Purse.h
+++ b/libs/allowance/src/details/Purse.h
@@ -17,8 +17,9 @@
 class Purse
 {
 public:
-    Purse(std::string customer, std::uint32_t group, const Bounds &bounds,
-          const Settings &settings);
+    /** Nothing that was granted for asks up to `settledNumber` is to be returned. */
+    Purse(std::string customer, std::uint32_t group, const Bounds &bounds, const Settings &settings,
+          std::uint64_t settledNumber);
 
     const std::string &customer() const { return customer_; }
     std::uint32_t group() const { return group_; }
@@ -29,6 +30,7 @@
 
     void recordDemand(base::Millis now);
     bool take(base::Millis now);
+    /** Gives back a token that was taken just now; later ones would pile up. */
     void giveBack(base::Millis now);
     void recordRefusal() { ++refused_; }
 
@@ -76,6 +78,9 @@
     base::Millis advancedAt_;
     base::Millis reserveFrom_; ///< the reserve rate refills the stock from then on
     base::Millis expiry_;
+    base::Millis takenSince_;
+    std::uint32_t returnable_ = 0; ///< tokens taken since takenSince_, but for those given back
+    std::uint32_t givenBack_ = 0;  ///< since then, and not taken again
     std::uint32_t forHeld_ = 0;
     base::Millis forHeldUntil_;
 
--- a/libs/allowance/tests/Cluster.h
+++ b/libs/allowance/tests/Cluster.h
@@ -75,6 +75,9 @@
     std::uint64_t storeCalls() const { return storeCalls_; }
     void stopStoreUntil(base::Millis until) { storeDownUntil_ = until; }
 
+    /** From now on admitted requests do not run, and are given back after this time; zero: run. */
+    void setRefundAfter(base::Millis delay) { refundAfter_ = delay; }
+
     void setCustomers(std::vector<model::Customer> customers)
     {
         customers_ = std::move(customers);
@@ -464,6 +467,12 @@
         auto &result = results_[customer];
         std::visit(base::Overloaded{
                            [&](const Admitted &) {
+                               if (refundAfter_ > base::Millis()) {
+                                   schedule(now_ + refundAfter_, [=, this] {
+                                       daemons_[index].wallet_->refund(customer, now_);
+                                   });
+                                   return;
+                               }
                                result.admitted_.push_back(now_);
                                ++result.admittedAt_[index];
                            },
@@ -487,6 +496,7 @@
     std::map<std::string, Result> results_;
     base::Millis now_;
     base::Millis storeDownUntil_;
+    base::Millis refundAfter_;
     std::uint64_t order_ = 0;
     std::uint64_t generations_ = 0;
     std::uint64_t messages_ = 0;
