--- a/tools/decision-bench/main.cpp
+++ b/tools/decision-bench/main.cpp
@@ -1,14 +1,20 @@
 // Measures the time of a routing decision, for two member counts, of an admission decision, without
-// and with overload, and of the decision whose a request is, for two numbers of customers.
+// and with overload, and of the decision whose a request is, alone and with that on its allowance,
+// for two numbers of customers.
+#include <algorithm>
+#include <atomic>
 #include <cstdint>
 #include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <functional>
 #include <memory>
+#include <new>
 #include <string>
 #include <vector>
 
 #include <admission/Core.h>
+#include <allowance/Wallet.h>
 #include <base/Clock.h>
 #include <base/Random.h>
 #include <identity/Core.h>
@@ -16,6 +22,30 @@
 
 namespace {
 
+std::atomic<std::uint64_t> allocationCount = 0;
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    ++allocationCount;
+    if (void *memory = std::malloc(size))
+        return memory;
+    throw std::bad_alloc();
+}
+
+void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void *memory, std::size_t /*size*/) noexcept
+{
+    std::free(memory);
+}
+
+namespace {
+
 using base::Millis;
 
 constexpr int decisionsPerRound = 200000;
@@ -153,6 +183,56 @@
         std::printf("not every key was admitted\n");
 }
 
+/** Decides on known keys and, with tokens in stock, on the allowance of each key's customer. */
+void measureAllowance(std::size_t customerCount)
+{
+    auto config = std::make_shared<model::Config>();
+    std::vector<std::string> keys;
+    const allowance::Settings settings;
+    allowance::Wallet wallet(settings, "self", 1, seed);
+    for (std::uint32_t group = 0; group < allowance::groupCount; ++group)
+        wallet.setCandidates(group, {"allotter"});
+    constexpr model::Allowance limit{1e8, 1e8};
+    constexpr double tokens = 1e6;
+    for (std::size_t i = 0; i < customerCount; ++i) {
+        model::Customer customer{.name_ = "customer" + std::to_string(i)};
+        keys.push_back("0123456789abcdef-key-" + std::to_string(i));
+        customer.keys_.push_back(model::KeyDigest::of(keys.back()));
+        customer.allowance_ = limit;
+        wallet.admit(customer.name_, limit, Millis(1));
+        wallet.leave(customer.name_);
+        config->addCustomer(std::move(customer));
+    }
+    for (const auto &[target, ask] : wallet.due(Millis(1000))) {
+        allowance::Granted granted{{}, Millis(400)};
+        for (const auto &item : ask.items_) {
+            granted.grants_.push_back(
+                    {.customer_ = item.customer_, .stock_ = tokens, .refill_ = tokens});
+        }
+        wallet.onAnswer({ask.group_, ask.number_, granted}, Millis(1001));
+    }
+    identity::Core core(identity::Limits::of(Millis(5000), Millis(2000)));
+    core.configure(config);
+    core.confirm(Millis(1001));
+    std::size_t admitted = 0;
+    std::uint64_t allocations = 0;
+    measure("key and allowance, " + std::to_string(customerCount) + " customers", [&] {
+        const auto before = allocationCount.load();
+        for (int i = 0; i < decisionsPerRound; ++i) {
+            const auto &key = keys[static_cast<std::size_t>(i) * 7919 % keys.size()];
+            const auto decision = core.decide({.key_ = key}, Millis(1002));
+            const auto &customer = *std::get<identity::Admitted>(decision).customer_;
+            const auto verdict = wallet.admit(customer.name_, *customer.allowance_, Millis(1002));
+            admitted += std::holds_alternative<allowance::Admitted>(verdict) ? 1U : 0U;
+        }
+        allocations += allocationCount - before;
+    });
+    std::printf("%-44s %8llu\n", "  allocations in all these decisions",
+                static_cast<unsigned long long>(allocations));
+    if (admitted != static_cast<std::size_t>(decisionsPerRound) * roundCount)
+        std::printf("not every request was admitted\n");
+}
+
 } // namespace
 
 int main()
@@ -163,5 +243,7 @@
     measureAdmission("admission, 140 slots, 4 times the capacity", 140, 4);
     for (const int count : {82, 5000})
         measureIdentity(count);
+    for (const std::size_t count : {82U, 5000U})
+        measureAllowance(count);
     return 0;
 }
