Let the bound property give requests back

Cause: The random schedules never refunded a token, so they could not see refunds that pile up.

Change: In a step admitted requests may be given back after 10 ms or 1 s instead of running; a process that ended gives nothing back.

--- a/libs/allowance/tests/BoundPropertyTest.cpp
+++ b/libs/allowance/tests/BoundPropertyTest.cpp
@@ -82,6 +82,7 @@
         const auto until = cluster.now() + Millis(*rc::gen::inRange(200, 5000));
         cluster.load(customer.name_, anyDaemons(), rate * *rc::gen::element(0.3, 1.0, 3.0, 8.0),
                      until);
+        cluster.setRefundAfter(Millis(*rc::gen::element(0, 0, 0, 10, 1000)));
         cluster.runUntil(until);
         disturb(cluster, customer.name_);
     }
