--- a/libs/allowance/tests/Cluster.h
+++ b/libs/allowance/tests/Cluster.h
@@ -120,6 +120,8 @@
         daemons_[index].frozenUntil_ = now_ + duration;
     }
 
+    bool isAlive(std::size_t index) const { return daemons_[index].isAlive_; }
+
     /** Cuts the daemon off from all on another side; only side 0 reaches the store. */
     void setSide(std::size_t index, int side) { daemons_[index].side_ = side; }
 
