--- a/libs/allowance/tests/Cluster.h
+++ b/libs/allowance/tests/Cluster.h
@@ -75,6 +75,9 @@
     std::uint64_t storeCalls() const { return storeCalls_; }
     void stopStoreUntil(base::Millis until) { storeDownUntil_ = until; }
 
+    /** From now on admitted requests do not run, and are given back after this time; zero: run. */
+    void setRefundAfter(base::Millis delay) { refundAfter_ = delay; }
+
     void setCustomers(std::vector<model::Customer> customers)
     {
         customers_ = std::move(customers);
@@ -117,6 +120,8 @@
         daemons_[index].frozenUntil_ = now_ + duration;
     }
 
+    bool isAlive(std::size_t index) const { return daemons_[index].isAlive_; }
+
     /** Cuts the daemon off from all on another side; only side 0 reaches the store. */
     void setSide(std::size_t index, int side) { daemons_[index].side_ = side; }
 
@@ -462,18 +467,28 @@
     void record(std::size_t index, const std::string &customer, const Verdict &verdict)
     {
         auto &result = results_[customer];
-        std::visit(base::Overloaded{
-                           [&](const Admitted &) {
-                               result.admitted_.push_back(now_);
-                               ++result.admittedAt_[index];
-                           },
-                           [](const Held &) {},
-                           [&](const Refused &refused) {
-                               ++(refused.reason_ == RefusalReason::Spent ? result.spent_
-                                                                          : result.unknown_);
-                           },
-                   },
-                   verdict);
+        std::visit(
+                base::Overloaded{
+                        [&](const Admitted &) {
+                            if (refundAfter_ > base::Millis()) {
+                                schedule(now_ + refundAfter_,
+                                         [=, this, generation = daemons_[index].generation_] {
+                                             deliver(index, generation, [=, this](std::size_t at) {
+                                                 daemons_[at].wallet_->refund(customer, now_);
+                                             });
+                                         });
+                                return;
+                            }
+                            result.admitted_.push_back(now_);
+                            ++result.admittedAt_[index];
+                        },
+                        [](const Held &) {},
+                        [&](const Refused &refused) {
+                            ++(refused.reason_ == RefusalReason::Spent ? result.spent_
+                                                                       : result.unknown_);
+                        },
+                },
+                verdict);
     }
 
     Settings settings_;
@@ -487,6 +502,7 @@
     std::map<std::string, Result> results_;
     base::Millis now_;
     base::Millis storeDownUntil_;
+    base::Millis refundAfter_;
     std::uint64_t order_ = 0;
     std::uint64_t generations_ = 0;
     std::uint64_t messages_ = 0;
