Order repeats only while several are asked for

Cause: one refused call in a second emptied the bucket of a small service, and its callers were told for 4 s that repeats are short. Change: fewer than three in about a second are granted as long as tokens last.

--- a/libs/retry/src/RepeatLevel.cpp
+++ b/libs/retry/src/RepeatLevel.cpp
@@ -12,8 +12,11 @@
 /** Decay factor per window of 100 ms, so that the demand covers about a second. */
 constexpr double windowDecay = 0.9;
 
-/** Demand that is negligible. */
-constexpr double minDemand = 0.01;
+/** Demand below which there is nothing to choose from. */
+constexpr double minDemand = 3;
+
+/** Demand that is not worth a further decay. */
+constexpr double negligibleDemand = 0.01;
 
 } // namespace
 
@@ -39,7 +42,7 @@
 {
     const bool isPlentiful = fill >= plentifulFill || totalDemand_ < minDemand;
     level_ = isPlentiful ? Level::all() : levelForShare(fill / plentifulFill);
-    if (totalDemand_ < minDemand)
+    if (totalDemand_ < negligibleDemand)
         return;
     totalDemand_ *= windowDecay;
     for (double &count : demand_)
--- a/libs/retry/tests/RepeatLevelTest.cpp
+++ b/libs/retry/tests/RepeatLevelTest.cpp
@@ -49,3 +49,12 @@
         level.closeWindow(0);
     EXPECT_EQ(level.level(), Level::all());
 }
+
+TEST(RepeatLevel, grantsAllWhileFewAreDemanded)
+{
+    RepeatLevel level;
+    level.recordDemand({.rank_ = 0});
+    level.recordDemand({.rank_ = 1});
+    level.closeWindow(0);
+    EXPECT_EQ(level.level(), Level::all());
+}
