--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -199,6 +199,50 @@
     EXPECT_FALSE(outer.get());
 }
 
+// The backend server refuses all calls; the requests that make them fail after work was done.
+TEST_F(RoutedPath, rootIsNotStartedWhileItsCallsGetNoRepeats)
+{
+    using Inner = std::shared_ptr<std::future<net::CallResult>>;
+    std::function<void(net::HttpServer &, net::ExchangeId, HttpRequest, Inner)> respondAfter =
+            [&](net::HttpServer &server, net::ExchangeId id, HttpRequest request, Inner inner) {
+                backendLoop_.reactor_.schedule(base::Millis(1), [&, id, request, inner] {
+                    if (inner->wait_for(std::chrono::seconds(0)) == std::future_status::ready)
+                        server.respond(id, conformingAnswer(request, 500));
+                    else
+                        respondAfter(server, id, request, inner);
+                });
+            };
+    serve([&](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        const std::string requestId(net::headerValue(request.headers_, "t-request"));
+        if (requestId.find('.') != std::string::npos) {
+            server.respond(id, {.status_ = 503, .headers_ = {{"T-Not-Executed", "1"}}});
+            return;
+        }
+        auto &instance =
+                net::headerValue(request.headers_, "t-expected") == "i-first" ? first_ : second_;
+        respondAfter(
+                server, id, request,
+                std::make_shared<std::future<net::CallResult>>(caller_.start(
+                        instance.dock_->address(),
+                        {.method_ = "GET",
+                         .target_ = "/read/1",
+                         .headers_ = {{"Host", "a.example"}, {"T-Request", requestId + ".1"}}})));
+    });
+    constexpr int maxRequests = 500;
+    int runsBefore = 0;
+    auto answer = HttpResponse{.status_ = 500};
+    for (int i = 0; i < maxRequests && answer.status_ == 500; ++i) {
+        runsBefore = runs();
+        answer = call("POST", "/write/1");
+    }
+    EXPECT_EQ(answer.status_, 503);
+    EXPECT_EQ(headerOf(answer, "Fuchsiadock-Reason"), "repeat-limit");
+    EXPECT_EQ(runs(), runsBefore);
+    const auto retryAfter = std::stod(std::string(headerOf(answer, "Retry-After")));
+    EXPECT_GT(retryAfter, 0);
+    EXPECT_LE(retryAfter, 1.25);
+}
+
 TEST_F(RoutedPath, misdirectedRequestIsNotRun)
 {
     serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &) {
