--- a/libs/admission/include/admission/RetryAfterEstimator.h
+++ b/libs/admission/include/admission/RetryAfterEstimator.h
@@ -28,7 +28,8 @@
     /** Records a refusal in the scope and returns the time to wait before a retry. */
     base::Millis recordRefusal(const std::string &scope, base::Millis now);
 
-    /** Time to wait after a refusal that does not depend on load, so that a retry may succeed now. */
+    /** Time to wait after a refusal that does not depend on load, so that a retry may succeed now.
+     */
     base::Millis independentOfLoad();
 
     /** Removes scopes without a recent refusal. */
