Remember reports longer, and hand back less while all slots are in use

Cause: with reports forgotten after one service time, a server whose measured rate was wrong stayed underused (0.60 at work at load 0.85, 300 daemons, 10 servers of 8 slots), and calls were handed back up to 2.6 times at load 1.2. Change: reports fade over 20 service rounds; while all slots are in use, a call is handed back if it would wait for a quarter longer than the mean. Spilling starts at 8 ms.

--- a/libs/balance/src/ObservedLoad.cpp
+++ b/libs/balance/src/ObservedLoad.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/** Memory of a report whose service times are not known. */
-constexpr double defaultMemoryMs = 50.0;
+/** Time to serve what an instance holds if its service times are not known. */
+constexpr double defaultRoundMs = 50.0;
+constexpr double memoryRounds = 20.0;
 
 /** Servers are fast or slow for long, but one that gets few calls is not known for as long. */
 constexpr double speedMemoryMs = 10'000.0;
@@ -29,14 +30,14 @@
     return 1.0 + (reported - 1.0) * std::exp(-std::max(0.0, age(now).fractional()) / speedMemoryMs);
 }
 
-// The requests counted in a report have been replaced by others once the instance had time to serve
-// them all.
+// Chance differences are gone once the instance has served what it held. Lasting ones, such as a
+// speed that changed, only show in reports, so these count for much longer.
 double ObservedLoad::freshness(base::Millis now) const
 {
     const double queueRounds = std::max(1.0, static_cast<double>(report_.active_) / report_.limit_);
     const double holdingMs = report_.holding_.fractional();
-    const double memoryMs = holdingMs > 0 ? holdingMs * queueRounds : defaultMemoryMs;
-    return std::exp(-std::max(0.0, age(now).fractional()) / memoryMs);
+    const double roundMs = holdingMs > 0 ? holdingMs * queueRounds : defaultRoundMs;
+    return std::exp(-std::max(0.0, age(now).fractional()) / (memoryRounds * roundMs));
 }
 
 double ObservedLoad::active(std::uint32_t ownCalls) const
--- a/libs/routing/include/routing/Options.h
+++ b/libs/routing/include/routing/Options.h
@@ -40,7 +40,7 @@
     /** Selects by the load that instances report, and not by calls in flight only. */
     bool evenLoad_ = false;
     /** Wait in the local data centre for which a call does not yet go to another one. */
-    base::Millis spillWait_ = base::Millis(10);
+    base::Millis spillWait_ = base::Millis(8);
     /** Wait for which a call is not worth another attempt while the service has free slots: about
      * the time of that attempt. */
     base::Millis handBackWait_ = base::Millis(2);
--- a/libs/routing/src/details/Ranking.cpp
+++ b/libs/routing/src/details/Ranking.cpp
@@ -63,7 +63,9 @@
     if (load == nullptr || load->isEmpty())
         return std::nullopt;
     const auto wait = load->evenWait();
-    return wait > base::Millis() ? wait + options.fullHandBackWait_ : options.handBackWait_;
+    if (wait == base::Millis())
+        return options.handBackWait_;
+    return wait + std::max(options.fullHandBackWait_, wait / 4);
 }
 
 } // namespace routing::details
