--- a/libs/dock/include/dock/Messages.h
+++ b/libs/dock/include/dock/Messages.h
@@ -126,7 +126,7 @@
     std::map<std::string, std::uint64_t> backendFailures_; ///< by outcome and how they were matched
     MessageMemoryStatus messageMemory_;
     std::optional<AllowanceStatus> allowances_; ///< set while customers have allowances
-    std::optional<LoadViewStatus> loadView_; ///< set if calls are spread by reported load
+    std::optional<LoadViewStatus> loadView_;    ///< set if calls are spread by reported load
     std::shared_ptr<const metrics::Snapshot> metrics_;
 };
 
