Keep room for tokens that are given back while the bucket is refilled

A token that was taken before the window and is given back in it is in neither the bucket nor a stock in between, while the bucket may be filled to its full capacity. It showed only once the bucket could hold all that daemons do not.

--- a/libs/allowance/src/Bounds.cpp
+++ b/libs/allowance/src/Bounds.cpp
@@ -19,7 +19,10 @@
     double rate = allowance.ratePerSecond_;
     const double excess =
             usedExcess * (settings.overrun_ * (rate * window + allowance.burst_) + settings.slack_);
-    double stored = allowance.burst_ + excess;
+    // A request that has not run gives its token back within this time, when the bucket may already
+    // have been refilled.
+    const double givenBackLate = rate * settings.minAskInterval_.fractional() / 1000;
+    double stored = allowance.burst_ + excess - givenBackLate;
     // Both the bucket and the tokens on their way need room for one token.
     if (stored < minStored) {
         const double fromRate = std::min(minStored - stored, rate * window / 2);
