Print test parameters by an operator, as the linter asks

Cause: clang-tidy refuses the name PrintTo, which the test framework gives.

Measured: clang-tidy reports nothing for the file; all changed sources had been clean but for it.

--- a/libs/routing/tests/EvenLoadTest.cpp
+++ b/libs/routing/tests/EvenLoadTest.cpp
@@ -42,9 +42,9 @@
     int slots_;
 };
 
-void PrintTo(const Sizes &sizes, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const Sizes &sizes)
 {
-    *out << sizes.daemons_ << " daemons, " << sizes.servers_ << " servers of " << sizes.slots_;
+    return out << sizes.daemons_ << " daemons, " << sizes.servers_ << " servers of " << sizes.slots_;
 }
 
 class EvenLoadBound : public testing::TestWithParam<Sizes>
