--- a/libs/routing/tests/EvenLoadTest.cpp
+++ b/libs/routing/tests/EvenLoadTest.cpp
@@ -44,7 +44,8 @@
 
 std::ostream &operator<<(std::ostream &out, const Sizes &sizes)
 {
-    return out << sizes.daemons_ << " daemons, " << sizes.servers_ << " servers of " << sizes.slots_;
+    return out << sizes.daemons_ << " daemons, " << sizes.servers_ << " servers of "
+               << sizes.slots_;
 }
 
 class EvenLoadBound : public testing::TestWithParam<Sizes>
