Never wait for the reader of the log

Cause: easylogging++ wrote each line to std::cout.

Change: lines go to a writer that asks whether the descriptor takes bytes, and writes at most what a pipe takes at once; sockets are sent to without waiting. 256 KiB of lines are kept, further ones dropped and counted in E110. The main thread flushes what is kept every 5 s, and for at most 200 ms at the end.

--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -16,6 +16,7 @@
 inline constexpr Event memoryShort = {107, Severity::Warning, "memory-short"};
 inline constexpr Event requestLeft = {108, Severity::Warning, "request-left"};
 inline constexpr Event signalInDrain = {109, Severity::Warning, "signal-in-drain"};
+inline constexpr Event logLinesDropped = {110, Severity::Warning, "log-lines-dropped"};
 
 // 2xx: the local backend server
 inline constexpr Event backendAnnounced = {200, Severity::Info, "backend-announced"};
--- a/libs/events/include/events/Log.h
+++ b/libs/events/include/events/Log.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include <base/Millis.h>
 #include <events/Event.h>
 
 namespace events {
@@ -10,7 +11,17 @@
 /** Configures logging to standard output from a level: debug, info, warning or error. */
 void setUpLog(std::string_view level, std::string_view daemonId);
 
-/** Writes one line "E<number> <name> <detail>". Thread-safe. */
+/**
+ * Writes one line "E<number> <name> <detail>". Never waits for the reader of the log: lines that it
+ * does not take are kept within a bound, further ones are dropped and reported by
+ * events::logLinesDropped. Thread-safe.
+ */
 void log(const Event &event, const std::string &detail);
 
+/** Writes kept lines that the reader takes now; to be called now and then. Thread-safe. */
+void flushLog();
+
+/** Waits for the reader to take the kept lines, for at most `time`. Thread-safe. */
+void finishLog(base::Millis time);
+
 } // namespace events
--- /dev/null
+++ b/libs/events/tests/LineWriterTest.cpp
@@ -0,0 +1,109 @@
+#include <details/LineWriter.h>
+
+#include <array>
+#include <cstdlib>
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+
+using base::Millis;
+using events::details::LineWriter;
+
+namespace {
+
+constexpr std::size_t maxBytes = 10'000;
+
+/** A pipe or a pair of sockets, whose reader reads only when the test says so. */
+class Channel
+{
+public:
+    explicit Channel(bool isSocket)
+    {
+        EXPECT_EQ(isSocket ? ::socketpair(AF_UNIX, SOCK_STREAM, 0, ends_.data())
+                           : ::pipe(ends_.data()),
+                  0);
+        ::fcntl(ends_[0], F_SETFL, O_NONBLOCK);
+    }
+    ~Channel()
+    {
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+    Channel(const Channel &) = delete;
+    Channel &operator=(const Channel &) = delete;
+
+    int writeEnd() const { return ends_[1]; }
+
+    /** Text that can be read now. */
+    std::string read() const
+    {
+        std::string text;
+        std::array<char, 4096> part = {};
+        for (ssize_t size = 0; (size = ::read(ends_[0], part.data(), part.size())) > 0;)
+            text.append(part.data(), static_cast<std::size_t>(size));
+        return text;
+    }
+
+private:
+    std::array<int, 2> ends_ = {};
+};
+
+std::string line(int number)
+{
+    return std::to_string(number) + std::string(90, '.') + "\n";
+}
+
+} // namespace
+
+class LineWriterTest : public testing::TestWithParam<bool>
+{};
+
+TEST_P(LineWriterTest, writesAtOnceWhatTheReaderTakes)
+{
+    const Channel channel(GetParam());
+    LineWriter writer(channel.writeEnd(), maxBytes);
+    writer.write(line(1));
+    EXPECT_EQ(channel.read(), line(1));
+    EXPECT_EQ(writer.takeDropped(), 0U);
+}
+
+TEST_P(LineWriterTest, doesNotWaitForAReaderThatStops)
+{
+    const Channel channel(GetParam());
+    LineWriter writer(channel.writeEnd(), maxBytes);
+    constexpr int count = 50'000;
+    for (int i = 0; i < count; ++i)
+        writer.write(line(i));
+    EXPECT_EQ(writer.takeDropped(), 0U) << "reported while there is no room for a report";
+
+    std::string text;
+    for (std::string part = channel.read(); !part.empty(); part = channel.read()) {
+        text += part;
+        writer.flush();
+    }
+    std::string expected;
+    int kept = 0;
+    for (; expected.size() < text.size(); ++kept)
+        expected += line(kept);
+    EXPECT_EQ(text, expected) << "the first lines arrive whole and in order";
+    EXPECT_EQ(writer.takeDropped(), static_cast<std::uint64_t>(count - kept));
+    writer.write(line(count));
+    EXPECT_EQ(channel.read(), line(count));
+}
+
+TEST_P(LineWriterTest, waitsForTheReaderAtTheEndWithinABound)
+{
+    const Channel channel(GetParam());
+    LineWriter writer(channel.writeEnd(), maxBytes);
+    for (int i = 0; i < 50'000; ++i)
+        writer.write(line(i));
+    writer.flushWithin(Millis(20));
+    EXPECT_FALSE(channel.read().empty());
+    writer.flushWithin(Millis(20));
+    EXPECT_FALSE(channel.read().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Channels, LineWriterTest, testing::Bool());
--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -44,6 +44,9 @@
 /** Interval of checks whether the settings file has changed without a SIGHUP. */
 constexpr time_t settingsCheckSeconds = 5;
 
+/** How long the end of the process waits for the reader of its log. */
+constexpr base::Millis lastLinesTimeout(200);
+
 sigset_t handledSignals()
 {
     sigset_t signals;
@@ -119,6 +122,7 @@
     auto lastModified = modificationTime(file);
     while (true) {
         const auto signal = sigtimedwait(&signals, nullptr, &checkInterval);
+        events::flushLog();
         if (signal > 0 && signal != SIGHUP)
             return;
         const auto now = modificationTime(file);
@@ -144,6 +148,7 @@
     dock::Daemon daemon(settings, std::move(binding));
     if (const auto started = daemon.start(); !started) {
         events::log(events::startFailed, started.error().message_);
+        events::finishLog(lastLinesTimeout);
         return exitFailed;
     }
     events::log(events::started,
@@ -154,7 +159,9 @@
     auto ended = daemon.ended();
     waitForTermination(settings, file, signals);
     daemon.beginDrain();
-    return waitForDrain(ended, signals) ? exitOk : exitFailed;
+    const bool isDrained = waitForDrain(ended, signals);
+    events::finishLog(lastLinesTimeout);
+    return isDrained ? exitOk : exitFailed;
 }
 
 } // namespace
