Report dropped log lines at the end and while nothing is logged

Cause: E110 was written only with the next event, so that lines dropped in a burst before a quiet time or before the end were never told. In a drain, kept lines waited for the next event too.

The limits of "never waits" are written down: other processes on the same pipe, and the last lines at the end. A terminal is tested beside the pipe and the sockets.

--- a/libs/events/include/events/Log.h
+++ b/libs/events/include/events/Log.h
@@ -18,10 +18,16 @@
  */
 void log(const Event &event, const std::string &detail);
 
-/** Writes kept lines that the reader takes now; to be called now and then. Thread-safe. */
+/**
+ * Writes kept lines that the reader takes now, and reports those that were dropped; to be called
+ * now and then. Thread-safe.
+ */
 void flushLog();
 
-/** Waits for the reader to take the kept lines, for at most `time`. Thread-safe. */
+/**
+ * Waits for the reader to take the kept lines, for at most `time`, and reports those that were
+ * dropped. Thread-safe; other threads that log meanwhile wait too.
+ */
 void finishLog(base::Millis time);
 
 } // namespace events
--- a/libs/events/src/Log.cpp
+++ b/libs/events/src/Log.cpp
@@ -74,6 +74,12 @@
     }
 }
 
+void reportDropped()
+{
+    if (const auto dropped = writer().takeDropped(); dropped > 0)
+        emit(events::logLinesDropped, "lines=" + std::to_string(dropped));
+}
+
 } // namespace
 
 void setUpLog(std::string_view level, std::string_view daemonId)
@@ -96,8 +102,7 @@
 void log(const Event &event, const std::string &detail)
 {
     const std::scoped_lock lock(mutex());
-    if (const auto dropped = writer().takeDropped(); dropped > 0)
-        emit(events::logLinesDropped, "lines=" + std::to_string(dropped));
+    reportDropped();
     emit(event, detail);
 }
 
@@ -105,12 +110,14 @@
 {
     const std::scoped_lock lock(mutex());
     writer().flush();
+    reportDropped();
 }
 
 void finishLog(base::Millis time)
 {
     const std::scoped_lock lock(mutex());
     writer().flushWithin(time);
+    reportDropped();
 }
 
 } // namespace events
--- a/libs/events/src/details/LineWriter.cpp
+++ b/libs/events/src/details/LineWriter.cpp
@@ -65,11 +65,12 @@
     return ::poll(&entry, 1, waitMs) > 0;
 }
 
-long LineWriter::writeSome(std::string_view bytes) const
+ssize_t LineWriter::writeSome(std::string_view bytes) const
 {
     if (isSocket_)
         return ::send(descriptor_, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-    // A pipe that is writable takes this much at once.
+    // A pipe that is writable takes this much at once, unless another process that writes to it
+    // came first.
     return ::write(descriptor_, bytes.data(), std::min<std::size_t>(bytes.size(), PIPE_BUF));
 }
 
--- a/libs/events/src/details/LineWriter.h
+++ b/libs/events/src/details/LineWriter.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include <sys/types.h>
+
 #include <base/Millis.h>
 #include <details/LineBuffer.h>
 
@@ -34,7 +36,7 @@
 
 private:
     bool isWritable(int waitMs) const;
-    long writeSome(std::string_view bytes) const;
+    ssize_t writeSome(std::string_view bytes) const;
 
     const int descriptor_;
     const bool isSocket_;
--- a/libs/events/tests/LineWriterTest.cpp
+++ b/libs/events/tests/LineWriterTest.cpp
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <sys/socket.h>
+#include <termios.h>
 #include <unistd.h>
 
 #include <gtest/gtest.h>
@@ -16,15 +17,35 @@
 
 constexpr std::size_t maxBytes = 10'000;
 
-/** A pipe or a pair of sockets, whose reader reads only when the test says so. */
+enum class Kind { Pipe, Sockets, Terminal };
+
+/** Opens both ends; true on success. */
+bool openEnds(Kind kind, std::array<int, 2> &ends)
+{
+    switch (kind) {
+    case Kind::Pipe:
+        return ::pipe(ends.data()) == 0;
+    case Kind::Sockets:
+        return ::socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0;
+    case Kind::Terminal:
+        ends[0] = ::posix_openpt(O_RDWR | O_NOCTTY);
+        if (::grantpt(ends[0]) != 0 || ::unlockpt(ends[0]) != 0)
+            return false;
+        ends[1] = ::open(::ptsname(ends[0]), O_RDWR | O_NOCTTY);
+        termios mode = {};
+        ::cfmakeraw(&mode);
+        return ::tcsetattr(ends[1], TCSANOW, &mode) == 0;
+    }
+    return false;
+}
+
+/** A channel whose reader reads only when the test says so. */
 class Channel
 {
 public:
-    explicit Channel(bool isSocket)
+    explicit Channel(Kind kind)
     {
-        EXPECT_EQ(isSocket ? ::socketpair(AF_UNIX, SOCK_STREAM, 0, ends_.data())
-                           : ::pipe(ends_.data()),
-                  0);
+        EXPECT_TRUE(openEnds(kind, ends_));
         ::fcntl(ends_[0], F_SETFL, O_NONBLOCK);
     }
     ~Channel()
@@ -58,7 +79,7 @@
 
 } // namespace
 
-class LineWriterTest : public testing::TestWithParam<bool>
+class LineWriterTest : public testing::TestWithParam<Kind>
 {};
 
 TEST_P(LineWriterTest, writesAtOnceWhatTheReaderTakes)
@@ -106,4 +127,5 @@
     EXPECT_FALSE(channel.read().empty());
 }
 
-INSTANTIATE_TEST_SUITE_P(Channels, LineWriterTest, testing::Bool());
+INSTANTIATE_TEST_SUITE_P(Channels, LineWriterTest,
+                         testing::Values(Kind::Pipe, Kind::Sockets, Kind::Terminal));
--- a/tools/fuchsiadock/DaemonCommand.cpp
+++ b/tools/fuchsiadock/DaemonCommand.cpp
@@ -63,6 +63,7 @@
     const timespec pollInterval = {0, drainPollNanos};
     while (ended.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
         const auto signal = sigtimedwait(&signals, nullptr, &pollInterval);
+        events::flushLog();
         if (signal > 0)
             events::log(events::signalInDrain, std::string("signal=") + ::strsignal(signal));
         if (signal == SIGINT)
