Give conditional records a key, and read them from any partition

Cause: the allotters' records held only the daemon's name, and nothing could read them, so a challenger could not learn who appended last.

Change: a conditional append has a key, and KeyedLog reads a partition from an offset without waiting.

--- a/libs/logclient/include/logclient/ConditionalAppend.h
+++ b/libs/logclient/include/logclient/ConditionalAppend.h
@@ -19,6 +19,7 @@
     std::string topic_;
     std::uint32_t partition_ = 0;
     std::uint64_t expectedEnd_ = 0; ///< offset that the new record gets
+    std::string key_;               ///< of the record; an ordinary topic keeps all records of a key
     std::string value_;
     std::string producer_; ///< unique name of the sender in this partition
     std::uint64_t sequence_ = 0;
--- a/libs/logclient/include/logclient/KeyedLog.h
+++ b/libs/logclient/include/logclient/KeyedLog.h
@@ -37,6 +37,10 @@
     virtual void put(const std::string &topic, const std::string &key, const std::string &value,
                      PutDone done) = 0;
 
+    /** Reads the records of a partition from an offset on that has one, without waiting. */
+    virtual void readPartition(const std::string &topic, std::uint32_t partition,
+                               std::uint64_t from, KeyedDone done) = 0;
+
     /** One append on the condition that a partition of an ordinary topic ends at an offset. */
     virtual void appendAt(const ConditionalAppend &append, ConditionalDone done) = 0;
 };
