Let a successor wait less for the lease of a lost allotter

Change: an announced end of the partition starts the wait, unless the log is silent, when the former allotter goes first; proof that the process which appended last has ended makes it needless, and shortens the time in which the successor gives less.

Allowances.areServedSoonAfterAllDaemonsRestart fails without the proof.

--- a/libs/allowance/include/allowance/Tenure.h
+++ b/libs/allowance/include/allowance/Tenure.h
@@ -13,6 +13,7 @@
     base::Millis since_;
     base::Millis quietUntil_; ///< until then parts of an earlier tenure may be in force
     base::Millis validUntil_; ///< grants are allowed before this time
+    std::uint64_t end_ = 0;   ///< of the partition, after the last append of this tenure
 
     bool operator==(const Tenure &) const = default;
 };
--- a/libs/allowance/src/Authority.cpp
+++ b/libs/allowance/src/Authority.cpp
@@ -34,10 +34,34 @@
         return 0;
     if (wasLast_)
         return now >= renewAt_ ? end_ : std::nullopt;
+    if (holderEndedAt_)
+        return end_;
     // Whoever appended the last record had sent it before its end was heard here.
     return now >= endKnownAt_ + settings_.lease_ + settings_.margin_ ? end_ : std::nullopt;
 }
 
+std::optional<std::uint64_t> Authority::awaitedEnd(base::Millis now) const
+{
+    const bool isWaiting = !isReleased_ && now < claimUntil_ && !call_ && !handOver_ && !wasLast_
+                           && !holderEndedAt_;
+    return isWaiting ? end_ : std::nullopt;
+}
+
+void Authority::onEndHeard(std::uint64_t end, base::Millis now)
+{
+    lastNow_ = now;
+    if (isReleased_ || call_ || end <= end_.value_or(0))
+        return;
+    onEndMoved(end, now);
+    isEndAnnounced_ = true;
+}
+
+void Authority::onHolderEnded(std::uint64_t end, base::Millis now)
+{
+    if (awaitedEnd(now) == end)
+        holderEndedAt_ = now;
+}
+
 std::optional<Append> Authority::due(base::Millis now)
 {
     lastNow_ = now;
@@ -64,14 +88,17 @@
     std::visit(base::Overloaded{
                        [&](const Appended &appended) { onAppended(appended.end_, now); },
                        [&](const EndMoved &moved) { onEndMoved(moved.end_, now); },
-                       [&](const NoAnswer &) {
-                           call_->isInFlight_ = false;
-                           call_->resendAt_ = now + settings_.appendRetryDelay_;
-                       },
+                       [&](const NoAnswer &) { onNoAnswer(now); },
                },
                result);
 }
 
+/** The former allotter has granted nothing from this time on. */
+base::Millis Authority::lastGrantBefore() const
+{
+    return holderEndedAt_.value_or(endKnownAt_ + settings_.lease_);
+}
+
 void Authority::onAppended(std::uint64_t end, base::Millis now)
 {
     const auto call = *std::exchange(call_, std::nullopt);
@@ -80,11 +107,13 @@
     if (!isContinued) {
         tenure_.fence_ = end;
         tenure_.since_ = now;
-        tenure_.quietUntil_ = isFirst || call.isHandOver_
-                                      ? now
-                                      : endKnownAt_ + settings_.lease_ + settings_.partValidity_
-                                                + settings_.margin_;
+        tenure_.quietUntil_ =
+                isFirst || call.isHandOver_
+                        ? now
+                        : lastGrantBefore() + settings_.partValidity_ + settings_.margin_;
     }
+    holderEndedAt_.reset();
+    tenure_.end_ = end;
     // The append may have taken effect as early as it was first sent.
     tenure_.validUntil_ = call.firstSent_ + settings_.lease_;
     renewAt_ = call.firstSent_ + settings_.renewInterval_;
@@ -94,11 +123,34 @@
     ++sequence_;
 }
 
+void Authority::onNoAnswer(base::Millis now)
+{
+    if (isEndAnnounced_ && !wasLast_ && !call_->isHandOver_) {
+        // The former allotter may be waiting for the log as well, and knows its ledger: it gets a
+        // lease's time once the log answers.
+        forgetEnd();
+        return;
+    }
+    call_->isInFlight_ = false;
+    call_->resendAt_ = now + settings_.appendRetryDelay_;
+}
+
+void Authority::forgetEnd()
+{
+    call_.reset();
+    end_.reset();
+    isEndAnnounced_ = false;
+    ++series_;
+    sequence_ = 0;
+}
+
 void Authority::onEndMoved(std::uint64_t end, base::Millis now)
 {
     call_.reset();
     end_ = end;
     endKnownAt_ = now;
+    holderEndedAt_.reset();
+    isEndAnnounced_ = false;
     wasLast_ = false;
     tenure_ = {};
     ++series_;
--- a/libs/allowance/tests/AllowanceTest.cpp
+++ b/libs/allowance/tests/AllowanceTest.cpp
@@ -100,6 +100,25 @@
     EXPECT_GE(cluster.admittedShare(hot, seconds(52), seconds(60)), 0.9 * 20 / 800);
 }
 
+TEST(Allowances, areServedSoonAfterAllDaemonsRestart)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        Cluster cluster(40, settingsOf(), {customerOf(hot, 100, 100)}, seed);
+        cluster.runUntil(seconds(5));
+        cluster.load(hot, range(0, 40), 40, seconds(30));
+        cluster.runUntil(seconds(20));
+        for (std::size_t i = 0; i < 40; ++i) {
+            cluster.kill(i);
+            cluster.start(i);
+        }
+        cluster.runUntil(seconds(30));
+        // A daemon that has restarted proves that its predecessor grants nothing any more.
+        EXPECT_GE(cluster.admittedShare(hot, seconds(20.5), seconds(25)), 0.8) << seed;
+        EXPECT_GE(cluster.admittedShare(hot, seconds(25), seconds(30)), 0.95) << seed;
+        EXPECT_LE(cluster.excess(hot), 0);
+    }
+}
+
 TEST(Allowances, outliveTheirAllotter)
 {
     auto cluster = clusterOf(20);
--- a/libs/allowance/tests/AuthorityTest.cpp
+++ b/libs/allowance/tests/AuthorityTest.cpp
@@ -56,6 +56,63 @@
 
 } // namespace
 
+TEST(Authority, isTakenAtOnceFromAProcessThatHasEnded)
+{
+    const Settings settings;
+    Partition partition;
+    Authority former(settings);
+    former.claim(Millis(0));
+    run(former, 1, partition, Millis(0));
+    Authority next(settings);
+    next.claim(Millis(100));
+    run(next, 2, partition, Millis(100));
+    ASSERT_FALSE(next.tenure(Millis(100)));
+    ASSERT_EQ(next.awaitedEnd(Millis(100)), partition.end());
+    next.onHolderEnded(partition.end() + 1, Millis(110));
+    run(next, 2, partition, Millis(110));
+    ASSERT_FALSE(next.tenure(Millis(110))) << "the proof is of another record";
+    next.onHolderEnded(partition.end(), Millis(120));
+    run(next, 2, partition, Millis(120));
+    const auto tenure = next.tenure(Millis(120));
+    ASSERT_TRUE(tenure);
+    EXPECT_EQ(tenure->quietUntil_, Millis(120) + settings.partValidity_ + settings.margin_);
+}
+
+TEST(Authority, isTakenALeaseAfterTheLastAnnouncement)
+{
+    const Settings settings;
+    Partition partition;
+    Authority former(settings);
+    former.claim(Millis(0));
+    run(former, 1, partition, Millis(0));
+    Authority next(settings);
+    next.onEndHeard(partition.end(), Millis(5));
+    next.claim(Millis(1000));
+    const auto over = Millis(5) + settings.lease_ + settings.margin_;
+    run(next, 2, partition, over - Millis(1));
+    EXPECT_FALSE(next.tenure(over - Millis(1)));
+    run(next, 2, partition, over);
+    EXPECT_TRUE(next.tenure(over));
+}
+
+TEST(Authority, isNotTakenByAnAnnouncementThatCameBeforeAnOutageOfTheLog)
+{
+    const Settings settings;
+    Partition partition;
+    Authority former(settings);
+    former.claim(Millis(0));
+    run(former, 1, partition, Millis(0));
+    Authority next(settings);
+    next.onEndHeard(partition.end(), Millis(5));
+    next.claim(Millis(3000));
+    const auto unanswered = next.due(Millis(3000));
+    ASSERT_TRUE(unanswered);
+    next.onResult(*unanswered, NoAnswer{}, Millis(3400));
+    run(next, 2, partition, Millis(3500));
+    EXPECT_FALSE(next.tenure(Millis(3500))) << "the former allotter has its ledger and goes first";
+    EXPECT_EQ(next.awaitedEnd(Millis(3500)), partition.end());
+}
+
 TEST(Authority, isHeldAtOnceOnAnEmptyPartition)
 {
     Partition partition;
--- a/libs/allowance/tests/Cluster.h
+++ b/libs/allowance/tests/Cluster.h
@@ -277,6 +277,7 @@
     {
         std::uint64_t end_ = 0;
         std::map<std::string, std::uint64_t> appended_; ///< end by producer and sequence
+        std::pair<std::size_t, std::uint64_t> last_; ///< daemon and generation of the last append
     };
 
     const model::Allowance *allowanceOf(const std::string &customer) const
@@ -395,8 +396,11 @@
     {
         auto &daemon = daemons_[index];
         const auto append = daemon.authorities_[group].due(now_);
-        if (!append)
+        if (!append) {
+            if (const auto end = daemon.authorities_[group].awaitedEnd(now_))
+                askHolder(index, group, *end);
             return;
+        }
         ++storeCalls_;
         const auto generation = daemon.generation_;
         const auto reply = [=, this](const AppendResult &result) {
@@ -413,7 +417,7 @@
                               + std::to_string(append->sequence_);
         const bool isLost = random_.unit() < network_.storeLoss_;
         schedule(now_ + delay(network_.storeLate_), [=, this] {
-            const auto result = execute(partitions_[group], *append, producer);
+            const auto result = execute(partitions_[group], *append, producer, {index, generation});
             if (isLost || now_ >= timeout)
                 return;
             schedule(now_ + base::Millis(2), [=] { reply(result); });
@@ -421,14 +425,35 @@
         schedule(timeout + base::Millis(2), [=] { reply(NoAnswer{}); });
     }
 
+    /** Reads who appended last, and asks that daemon whether it is still that process. */
+    void askHolder(std::size_t index, std::uint32_t group, std::uint64_t end)
+    {
+        const auto generation = daemons_[index].generation_;
+        if (daemons_[index].side_ != 0 || now_ < storeDownUntil_ || partitions_[group].end_ != end)
+            return;
+        const auto [holder, process] = partitions_[group].last_;
+        send(index, holder, 0, [=, this, process = process](std::size_t at) {
+            if (daemons_[at].generation_ == process)
+                return;
+            send(at, index, 0, [=, this](std::size_t back) {
+                if (daemons_[back].generation_ != generation)
+                    return;
+                daemons_[back].authorities_[group].onHolderEnded(end, now_);
+                runAuthority(back, group);
+            });
+        });
+    }
+
     static AppendResult execute(Partition &partition, const Append &append,
-                                const std::string &producer)
+                                const std::string &producer,
+                                const std::pair<std::size_t, std::uint64_t> &sender)
     {
         if (const auto known = partition.appended_.find(producer);
             known != partition.appended_.end())
             return Appended{known->second};
         if (append.expectedEnd_ != partition.end_)
             return EndMoved{partition.end_};
+        partition.last_ = sender;
         partition.appended_[producer] = ++partition.end_;
         return Appended{partition.end_};
     }
@@ -444,6 +469,8 @@
             daemon.allotters_[group].setTenure({}, now_);
         if (!tenure)
             return;
+        if (std::holds_alternative<Appended>(result))
+            announce(index, group, tenure->end_);
         daemon.allotters_[group].setTenure(*tenure, now_);
         if (auto &handOver = daemon.handOvers_[group];
             handOver && handOver->end_ + 1 == tenure->fence_) {
@@ -452,6 +479,20 @@
         }
     }
 
+    /** Tells the first candidates where the partition ends. */
+    void announce(std::size_t index, std::uint32_t group, std::uint64_t end)
+    {
+        const auto listeners = candidates(group);
+        for (std::size_t i = 0; i < std::min<std::size_t>(3, listeners.size()); ++i) {
+            const auto listener = ids_.at(listeners[i]);
+            if (listener == index)
+                continue;
+            send(index, listener, 0, [=, this](std::size_t at) {
+                daemons_[at].authorities_[group].onEndHeard(end, now_);
+            });
+        }
+    }
+
     void settle(std::size_t index)
     {
         auto &daemon = daemons_[index];
