Ask the daemon that appended last whether that process still runs

Change: records of allotters name the process and its control address. A challenger reads the last one and asks there which process runs: another one of the same daemon proves that the holder has ended, the same one is told to the data task as the likely allotter. Announcements carry the end of the partition.

--- a/libs/dock/include/dock/Messages.h
+++ b/libs/dock/include/dock/Messages.h
@@ -82,10 +82,18 @@
     std::uint64_t end_ = 0; ///< of the group's partition
 };
 
+/** Another daemon appended last to a group's partition, and is running: it may be the allotter. */
+struct AllotterSeen
+{
+    std::uint32_t group_ = 0;
+    std::string id_;
+};
+
 /** Messages from the control task to the data task. */
 using DataTaskMessage =
         std::variant<ConfigUpdated, ConfigConfirmed, MembersUpdated, IncarnationChanged, BeginDrain,
-                     BackendAnnounced, BackendDraining, TenureChanged, AuthorityReleased>;
+                     BackendAnnounced, BackendDraining, TenureChanged, AuthorityReleased,
+                     AllotterSeen>;
 
 /** The local backend server has registered, changed or left. */
 struct BackendStateChanged
@@ -141,12 +149,19 @@
     std::optional<std::uint64_t> handOverEnd_; ///< set if the former allotter has resigned there
 };
 
+/** The allotter of a group tells where the group's partition ended after its last append. */
+struct PartitionEndHeard
+{
+    std::uint32_t group_ = 0;
+    std::uint64_t end_ = 0;
+};
+
 /** Gives up the authority over all groups, as this daemon leaves. */
 struct ReleaseAuthority
 {};
 
 /** Messages from the data task to the control task. */
-using ControlTaskMessage =
-        std::variant<BackendStateChanged, DataStatus, DrainEnded, ClaimAuthority, ReleaseAuthority>;
+using ControlTaskMessage = std::variant<BackendStateChanged, DataStatus, DrainEnded, ClaimAuthority,
+                                        PartitionEndHeard, ReleaseAuthority>;
 
 } // namespace dock
--- a/libs/dock/src/ControlTask.cpp
+++ b/libs/dock/src/ControlTask.cpp
@@ -230,6 +230,10 @@
                            if (auto *platform = platformSource())
                                platform->claimAuthority(claim);
                        },
+                       [this](const PartitionEndHeard &heard) {
+                           if (auto *platform = platformSource())
+                               platform->hearPartitionEnd(heard);
+                       },
                        [this](const ReleaseAuthority &) {
                            if (auto *platform = platformSource())
                                platform->releaseAuthority();
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -242,6 +242,7 @@
                     [this](const BackendDraining &) { executor_.backendLeft(); },
                     [this](const TenureChanged &change) { allowances_.onTenure(change); },
                     [this](const AuthorityReleased &released) { allowances_.onReleased(released); },
+                    [this](const AllotterSeen &seen) { allowances_.onSeen(seen.group_, seen.id_); },
             },
             message);
 }
--- a/libs/dock/src/details/AllotterAuthority.cpp
+++ b/libs/dock/src/details/AllotterAuthority.cpp
@@ -37,18 +37,25 @@
 } // namespace
 
 AllotterAuthority::AllotterAuthority(net::Reactor &reactor, logclient::KeyedLog &log,
-                                     std::string topic, std::string daemonId,
-                                     std::uint64_t generation, const SourceHooks &hooks)
+                                     std::string topic, const AllotterRecord &self,
+                                     Identify identify, const SourceHooks &hooks)
     : reactor_(reactor)
     , log_(log)
     , topic_(std::move(topic))
-    , daemonId_(std::move(daemonId))
-    , process_(daemonId_ + "-" + std::to_string(generation) + "-")
+    , self_(self)
+    , process_(self.holder_.id_ + "-" + std::to_string(self.holder_.generation_) + "-")
     , hooks_(hooks)
     , groups_{GroupState{allowance::Authority(settings_), {}, {}, false},
               GroupState{allowance::Authority(settings_), {}, {}, false},
               GroupState{allowance::Authority(settings_), {}, {}, false},
               GroupState{allowance::Authority(settings_), {}, {}, false}}
+    , watch_(log, topic_, self,
+             {.identify_ = std::move(identify),
+              .onEnded_ = [this](std::uint32_t group, std::uint64_t end) { onEnded(group, end); },
+              .onRunning_ =
+                      [this](std::uint32_t group, const std::string &id) {
+                          hooks_.sendToDataTask_(AllotterSeen{group, id});
+                      }})
 {}
 
 AllotterAuthority::~AllotterAuthority()
@@ -71,6 +78,12 @@
     scheduleTick();
 }
 
+void AllotterAuthority::onEndHeard(const PartitionEndHeard &heard)
+{
+    groups_.at(heard.group_).authority_.onEndHeard(heard.end_, base::elapsedNow());
+    report(heard.group_);
+}
+
 void AllotterAuthority::release()
 {
     if (std::exchange(isReleased_, true))
@@ -86,18 +99,30 @@
     auto &state = groups_[group];
     if (state.isInFlight_)
         return;
-    if (const auto append = state.authority_.due(base::elapsedNow())) {
+    const auto now = base::elapsedNow();
+    if (const auto append = state.authority_.due(now)) {
         state.isInFlight_ = true;
         send(group, *append);
+    } else if (const auto end = state.authority_.awaitedEnd(now)) {
+        watch_.look(group, *end, now);
     }
 }
 
+void AllotterAuthority::onEnded(std::uint32_t group, std::uint64_t end)
+{
+    if (isReleased_)
+        return;
+    groups_[group].authority_.onHolderEnded(end, base::elapsedNow());
+    advance(group);
+}
+
 void AllotterAuthority::send(std::uint32_t group, const allowance::Append &append)
 {
     log_.appendAt({.topic_ = topic_,
                    .partition_ = group,
                    .expectedEnd_ = append.expectedEnd_,
-                   .value_ = daemonId_,
+                   .key_ = self_.holder_.id_,
+                   .value_ = self_.encode(),
                    .producer_ = process_ + std::to_string(append.series_),
                    .sequence_ = append.sequence_,
                    .timeout_ = appendTimeout},
--- a/libs/dock/src/details/AllotterAuthority.h
+++ b/libs/dock/src/details/AllotterAuthority.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -11,6 +12,7 @@
 #include <dock/Messages.h>
 #include <net/Reactor.h>
 
+#include "HolderWatch.h"
 #include "SourceHooks.h"
 
 namespace logclient {
@@ -26,15 +28,22 @@
 class AllotterAuthority
 {
 public:
-    /** Appends go to a partition of the topic for each group, in the name of this process. */
+    using Identify = std::function<void(const model::Address &, HolderWatch::IdentityHandler)>;
+
+    /**
+     * Appends go to a partition of the topic for each group, in the name of this process;
+     * `identify` asks the daemon at a control address which process it is.
+     */
     AllotterAuthority(net::Reactor &reactor, logclient::KeyedLog &log, std::string topic,
-                      std::string daemonId, std::uint64_t generation, const SourceHooks &hooks);
+                      const AllotterRecord &self, Identify identify, const SourceHooks &hooks);
     ~AllotterAuthority();
     AllotterAuthority(const AllotterAuthority &) = delete;
     AllotterAuthority &operator=(const AllotterAuthority &) = delete;
 
     void claim(const ClaimAuthority &claim);
 
+    void onEndHeard(const PartitionEndHeard &heard);
+
     /** Ends the authority over all groups for good. */
     void release();
 
@@ -48,6 +57,7 @@
     };
 
     void advance(std::uint32_t group);
+    void onEnded(std::uint32_t group, std::uint64_t end);
     void send(std::uint32_t group, const allowance::Append &append);
     void report(std::uint32_t group);
     void scheduleTick();
@@ -56,11 +66,12 @@
     net::Reactor &reactor_;
     logclient::KeyedLog &log_;
     const std::string topic_;
-    const std::string daemonId_;
+    const AllotterRecord self_;
     const std::string process_; ///< prefix of producer names
     const SourceHooks &hooks_;
     const allowance::Settings settings_;
     std::array<GroupState, allowance::groupCount> groups_;
+    HolderWatch watch_;
     net::TimerId timer_ = 0;
     bool isReleased_ = false;
 };
--- a/libs/dock/src/details/Allowances.cpp
+++ b/libs/dock/src/details/Allowances.cpp
@@ -1,6 +1,7 @@
 #include "Allowances.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include <allowance/Codec.h>
@@ -349,29 +350,42 @@
     return {};
 }
 
-/** Tells those that are asked first who the allotter is, as it may not be one of them. */
-void Allowances::announce(std::uint32_t group)
+/**
+ * Tells those that are asked first who the allotter is, as it may not be one of them, and where the
+ * partition ends, so that one of them can take over a lease after the last announcement.
+ */
+void Allowances::announce(std::uint32_t group, std::uint64_t end)
 {
+    std::ostringstream text;
+    text << group << ' ' << self_.id_ << ' ' << end;
     const auto &candidates = groups_[group].candidates_;
     for (std::size_t i = 0; i < std::min(announcedTo, candidates.size()); ++i) {
         const auto *member = candidates[i] == self_.id_ ? nullptr : findMember(candidates[i]);
         if (member != nullptr)
-            client_.send(member->peerAddress_,
-                         peerMessage(tenureKind, std::to_string(group) + " " + self_.id_),
+            client_.send(member->peerAddress_, peerMessage(tenureKind, text.str()),
                          settings_.askTimeout_, [](const net::CallResult &) {});
     }
 }
 
 net::HttpResponse Allowances::onAnnounced(const std::string &body)
 {
-    const auto space = body.find(' ');
-    const auto group = static_cast<std::uint32_t>(body.empty() ? 0 : body.front() - '0');
-    if (space != 1 || group >= groups_.size())
+    std::istringstream text(body);
+    std::uint32_t group = 0;
+    std::string id;
+    std::uint64_t end = 0;
+    if (!(text >> group >> id >> end) || group >= groups_.size())
         return {.status_ = statusBadRequest};
+    onSeen(group, id);
+    if (!isLeaving_)
+        sendToControlTask_(PartitionEndHeard{group, end});
+    return {};
+}
+
+void Allowances::onSeen(std::uint32_t group, const std::string &id)
+{
     auto &state = groups_[group];
-    state.announced_ = body.substr(space + 1);
+    state.announced_ = id;
     state.announcedUntil_ = base::elapsedNow() + settings_.lease_;
-    return {};
 }
 
 net::HttpResponse Allowances::onHandOver(const std::string &body)
@@ -398,7 +412,7 @@
     state.allotter_.setTenure(tenure, now);
     if (!change.tenure_)
         return;
-    announce(change.group_);
+    announce(change.group_, tenure.end_);
     // The ledger is complete only if nobody has appended since the former allotter resigned.
     const auto received = std::exchange(state.received_, std::nullopt);
     if (received && tenure.fence_ == received->end_ + 1)
--- a/libs/dock/src/details/Allowances.h
+++ b/libs/dock/src/details/Allowances.h
@@ -82,6 +82,9 @@
     net::HttpResponse onHandOver(const std::string &body);
     net::HttpResponse onAnnounced(const std::string &body);
 
+    /** The daemon may be the allotter of the group: asks go there for a while. */
+    void onSeen(std::uint32_t group, const std::string &id);
+
     void onTenure(const TenureChanged &change);
     void onReleased(const AuthorityReleased &released);
 
@@ -111,7 +114,7 @@
     void updateCandidates();
     void claimAsFirst();
     void claim(std::uint32_t group);
-    void announce(std::uint32_t group);
+    void announce(std::uint32_t group, std::uint64_t end);
     allowance::Answer answer(const allowance::Ask &ask);
     allowance::NotAllotter notAllotter(const allowance::Ask &ask);
     void send(const allowance::OutgoingAsk &outgoing);
--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <sstream>
 
 #include <base/Clock.h>
 #include <base/Hash.h>
@@ -28,6 +29,9 @@
 /** Path on the control port at which daemons ask whether their revision is the newest. */
 const std::string confirmationPath = "/config-confirmation";
 
+/** Path on the control port at which daemons ask which process runs there. */
+const std::string processPath = "/process";
+
 /** Orders the daemons of a data centre by who reads the log. */
 constexpr const char *readerDuty = "config-reader";
 
@@ -80,6 +84,7 @@
     , client_(reactor)
     , tracker_(settings.platform_->service_, settings.platform_->backendAddress_)
     , random_(generation)
+    , self_{settings.id_, generation}
 {
     follow::Options options;
     options.seed_ = generation;
@@ -106,8 +111,10 @@
                     .self_ = {settings.id_, settings.dataCentre_, settings.controlAddress_},
                     .seed_ = generation},
             [this](std::vector<model::Address> seeds) { hooks_.onSeeds_(std::move(seeds)); });
-    authority_ = std::make_unique<AllotterAuthority>(reactor, *log_, binding.allowanceTopic_,
-                                                     settings.id_, generation, hooks_);
+    authority_ = std::make_unique<AllotterAuthority>(
+            reactor, *log_, binding.allowanceTopic_,
+            AllotterRecord{self_, settings.controlAddress_},
+            [this](const auto &address, auto done) { identify(address, std::move(done)); }, hooks_);
 }
 
 PlatformSource::~PlatformSource()
@@ -305,6 +312,22 @@
                  });
 }
 
+/** Asks a daemon which process it is. */
+void PlatformSource::identify(const model::Address &address, HolderWatch::IdentityHandler done)
+{
+    client_.send(
+            address, {.target_ = processPath}, inquiryTimeout,
+            [done = std::move(done)](const net::CallResult &result) {
+                once::Incarnation process;
+                if (!result || result->status_ != statusOk
+                    || !(std::istringstream(result->body_) >> process.generation_ >> process.id_)) {
+                    done(std::nullopt);
+                    return;
+                }
+                done(process);
+            });
+}
+
 net::HttpResponse PlatformSource::confirm() const
 {
     if (const auto confirmation = config_->confirmation())
@@ -360,6 +383,8 @@
         return receiveAnnouncement(request.body_);
     if (request.target_ == confirmationPath)
         return confirm();
+    if (request.target_ == processPath)
+        return net::HttpResponse{.body_ = std::to_string(self_.generation_) + " " + self_.id_};
     if (request.target_ != configPath)
         return std::nullopt;
     if (revision_ == 0)
--- a/libs/dock/src/details/PlatformSource.h
+++ b/libs/dock/src/details/PlatformSource.h
@@ -70,6 +70,7 @@
     void drain();
 
     void claimAuthority(const ClaimAuthority &claim) { authority_->claim(claim); }
+    void hearPartitionEnd(const PartitionEndHeard &heard) { authority_->onEndHeard(heard); }
     void releaseAuthority() { authority_->release(); }
 
 private:
@@ -85,6 +86,7 @@
                        std::function<void()> onFailure);
     void fetchConfig(const model::Address &address, model::Revision revision, RevisionOrigin from);
     void inquire(const model::Address &address, follow::PeerAccess::AnswerHandler done);
+    void identify(const model::Address &address, HolderWatch::IdentityHandler done);
     net::HttpResponse confirm() const;
     follow::Peers peers() const;
     bool isBehind() const;
@@ -123,6 +125,7 @@
     int catchUpAttempts_ = 0;               ///< since a member has had a higher revision
     model::Revision requestedRevision_ = 0; ///< newest one requested after an announcement; 0: none
     base::Random random_;
+    const once::Incarnation self_; ///< as this process was started; never renamed
     bool isDraining_ = false;
 };
 
