Do not take a late refund for one of a token that is in use

Cause: Purse counted a refund if some token had been taken within 20 ms, so a refund that came a second late returned the token of another request, which ran.

Change: a refund says when its token was taken.

--- a/libs/allowance/include/allowance/Wallet.h
+++ b/libs/allowance/include/allowance/Wallet.h
@@ -64,10 +64,10 @@
     void leave(std::string_view customer);
 
     /**
-     * A request that was admitted has not run after all. Its token comes back only within
+     * A request that was admitted at `takenAt` has not run. Its token comes back only within
      * Settings::minAskInterval_: later, tokens that are given back again and again would pile up.
      */
-    void refund(std::string_view customer, base::Millis now);
+    void refund(std::string_view customer, base::Millis takenAt, base::Millis now);
 
     /**
      * Asks to send now: to be called after Held, at least every 50 ms, and after onAnswer() once
--- a/libs/allowance/src/Wallet.cpp
+++ b/libs/allowance/src/Wallet.cpp
@@ -129,10 +129,10 @@
     }
 }
 
-void Wallet::refund(std::string_view customer, base::Millis now)
+void Wallet::refund(std::string_view customer, base::Millis takenAt, base::Millis now)
 {
     if (auto *purse = find(customer))
-        purse->giveBack(now);
+        purse->giveBack(takenAt, now);
 }
 
 Verdict Wallet::refuse(details::Purse &purse, RefusalReason reason, base::Millis now)
--- a/libs/allowance/src/details/Purse.cpp
+++ b/libs/allowance/src/details/Purse.cpp
@@ -98,9 +98,11 @@
     return true;
 }
 
-void Purse::giveBack(base::Millis now)
+void Purse::giveBack(base::Millis takenAt, base::Millis now)
 {
-    if (returnable_ == 0 || now >= takenSince_ + settings_.minAskInterval_)
+    // The period alone would return a late token in place of one that is used.
+    const auto first = std::min(takenAt, takenSince_);
+    if (returnable_ == 0 || now >= first + settings_.minAskInterval_)
         return;
     advance(now);
     --returnable_;
--- a/libs/allowance/src/details/Purse.h
+++ b/libs/allowance/src/details/Purse.h
@@ -30,8 +30,8 @@
 
     void recordDemand(base::Millis now);
     bool take(base::Millis now);
-    /** Gives back a token that was taken just now; later ones would pile up. */
-    void giveBack(base::Millis now);
+    /** Gives back a token if it was taken just now; later ones would pile up. */
+    void giveBack(base::Millis takenAt, base::Millis now);
     void recordRefusal() { ++refused_; }
 
     void hold() { ++held_; }
--- a/libs/allowance/tests/AdversaryTest.cpp
+++ b/libs/allowance/tests/AdversaryTest.cpp
@@ -102,6 +102,31 @@
     EXPECT_LE(cluster.excess(hot), 0);
 }
 
+// Late refunds must not return tokens in place of those that other requests have just used.
+TEST(Adversary, lateRefundsReturnNoTokensThatAreUsed)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Settings settings;
+        settings.overrun_ = 0.05;
+        settings.window_ = Millis(10'000);
+        model::Customer customer{.name_ = hot};
+        customer.allowance_ = model::Allowance{200, 0};
+        Cluster cluster(12, settings, {customer}, seed);
+        std::vector<std::size_t> all(12);
+        std::iota(all.begin(), all.end(), 0);
+        const std::vector<std::size_t> some{4, 5, 6, 7};
+        cluster.load(hot, all, 600, Millis(5300));
+        cluster.runUntil(Millis(5300));
+        cluster.setRefundAfter(Millis(1000));
+        cluster.load(hot, some, 200, Millis(7500));
+        cluster.runUntil(Millis(7500));
+        cluster.setRefundAfter({});
+        cluster.load(hot, some, 1600, Millis(20'000));
+        cluster.runUntil(Millis(20'000));
+        EXPECT_LE(cluster.excess(hot), 0) << seed;
+    }
+}
+
 // A burst that the bucket holds is not refused, also when it enters at one daemon.
 TEST(Adversary, aBurstWithinTheAllowanceIsAdmitted)
 {
--- a/libs/allowance/tests/Cluster.h
+++ b/libs/allowance/tests/Cluster.h
@@ -508,28 +508,30 @@
     void record(std::size_t index, const std::string &customer, const Verdict &verdict)
     {
         auto &result = results_[customer];
-        std::visit(
-                base::Overloaded{
-                        [&](const Admitted &) {
-                            if (refundAfter_ > base::Millis()) {
-                                schedule(now_ + refundAfter_,
-                                         [=, this, generation = daemons_[index].generation_] {
-                                             deliver(index, generation, [=, this](std::size_t at) {
-                                                 daemons_[at].wallet_->refund(customer, now_);
-                                             });
-                                         });
-                                return;
-                            }
-                            result.admitted_.push_back(now_);
-                            ++result.admittedAt_[index];
-                        },
-                        [](const Held &) {},
-                        [&](const Refused &refused) {
-                            ++(refused.reason_ == RefusalReason::Spent ? result.spent_
-                                                                       : result.unknown_);
-                        },
-                },
-                verdict);
+        std::visit(base::Overloaded{
+                           [&](const Admitted &) {
+                               if (refundAfter_ > base::Millis()) {
+                                   schedule(now_ + refundAfter_,
+                                            [=, this, takenAt = now_,
+                                             generation = daemons_[index].generation_] {
+                                                deliver(index, generation,
+                                                        [=, this](std::size_t at) {
+                                                            daemons_[at].wallet_->refund(
+                                                                    customer, takenAt, now_);
+                                                        });
+                                            });
+                                   return;
+                               }
+                               result.admitted_.push_back(now_);
+                               ++result.admittedAt_[index];
+                           },
+                           [](const Held &) {},
+                           [&](const Refused &refused) {
+                               ++(refused.reason_ == RefusalReason::Spent ? result.spent_
+                                                                          : result.unknown_);
+                           },
+                   },
+                   verdict);
     }
 
     Settings settings_;
--- a/libs/dock/src/details/Allowances.cpp
+++ b/libs/dock/src/details/Allowances.cpp
@@ -225,9 +225,9 @@
     --heldCount_;
 }
 
-void Allowances::refund(const std::string &customer)
+void Allowances::refund(const std::string &customer, base::Millis takenAt)
 {
-    wallet_->refund(customer, base::elapsedNow());
+    wallet_->refund(customer, takenAt, base::elapsedNow());
 }
 
 /** Logs that a customer is over its allowance, at most once in a while for each. */
--- a/libs/dock/src/details/Allowances.h
+++ b/libs/dock/src/details/Allowances.h
@@ -72,7 +72,7 @@
     allowance::Verdict retry(const std::string &customer);
     allowance::Verdict giveUp(const std::string &customer);
     void leave(const std::string &customer);
-    void refund(const std::string &customer);
+    void refund(const std::string &customer, base::Millis takenAt);
 
     /** Sends the asks that are due, and keeps doing so while a customer is in use. */
     void ask();
--- a/libs/dock/src/details/EntryImpl.cpp
+++ b/libs/dock/src/details/EntryImpl.cpp
@@ -160,7 +160,7 @@
     const auto verdict = allowances_.admit(call.customer_, allowance);
     std::visit(base::Overloaded{
                        [&](const allowance::Admitted &) {
-                           openRequests_.at(id).hasToken_ = true;
+                           openRequests_.at(id).tokenTakenAt_ = base::elapsedNow();
                            start(id, std::move(call), RequestSource::Caller);
                        },
                        [&](const allowance::Held &) { hold(id, std::move(call)); },
@@ -217,7 +217,8 @@
     reactor_.cancel(node.mapped().timer_);
     auto &open = openRequests_.at(id);
     open.work_ = {};
-    open.hasToken_ = hasToken;
+    if (hasToken)
+        open.tokenTakenAt_ = base::elapsedNow();
     start(id, std::move(node.mapped().call_), RequestSource::Caller);
 }
 
@@ -427,8 +428,8 @@
     const auto now = base::monotonicNow();
     if (!std::holds_alternative<once::NotRun>(outcome))
         usualTimes_.record(call.class_.name_, now - call.receivedAt_);
-    if (found->second.hasToken_ && std::holds_alternative<once::NotRun>(outcome))
-        allowances_.refund(call.customer_);
+    if (found->second.tokenTakenAt_ && std::holds_alternative<once::NotRun>(outcome))
+        allowances_.refund(call.customer_, *found->second.tokenTakenAt_);
     recordForRepeats(call, outcome, report.completedCalls_, now);
     recorder_.recordFinished(call, outcome, report, now);
     failureLog_.record(call, outcome, report, now);
--- a/libs/dock/src/details/EntryImpl.h
+++ b/libs/dock/src/details/EntryImpl.h
@@ -82,7 +82,7 @@
         Respond respond_;
         CallInfo call_; ///< without header fields and body
         Work work_;
-        bool hasToken_ = false; ///< has used a token of its customer's allowance
+        std::optional<base::Millis> tokenTakenAt_; ///< of its customer's allowance, elapsed time
     };
 
     static once::HomeSettings homeSettings(const settings::Settings &settings);
