Let an allotter that is no candidate ask itself

Cause: after several restarts a daemon became the allotter that is not among the first candidates of its group.

Change: a daemon with authority tells its own wallet, with each renewal.

--- a/libs/allowance/include/allowance/Wallet.h
+++ b/libs/allowance/include/allowance/Wallet.h
@@ -77,6 +77,9 @@
 
     void onAnswer(const Answer &answer, base::Millis now);
 
+    /** The daemon is the allotter of the group now, whether or not it is a candidate. */
+    void onAllotter(std::uint32_t group, const std::string &daemon);
+
     /** An ask could not be delivered, or was not answered. */
     void onFailure(std::uint32_t group, std::uint64_t number, base::Millis now);
 
--- a/libs/allowance/src/Wallet.cpp
+++ b/libs/allowance/src/Wallet.cpp
@@ -226,6 +226,12 @@
         group.hint_ = hint;
 }
 
+void Wallet::onAllotter(std::uint32_t group, const std::string &daemon)
+{
+    if (auto &state = groups_.at(group); state.allotter_ != daemon || state.silentSince_)
+        state.hint_ = daemon;
+}
+
 void Wallet::onGranted(GroupState &group, const Outstanding &ask, const Granted &granted,
                        base::Millis now)
 {
--- a/libs/allowance/tests/CoreTest.cpp
+++ b/libs/allowance/tests/CoreTest.cpp
@@ -68,6 +68,14 @@
     EXPECT_EQ(wallet_.retry("hot", Millis(1301)), Verdict(Held{}));
 }
 
+TEST_F(WalletTest, asksAnAllotterThatIsNoCandidate)
+{
+    wallet_.onAllotter(group_, "d");
+    const auto asks = wallet_.due(Millis(1300));
+    ASSERT_EQ(asks.size(), 1U);
+    EXPECT_EQ(asks[0].target_, "d");
+}
+
 TEST_F(WalletTest, losesItsPartByTheTimeItAsked)
 {
     wallet_.onAnswer(granted({.reserveRate_ = 100, .stock_ = 5, .refill_ = 5}), Millis(1150));
--- a/libs/dock/src/details/Allowances.cpp
+++ b/libs/dock/src/details/Allowances.cpp
@@ -399,6 +399,9 @@
     if (!change.tenure_)
         return;
     announce(change.group_);
+    // The others do not tell this daemon that it is the allotter itself.
+    if (wallet_)
+        wallet_->onAllotter(change.group_, self_.id_);
     // The ledger is complete only if nobody has appended since the former allotter resigned.
     const auto received = std::exchange(state.received_, std::nullopt);
     if (received && tenure.fence_ == received->end_ + 1)
