Let the fault matrix hold requests for tokens

Change: a customer asks for two and a half times its allowance, each request sent once, while a fault hits each step. Entries hold and refuse its requests by the real Wallet, ask the real Allotter, and give tokens back; the allotter is a daemon that faults hit. The requests of withdrawn keys are sent by the same function now.

--- a/libs/faultmatrix/tests/Daemon.cpp
+++ b/libs/faultmatrix/tests/Daemon.cpp
@@ -109,6 +109,7 @@
         identity_->configure(cluster_.config_);
         identity_->confirm(network_.now());
     }
+    startAllowances();
     if (cluster_.revocationTime_ > base::Millis())
         readLog();
     membersChanged();
@@ -150,7 +151,10 @@
             accepted.customer_ = admitted->customer_->name_;
         else if (parent != nullptr)
             accepted.customer_ = parent->customer_;
-        accept(accepted, respond);
+        if (admitted->customer_ != nullptr && admitted->customer_->allowance_)
+            startWithin(*admitted->customer_->allowance_, accepted, respond);
+        else
+            accept(accepted, respond);
         return;
     }
     if (once::mayHaveRun(request.key_, !request.context_.empty()))
@@ -227,7 +231,8 @@
 
 void Daemon::exitWhenIdle()
 {
-    const bool isBusy = homeCounts().waiting_ + executorCounts().waiting_ > 0 || !jobs_.empty();
+    const bool isBusy = homeCounts().waiting_ + executorCounts().waiting_ > 0 || !jobs_.empty()
+                        || !held_.empty();
     if (!isBusy) {
         network_.crash(id_, true);
         network_.crash(backendProcess(), true);
--- a/libs/faultmatrix/tests/Daemon.h
+++ b/libs/faultmatrix/tests/Daemon.h
@@ -12,6 +12,8 @@
 #include <History.h>
 #include <Network.h>
 #include <admission/Core.h>
+#include <allowance/Allotter.h>
+#include <allowance/Wallet.h>
 #include <base/Overloaded.h>
 #include <identity/Core.h>
 #include <once/Entry.h>
@@ -46,6 +48,7 @@
     std::uint32_t budget_ = 0;
     base::Millis revocationTime_;                 ///< 0: no bound, and daemons read no log
     std::shared_ptr<const model::Config> config_; ///< newest one in the log
+    ProcessId allotter_ = 0;                      ///< of all customers with allowances
 };
 
 /** Fake daemon: connects the decision libraries as the real one does, in virtual time. */
@@ -89,11 +92,28 @@
         base::Millis started_;
     };
 
+    /** A request that waits for a token. */
+    struct HeldRequest
+    {
+        CallerRequest request_;
+        Respond respond_;
+        base::Millis until_;
+    };
+
     void start();
     void readLog();
     once::Incarnation incarnation() const;
     void accept(const CallerRequest &request, const Respond &respond);
 
+    void startAllowances();
+    void startWithin(const model::Allowance &allowance, const CallerRequest &request,
+                     const Respond &respond);
+    void conclude(const allowance::Verdict &verdict, const CallerRequest &request,
+                  const Respond &respond);
+    void settleHeld();
+    void askAllotter();
+    void repeatAsks();
+
     void dispatchToHome(const once::HomeEvent &event);
     void reply(const once::Reply &reply, std::optional<std::uint32_t> budgetLeft);
     void choose(const once::ChooseExecutor &choose);
@@ -139,6 +159,10 @@
     std::unique_ptr<routing::Core> routing_;
     std::unique_ptr<identity::Core> identity_;
     std::unique_ptr<admission::Core> admission_;
+    std::unique_ptr<allowance::Wallet> wallet_;
+    std::unique_ptr<allowance::Allotter> allotter_; ///< set at the allotter only
+    std::vector<HeldRequest> held_;
+    bool repeatsAsks_ = false;
     BackendServer backend_;
 
     struct Waiter
--- a/libs/faultmatrix/tests/FaultMatrixTest.cpp
+++ b/libs/faultmatrix/tests/FaultMatrixTest.cpp
@@ -11,9 +11,9 @@
 // the retry budget of the chain, no protected rank shed while a worse one is queued, a complete
 // answer to the caller's own request, NotRun only for requests that never run, at most one run, no
 // new requests at a draining instance, no request aborted by a graceful shutdown, no run in the
-// name of another customer, and none with a key that was withdrawn for too long. The guarantee that
-// an accepted release note stays in force is not checked, as it does not depend on the request
-// path.
+// name of another customer, and none with a key that was withdrawn for too long. How much of an
+// allowance may run is tested in libs/allowance. The guarantee that an accepted release note stays
+// in force is not checked, as it does not depend on the request path.
 
 namespace {
 
@@ -86,6 +86,19 @@
     EXPECT_LE(runs, 6u);
 }
 
+TEST(FaultMatrix, allowanceIsKept)
+{
+    const auto result = runScenario({.isAllowanceShort_ = true});
+    EXPECT_TRUE(result.violations_.empty()) << describe(result);
+    std::size_t runs = 0;
+    for (const auto &[name, request] : result.history_.requests_)
+        runs += request.customer_ == "west" && !name.ends_with("/debit") ? request.runs_ : 0;
+    // 6 s at 4 requests a second, a burst of 2 and a tenth of a window more.
+    EXPECT_GE(runs, 22u);
+    EXPECT_LE(runs, 28u);
+    EXPECT_EQ(runs + result.history_.refusedByAllowance_, 60u);
+}
+
 class OneFault : public testing::TestWithParam<Cell>
 {
 protected:
@@ -126,6 +139,14 @@
     EXPECT_TRUE(result.violations_.empty()) << describe(result);
 }
 
+TEST_P(OneFault, violatesNoGuaranteeWhileAnAllowanceIsShort)
+{
+    const auto result = runScenario({.plan_ = {GetParam()}, .isAllowanceShort_ = true});
+    ++cellsRun;
+    EXPECT_TRUE(result.violations_.empty()) << describe(result);
+    EXPECT_GT(result.history_.refusedByAllowance_, 0u);
+}
+
 INSTANTIATE_TEST_SUITE_P(Matrix, OneFault, testing::ValuesIn(applicableCells()),
                          [](const auto &info) { return info.param.name(); });
 
@@ -167,6 +188,7 @@
     scenario.isMemoryTight_ = *rc::gen::arbitrary<bool>();
     scenario.isOverloaded_ = *rc::gen::arbitrary<bool>();
     scenario.isKeyWithdrawn_ = *rc::gen::arbitrary<bool>();
+    scenario.isAllowanceShort_ = *rc::gen::arbitrary<bool>();
     scenario.randomFaultProbability_ = *rc::gen::elementOf(std::vector<double>{0.01, 0.05, 0.2});
     for (std::uint64_t i = 0; i < 10; ++i, ++scenario.seed_) {
         const auto result = runScenario(scenario);
--- a/libs/faultmatrix/tests/History.h
+++ b/libs/faultmatrix/tests/History.h
@@ -45,5 +45,6 @@
     std::map<std::string, Request> requests_;
     std::uint64_t firstCalls_ = 0;
     std::uint64_t attempts_ = 0;
+    std::uint64_t refusedByAllowance_ = 0;
     std::vector<std::string> violations_; ///< violated guarantees, detected during the run
 };
--- a/libs/faultmatrix/tests/Scenario.cpp
+++ b/libs/faultmatrix/tests/Scenario.cpp
@@ -17,12 +17,18 @@
 constexpr base::Millis lateInterval(250);
 constexpr std::size_t lateRequests = 30;
 
+/** Who asks for more than its allowance, and how often. */
+constexpr const char *limitedCustomer = "west";
+constexpr model::Allowance shortAllowance = {.ratePerSecond_ = 4, .burst_ = 2};
+constexpr base::Millis limitedInterval(100);
+constexpr std::size_t limitedRequests = 60;
+
 std::string keyOf(const std::string &customer)
 {
     return "key of " + customer;
 }
 
-std::shared_ptr<const model::Config> configOf(bool isKeyWithdrawn)
+std::shared_ptr<const model::Config> configOf(bool isKeyWithdrawn, bool isAllowanceShort)
 {
     auto config = std::make_shared<model::Config>();
     config->requiresKeys_ = true;
@@ -31,6 +37,10 @@
     if (!isKeyWithdrawn)
         config->addCustomer({.name_ = withdrawnCustomer,
                              .keys_ = {model::KeyDigest::of(keyOf(withdrawnCustomer))}});
+    if (isAllowanceShort)
+        config->addCustomer({.name_ = limitedCustomer,
+                             .keys_ = {model::KeyDigest::of(keyOf(limitedCustomer))},
+                             .allowance_ = shortAllowance});
     return config;
 }
 
@@ -50,7 +60,8 @@
 
     void refreshMembers();
     void request(Caller &caller, int number);
-    void addLateRequests();
+    void addSingleRequests(const std::string &customer, std::size_t count, base::Millis interval,
+                           base::Millis lastRun);
     void scheduleRequest(Caller &caller, int number, base::Millis after);
 
     Network network_;
@@ -75,6 +86,9 @@
         DaemonPlacement{"redeem-1", 1, "redeem"}, DaemonPlacement{"redeem-2", 1, "redeem"},
         DaemonPlacement{"wallet-1", 0, "wallet"}, DaemonPlacement{"wallet-2", 0, "wallet"}};
 
+/** The daemon "wallet-1", which hop 1 affects. */
+constexpr ProcessId allotter = 4;
+
 Simulation::Simulation(const Scenario &scenario)
     : network_(scenario.plan_, scenario.seed_, scenario.randomFaultProbability_)
     , cluster_{network_,
@@ -83,7 +97,8 @@
                {},
                scenario.budget_,
                scenario.isKeyWithdrawn_ ? revocationTime : base::Millis(),
-               configOf(false)}
+               configOf(false, scenario.isAllowanceShort_),
+               allotter}
     , seed_(scenario.seed_)
 {
     // Process ids: first the daemons, then their backend servers, then the client.
@@ -112,31 +127,39 @@
         for (const auto &daemon : cluster_.daemons_)
             daemon->generateBackgroundLoad(network_.now() + base::Millis(400));
     }
+    // The first request comes while instances are busy, or while others wait for a token.
+    const auto firstStart = scenario.isAllowanceShort_ ? 320 : scenario.isOverloaded_ ? 150 : 1;
     callers_.resize(scenario.callers_);
     for (std::size_t i = 0; i < callers_.size(); ++i) {
         callers_[i].name_ = "redemption-" + std::to_string(i);
         callers_[i].customer_ = customers[i % customers.size()];
         callers_[i].key_ = cluster_.daemons_[0]->issueKey(callers_[i].customer_, "redeem");
         history_.add(callers_[i].name_, callers_[i].customer_, false);
-        const auto start = static_cast<std::int64_t>(i * 60 + (scenario.isOverloaded_ ? 150 : 1));
+        const auto start = static_cast<std::int64_t>(i) * 60 + firstStart;
         scheduleRequest(callers_[i], 1, base::Millis(start));
     }
-    if (scenario.isKeyWithdrawn_)
-        addLateRequests();
+    if (scenario.isKeyWithdrawn_) {
+        const auto withdrawn = configOf(true, scenario.isAllowanceShort_);
+        network_.time_.schedule(network_.now() + withdrawalTime,
+                                [this, withdrawn] { cluster_.config_ = withdrawn; });
+        addSingleRequests(withdrawnCustomer, lateRequests, lateInterval,
+                          withdrawalTime + revocationTime);
+    }
+    if (scenario.isAllowanceShort_)
+        addSingleRequests(limitedCustomer, limitedRequests, limitedInterval, base::Millis::max());
 }
 
-/** Requests, each sent once, with a key that is withdrawn meanwhile. */
-void Simulation::addLateRequests()
+/** Requests of a customer, each sent once; those sent after `lastRun` must not run. */
+void Simulation::addSingleRequests(const std::string &customer, std::size_t count,
+                                   base::Millis interval, base::Millis lastRun)
 {
-    network_.time_.schedule(network_.now() + withdrawalTime,
-                            [this] { cluster_.config_ = configOf(true); });
-    for (std::size_t i = 0; i < lateRequests; ++i) {
-        const auto at = lateInterval * static_cast<std::int64_t>(i + 1);
-        const auto name = "late-" + std::to_string(i);
-        history_.add(name, withdrawnCustomer, at > withdrawalTime + revocationTime);
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto at = interval * static_cast<std::int64_t>(i + 1);
+        const auto name = customer + "-" + std::to_string(i);
+        history_.add(name, customer, at > lastRun);
         CallerRequest request{name, "redeem", "", "", 0, callerTimeout};
-        request.key_ = cluster_.daemons_[0]->issueKey(withdrawnCustomer, "redeem");
-        request.accessKey_ = keyOf(withdrawnCustomer);
+        request.key_ = cluster_.daemons_[0]->issueKey(customer, "redeem");
+        request.accessKey_ = keyOf(customer);
         network_.inProcess(client_, at, [this, entry = i % 2, request] {
             network_.call(
                     {client_, entry, std::nullopt, std::nullopt, callerTimeout},
@@ -245,8 +268,9 @@
     result.violations_ = simulation.history_.violations_;
     for (const auto &[name, request] : simulation.history_.requests_)
         checkRequest(name, request, result.violations_);
-    const auto rootRequests =
-            scenario.callers_ + (scenario.isKeyWithdrawn_ ? lateRequests : std::size_t{0});
+    const auto rootRequests = scenario.callers_
+                              + (scenario.isKeyWithdrawn_ ? lateRequests : std::size_t{0})
+                              + (scenario.isAllowanceShort_ ? limitedRequests : std::size_t{0});
     if (simulation.history_.attempts_
         > simulation.history_.firstCalls_ + scenario.budget_ * rootRequests)
         result.violations_.push_back("more attempts than first calls plus retry budget");
--- a/libs/faultmatrix/tests/Scenario.h
+++ b/libs/faultmatrix/tests/Scenario.h
@@ -17,9 +17,10 @@
     std::uint32_t budget_ = 3;
     double randomFaultProbability_ = 0; ///< at each step
     std::size_t callers_ = 1;
-    bool isMemoryTight_ = false;  ///< daemons can retain only one or two records
-    bool isOverloaded_ = false;   ///< instances receive twice their capacity, of a worse rank
-    bool isKeyWithdrawn_ = false; ///< one customer's key is withdrawn while requests come with it
+    bool isMemoryTight_ = false;    ///< daemons can retain only one or two records
+    bool isOverloaded_ = false;     ///< instances receive twice their capacity, of a worse rank
+    bool isKeyWithdrawn_ = false;   ///< one customer's key is withdrawn while requests come with it
+    bool isAllowanceShort_ = false; ///< one customer asks for more than its allowance
 };
 
 /** Result of a run. */
