Find allowances and limits of a configuration that contradict each other

Change: the check uses the daemons' own Bounds, and warns of what they have no room for. It also warns of a limit at one instance that is above all that the allowance admits, and an empty key is an error.

--- a/libs/configcheck/src/Check.cpp
+++ b/libs/configcheck/src/Check.cpp
@@ -1,16 +1,20 @@
 #include <configcheck/Check.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 
 #include "Text.h"
+#include <allowance/Bounds.h>
 #include <configcheck/Draft.h>
 
 namespace configcheck {
 
 namespace {
 
+constexpr double millisPerSecond = 1000;
+
 class Checker
 {
 public:
@@ -23,7 +27,9 @@
             if (const auto *service = std::get_if<model::Service>(&entry.value_))
                 services_.insert(service->name_);
             else if (const auto *requestClass = std::get_if<model::RequestClass>(&entry.value_))
-                classes_.try_emplace(requestClass->name_, requestClass);
+                addClass(*requestClass);
+            else if (const auto *route = std::get_if<RouteEntry>(&entry.value_))
+                longestDeadline_ = std::max(longestDeadline_, route->route_.class_.deadline_);
         }
     }
 
@@ -80,8 +86,8 @@
                  "refused");
         for (const auto &key : v.keys_)
             addKey(key);
-        if (v.allowance_)
-            checkAllowance(*v.allowance_);
+        if (v.allowance_ && checkAllowance(*v.allowance_))
+            checkConcurrency(v.maxConcurrent_, *v.allowance_);
     }
 
     void operator()(const RetryEntry &v)
@@ -169,8 +175,17 @@
             fail("the deadline of " + millisText(deadline) + " is not positive");
     }
 
+    void addClass(const model::RequestClass &requestClass)
+    {
+        classes_.try_emplace(requestClass.name_, &requestClass);
+        longestDeadline_ = std::max(longestDeadline_, requestClass.deadline_);
+    }
+
     void addKey(const model::KeyDigest &key)
     {
+        static const auto emptyKey = model::KeyDigest::of("");
+        if (key == emptyKey)
+            fail("holds an empty key, which no request can carry");
         const auto [first, isNew] = holders_.try_emplace(key, place_);
         if (!isNew && first->second == place_)
             warn("the key " + shortText(key) + " is given twice");
@@ -178,25 +193,57 @@
             fail("the key " + shortText(key) + " is also held by " + first->second);
     }
 
-    void checkAllowance(const model::Allowance &allowance)
+    /** Whether the allowance is one that daemons can keep. */
+    bool checkAllowance(const model::Allowance &allowance)
     {
-        constexpr double millisPerSecond = 1000;
         if (allowance.burst_ < 0)
             fail("the burst " + numberText(allowance.burst_) + " is negative");
-        if (allowance.ratePerSecond_ <= 0) {
+        if (allowance.ratePerSecond_ <= 0)
             fail("the rate " + numberText(allowance.ratePerSecond_) + " is not positive");
-            return;
-        }
-        const auto inWindow =
-                allowance.ratePerSecond_ * allowanceWindow_.fractional() / millisPerSecond
-                + std::max(0.0, allowance.burst_);
-        if (inWindow < 1)
+        if (allowance.burst_ < 0 || allowance.ratePerSecond_ <= 0)
+            return false;
+        if (admittedWithin(allowanceWindow_, allowance) < 1)
             fail("the allowance is less than one request in " + millisText(allowanceWindow_)
                  + ", so that all may be refused");
+        else
+            checkBurst(allowance);
+        return true;
+    }
+
+    /** Daemons keep less of the rate than was given if the burst has no room for their tokens. */
+    void checkBurst(const model::Allowance &allowance)
+    {
+        const auto bounds = allowance::Bounds::of(allowance, {.window_ = allowanceWindow_});
+        if (bounds.stored() < 1)
+            warn("the burst of " + numberText(allowance.burst_)
+                 + " has no room for one request: all are refused unless the settings tolerate "
+                   "an excess");
+        else if (bounds.ratePerSecond_ < allowance.ratePerSecond_)
+            warn("the burst of " + numberText(allowance.burst_)
+                 + " has no room for two requests: only "
+                 + percentText(bounds.ratePerSecond_ / allowance.ratePerSecond_)
+                 + " of the rate is admitted unless the settings tolerate an excess");
+    }
+
+    /** Compares a part of the requests, those at one instance, with all that are admitted. */
+    void checkConcurrency(std::uint32_t maxConcurrent, const model::Allowance &allowance)
+    {
+        const auto time = std::max(allowanceWindow_, longestDeadline_);
+        const auto admitted = admittedWithin(time, allowance);
+        if (maxConcurrent > admitted)
+            warn("the limit of " + std::to_string(maxConcurrent)
+                 + " concurrent requests is never reached: the allowance admits "
+                 + numberText(std::floor(admitted)) + " in " + millisText(time));
+    }
+
+    static double admittedWithin(base::Millis time, const model::Allowance &allowance)
+    {
+        return allowance.ratePerSecond_ * time.fractional() / millisPerSecond + allowance.burst_;
     }
 
     const Draft &draft_;
     const base::Millis allowanceWindow_;
+    base::Millis longestDeadline_; ///< of all classes and routes
     std::vector<Finding> findings_;
     std::string place_; ///< of the entry that is being checked
     std::set<std::string> services_;
--- a/libs/configcheck/src/Text.cpp
+++ b/libs/configcheck/src/Text.cpp
@@ -36,4 +36,10 @@
     return numberText(value.fractional()) + " ms";
 }
 
+std::string percentText(double fraction)
+{
+    constexpr double percent = 100;
+    return numberText(std::floor(fraction * percent)) + " %";
+}
+
 } // namespace configcheck
--- a/libs/configcheck/src/Text.h
+++ b/libs/configcheck/src/Text.h
@@ -14,5 +14,6 @@
 std::string quoted(std::string_view text);
 std::string numberText(double value);
 std::string millisText(base::Millis value);
+std::string percentText(double fraction);
 
 } // namespace configcheck
--- a/libs/configcheck/tests/CheckTest.cpp
+++ b/libs/configcheck/tests/CheckTest.cpp
@@ -51,7 +51,7 @@
 
 TEST(Check, FindsNothingInAValidConfiguration)
 {
-    const model::Customer school{.name_ = "school", .keys_ = {key}, .allowance_ = {{0.1, 1}}};
+    const model::Customer school{.name_ = "school", .keys_ = {key}, .allowance_ = {{0.1, 2}}};
     auto draft = draftOf({wallet, read, model::RequestClass{"any", "wallet", "", "/"}, route("a"),
                           route("b", "/y/"), school, RetryEntry{{"read", 2, 0.1}}});
     draft.requiresKeys_ = true;
@@ -101,8 +101,37 @@
                     "be refused"});
 }
 
+TEST(Check, FindsABurstThatHoldsNoRequest)
+{
+    EXPECT_EQ(
+            findingsOf({model::Customer{.name_ = "none", .allowance_ = {{0.3, 0}}},
+                        model::Customer{.name_ = "half", .allowance_ = {{0.5, 0}}},
+                        model::Customer{.name_ = "quick", .allowance_ = {{5, 0}}}}),
+            (Lines{"warning #1: the burst of 0 has no room for one request: all are refused unless "
+                   "the settings tolerate an excess",
+                   "warning #2: the burst of 0 has no room for two requests: only 50 % of the rate "
+                   "is admitted unless the settings tolerate an excess"}));
+}
+
+TEST(Check, FindsALimitOfOneInstanceAboveAllThatIsAdmitted)
+{
+    const auto customer = [](std::uint32_t maxConcurrent) {
+        return model::Customer{
+                .name_ = "c", .maxConcurrent_ = maxConcurrent, .allowance_ = {{10, 20}}};
+    };
+    EXPECT_EQ(findingsOf({customer(70)}), Lines{});
+    EXPECT_EQ(findingsOf({customer(71)}),
+              Lines{"warning #1: the limit of 71 concurrent requests is never reached: the "
+                    "allowance admits 70 in 5000 ms"});
+    auto slow = read;
+    slow.deadline_ = base::Millis(6000);
+    EXPECT_EQ(findingsOf({customer(71), slow}), Lines{}) << "that is counted for a deadline";
+}
+
 TEST(Check, FindsKeysThatContradictEachOther)
 {
+    EXPECT_EQ(findingsOf({model::Customer{.name_ = "a", .keys_ = {model::KeyDigest::of("")}}}),
+              Lines{"error #1: holds an empty key, which no request can carry"});
     const auto start = key.text().substr(0, 12);
     EXPECT_EQ(findingsOf({model::Customer{.name_ = "one", .keys_ = {key, key}},
                           model::Customer{.name_ = "two", .keys_ = {key}}}),
