Find what daemons change or ignore of a platform's record

Cause: the command was run on records as the platform writes them, with 38 small damages. It passed values that daemons bring into range (5,000 attempts, a timeout of 10,000 s, a weight of 10^9), an empty key, a route without a name, and misspelt fields; a byte order mark, which daemons skip, gave errors of a release note; messages named the entry twice; and an entry that is not an object was "of the unknown kind".

--- a/libs/cli/src/details/ConfigFile.cpp
+++ b/libs/cli/src/details/ConfigFile.cpp
@@ -14,6 +14,7 @@
 using nlohmann::json;
 using ParsedFile = tl::expected<ConfigFile, std::vector<note::Fault>>;
 
+constexpr std::string_view byteOrderMark = "\xef\xbb\xbf"; ///< which daemons skip too
 constexpr std::string_view whitespace = " \t\r\n";
 
 ParsedFile fault(const std::string &file, int line, std::string message)
@@ -45,10 +46,12 @@
 
 ParsedFile parseConfigFile(std::string_view text, const std::string &file, const ClientHooks &hooks)
 {
+    if (text.starts_with(byteOrderMark))
+        text.remove_prefix(byteOrderMark.size());
     const auto start = text.find_first_not_of(whitespace);
     if (start == std::string_view::npos)
         return fault(file, 0, "is empty");
-    if (text[start] != '{') {
+    if (text[start] != '{' && text[start] != '[') {
         auto note = note::parseNote(text, file);
         if (!note)
             return tl::unexpected(std::move(note.error()));
