Decode a configuration with many customers in linear time

Cause: each customer that was added searched the keys of all others for its former ones.

Change: the former keys of a customer are looked up one by one.

--- a/libs/model/src/Config.cpp
+++ b/libs/model/src/Config.cpp
@@ -61,8 +61,13 @@
 void Config::addCustomer(Customer customer)
 {
     requiresKeys_ = requiresKeys_ || !customer.keys_.empty();
-    std::erase_if(customerByKey_,
-                  [&](const auto &entry) { return entry.second == customer.name_; });
+    if (const auto former = customers_.find(customer.name_); former != customers_.end()) {
+        for (const auto &key : former->second.keys_) {
+            if (const auto held = customerByKey_.find(key);
+                held != customerByKey_.end() && held->second == customer.name_)
+                customerByKey_.erase(held);
+        }
+    }
     for (const auto &key : customer.keys_)
         customerByKey_.try_emplace(key, customer.name_);
     auto name = customer.name_;
--- a/libs/model/tests/ConfigTest.cpp
+++ b/libs/model/tests/ConfigTest.cpp
@@ -94,6 +94,8 @@
     config.addCustomer({.name_ = "second", .keys_ = {key}});
     EXPECT_TRUE(config.requiresKeys_);
     EXPECT_EQ(config.customerOf(key)->name_, "first");
+    config.addCustomer({.name_ = "second"});
+    EXPECT_EQ(config.customerOf(key)->name_, "first");
     config.addCustomer({.name_ = "first"});
     EXPECT_EQ(config.customerOf(key), nullptr);
 }
