--- a/libs/faultmatrix/tests/DaemonAsEntry.cpp
+++ b/libs/faultmatrix/tests/DaemonAsEntry.cpp
@@ -61,11 +61,11 @@
         respond(Response{refusalOf(*refused), false, {}});
         return;
     }
-    accept(request, [this, respond, customer = request.customer_,
+    accept(request, [this, respond, customer = request.customer_, takenAt = network_.now(),
                      generation = incarnation().generation_](const Response &response) {
         if (std::holds_alternative<once::NotRun>(response.outcome_)
             && generation == incarnation().generation_)
-            wallet_->refund(customer, network_.now());
+            wallet_->refund(customer, takenAt, network_.now());
         respond(response);
     });
 }
