Announce the end of the partition beside the allotter's name, not in it

Cause: daemons of the version before take all of an announcement after the group for the allotter's id, so they would name 'id end' to those that ask; and an announcement of theirs, without an end, was refused with 400, so an allotter of that version was not found by its announcements.

Change: the end is in a header; an announcement without one still tells who the allotter is.

--- a/libs/dock/include/dock/HeaderNames.h
+++ b/libs/dock/include/dock/HeaderNames.h
@@ -36,5 +36,6 @@
 inline const std::string flags = "fd-flags";
 inline const std::string load = "fd-load";             ///< balance::LoadReport
 inline const std::string maxWaitMs = "fd-max-wait-ms"; ///< only of calls that may be handed back
+inline const std::string partitionEnd = "fd-partition-end"; ///< of AllotterAnnouncement
 
 } // namespace dock::header
--- a/libs/dock/src/DataTask.cpp
+++ b/libs/dock/src/DataTask.cpp
@@ -166,7 +166,7 @@
     else if (kind == details::Allowances::handOverKind)
         peerServer_->respond(id, allowances_.onHandOver(request.body_));
     else if (kind == details::Allowances::tenureKind)
-        peerServer_->respond(id, allowances_.onAnnounced(request.body_));
+        peerServer_->respond(id, allowances_.onAnnounced(request));
     else
         onAttempt(id, std::move(request));
 }
--- a/libs/dock/src/details/Allowances.cpp
+++ b/libs/dock/src/details/Allowances.cpp
@@ -1,7 +1,6 @@
 #include "Allowances.h"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 #include <allowance/Codec.h>
@@ -356,28 +355,24 @@
  */
 void Allowances::announce(std::uint32_t group, std::uint64_t end)
 {
-    std::ostringstream text;
-    text << group << ' ' << self_.id_ << ' ' << end;
+    const auto announcement = AllotterAnnouncement{group, self_.id_, end}.encode();
     const auto &candidates = groups_[group].candidates_;
     for (std::size_t i = 0; i < std::min(announcedTo, candidates.size()); ++i) {
         const auto *member = candidates[i] == self_.id_ ? nullptr : findMember(candidates[i]);
         if (member != nullptr)
-            client_.send(member->peerAddress_, peerMessage(tenureKind, text.str()),
-                         settings_.askTimeout_, [](const net::CallResult &) {});
+            client_.send(member->peerAddress_, announcement, settings_.askTimeout_,
+                         [](const net::CallResult &) {});
     }
 }
 
-net::HttpResponse Allowances::onAnnounced(const std::string &body)
+net::HttpResponse Allowances::onAnnounced(const net::HttpRequest &request)
 {
-    std::istringstream text(body);
-    std::uint32_t group = 0;
-    std::string id;
-    std::uint64_t end = 0;
-    if (!(text >> group >> id >> end) || group >= groups_.size())
+    const auto announcement = AllotterAnnouncement::parse(request);
+    if (!announcement)
         return {.status_ = statusBadRequest};
-    onSeen(group, id);
-    if (!isLeaving_)
-        sendToControlTask_(PartitionEndHeard{group, end});
+    onSeen(announcement->group_, announcement->id_);
+    if (!isLeaving_ && announcement->end_)
+        sendToControlTask_(PartitionEndHeard{announcement->group_, *announcement->end_});
     return {};
 }
 
--- a/libs/dock/src/details/Allowances.h
+++ b/libs/dock/src/details/Allowances.h
@@ -21,6 +21,8 @@
 #include <net/Reactor.h>
 #include <once/Incarnation.h>
 
+#include "AllotterAnnouncement.h"
+
 namespace net {
 class PeerClient;
 }
@@ -45,7 +47,7 @@
     /** Values of header::kind of the messages between daemons. */
     static constexpr const char *askKind = "allowance";
     static constexpr const char *handOverKind = "allowance-hand-over";
-    static constexpr const char *tenureKind = "allowance-tenure";
+    static constexpr const char *tenureKind = AllotterAnnouncement::kind;
 
     /** All references must outlive this. */
     Allowances(net::Reactor &reactor, net::PeerClient &client, const settings::Settings &settings,
@@ -80,7 +82,7 @@
     /** Answers a message of another daemon. */
     net::HttpResponse onAsk(const std::string &body);
     net::HttpResponse onHandOver(const std::string &body);
-    net::HttpResponse onAnnounced(const std::string &body);
+    net::HttpResponse onAnnounced(const net::HttpRequest &request);
 
     /** The daemon may be the allotter of the group: asks go there for a while. */
     void onSeen(std::uint32_t group, const std::string &id);
