Avoid a data centre none of whose instances answers

Cause: while a data centre was cut off, each daemon learnt of each instance there by five lost calls, of half a second each or more, and tried each again after its ejection.

Change: calls to all instances of another data centre are judged together.

--- a/libs/routing/src/details/Pool.cpp
+++ b/libs/routing/src/details/Pool.cpp
@@ -7,6 +7,7 @@
 
 #include <details/Instance.h>
 #include <details/Ranking.h>
+#include <details/Reachability.h>
 #include <details/Subset.h>
 #include <details/TierLoad.h>
 
@@ -38,12 +39,13 @@
 {
 public:
     Search(const Options &options, const admission::Priority &priority,
-           std::span<const std::string> excluded, double lowestFailureRate, base::Random &random,
-           base::Millis now)
+           std::span<const std::string> excluded, double lowestFailureRate,
+           const Reachability &reachability, base::Random &random, base::Millis now)
         : options_(options)
         , priority_(priority)
         , excluded_(excluded)
         , lowestFailureRate_(lowestFailureRate)
+        , reachability_(reachability)
         , random_(random)
         , now_(now)
     {}
@@ -69,6 +71,7 @@
     const admission::Priority &priority_;
     std::span<const std::string> excluded_;
     double lowestFailureRate_; ///< among the instances of the service
+    const Reachability &reachability_;
     base::Random &random_;
     base::Millis now_;
     std::array<Candidate, Pool::maxSubsetSize> candidates_;
@@ -97,7 +100,9 @@
     }
     if (pass == Pass::Preferred && (instance.isSaturated() || isSkippedAsOutlier(instance)))
         return false;
-    return pass == Pass::AlsoEjected || !instance.isEjected(now_);
+    return pass == Pass::AlsoEjected
+           || (!instance.isEjected(now_)
+               && !reachability_.isAvoided(instance.member().dataCentre_, now_));
 }
 
 // Compares with the lowest failure rate: failures common to all instances come from a service
@@ -194,14 +199,15 @@
 tl::expected<Choice, NoChoice> Pool::choose(const Options &options,
                                             const admission::Priority &priority,
                                             std::span<const std::string> excluded,
-                                            base::Random &random, base::Millis now) const
+                                            const Reachability &reachability, base::Random &random,
+                                            base::Millis now) const
 {
     double lowestFailureRate = 1.0;
     for (const Instances &tier : tiers_) {
         for (const auto &instance : tier)
             lowestFailureRate = std::min(lowestFailureRate, instance->failureRate());
     }
-    Search search(options, priority, excluded, lowestFailureRate, random, now);
+    Search search(options, priority, excluded, lowestFailureRate, reachability, random, now);
     const Rankings rankings = {Ranking(options, tiers_[0], now), Ranking(options, tiers_[1], now),
                                Ranking(options, tiers_[2], now)};
     for (const Pass pass :
