Give reruns of classes without calls the whole bound of repeats

Cause: reruns after lost answers got a quarter of a service's repeats, as a rerun repeats its calls as well. Runs that make no calls do not, and most of their lost answers failed their requests while the bound was unused.

Change: the executor learns which classes make calls; a rerun of one that makes none is limited like a repeat after a refusal. Calls of repeated runs still come first, and reduce what is left.

--- a/libs/dock/src/details/EntryImpl.cpp
+++ b/libs/dock/src/details/EntryImpl.cpp
@@ -250,6 +250,8 @@
 
 void Entry::Impl::start(EntryId id, CallInfo call, RequestSource source)
 {
+    if (call.isChild())
+        contexts_.recordCallStarted(call.contextToken_);
     if (needsKey(call))
         startKeyed(id, std::move(call), source);
     else
--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -125,11 +125,18 @@
         return NotRun{Reason::HandedBack, {}};
     const bool isOverBudget =
             arrivalBudget_ && attempt.repeat_ != RepeatKind::First
-            && !arrivalBudget_->spend(attempt.repeat_, attempt.priority_, attempt.completedCalls_,
-                                      base::monotonicNow());
+            && !arrivalBudget_->spend(repeatKindOf(attempt), attempt.priority_,
+                                      attempt.completedCalls_, base::monotonicNow());
     return isOverBudget ? std::optional(NotRun{Reason::RepeatLimit, {}}) : std::nullopt;
 }
 
+RepeatKind Executor::Impl::repeatKindOf(const Attempt &attempt) const
+{
+    const bool isLeafRerun = attempt.repeat_ == RepeatKind::Rerun
+                             && !callingClasses_.mayMakeCalls(attempt.requestClass_);
+    return isLeafRerun ? RepeatKind::LeafRerun : attempt.repeat_;
+}
+
 balance::LoadReport Executor::Impl::loadReport() const
 {
     return {.active_ = static_cast<std::uint32_t>(admission_.running() + admission_.queued()),
@@ -307,9 +314,21 @@
     const auto reply = details::BackendReply::of(result);
     const auto ended = details::backendResultOf(std::move(result), interface_);
     backendLog_.record(found->second.requestId_, reply, ended.outcome_, base::monotonicNow());
+    const auto *complete = std::get_if<once::Complete>(&ended.outcome_);
+    recordCalls(found->second,
+                complete != nullptr && complete->answer_->status_ < firstServerError);
     finish(id, ended.admissionOutcome_, ended.outcome_);
 }
 
+/** A run without calls that failed does not show that its class makes none. */
+void Executor::Impl::recordCalls(const Run &run, bool isServed)
+{
+    const auto *running = arrivalBudget_ ? contexts_.find(run.context_) : nullptr;
+    const bool hasMadeCalls = running != nullptr && running->hasMadeCalls_;
+    if (running != nullptr && (hasMadeCalls || isServed))
+        callingClasses_.recordRun(run.attempt_.requestClass_, hasMadeCalls);
+}
+
 void Executor::Impl::measure(const Run &run, const net::CallResult &result)
 {
     if (!result)
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -17,6 +17,7 @@
 #include <net/Reactor.h>
 #include <once/Executor.h>
 #include <retry/ArrivalBudget.h>
+#include <retry/CallingClasses.h>
 #include <settings/Settings.h>
 
 #include "details/BackendLog.h"
@@ -99,6 +100,8 @@
     void send(RunId id, base::Millis timeLeft);
     void backendDone(RunId id, net::CallResult result);
     void measure(const Run &run, const net::CallResult &result);
+    void recordCalls(const Run &run, bool isServed);
+    retry::RepeatKind repeatKindOf(const Attempt &attempt) const;
     void finish(RunId id, admission::Outcome admissionOutcome, const once::Outcome &outcome);
     void reportToRecord(const once::SubKey &subKey, const once::Outcome &outcome);
     void reply(AttemptId waiter, const once::Outcome &outcome, bool isReplaced = false);
@@ -114,6 +117,7 @@
     retry::ContextTable &contexts_;
     const CallInterface &interface_;
     net::HttpClient client_;
+    retry::CallingClasses callingClasses_;
     std::optional<retry::ArrivalBudget> arrivalBudget_; ///< unset: the entries limit retries
     admission::Core admission_;
     admission::DownstreamLevels levels_;
--- a/libs/retry/include/retry/ArrivalBudget.h
+++ b/libs/retry/include/retry/ArrivalBudget.h
@@ -24,10 +24,10 @@
  *
  * When failed calls outnumber the permitted repeats, requests of the best ranks get them, those
  * with most completed calls first, since they need the fewest to be completed. Among equals the
- * bucket decides, so that a request that gets one repeat also gets the next. Reruns cost the most
- * and get only a share of the budget. Calls of repeated runs are counted but always admitted, since
- * the run would be wasted without them; what they take beyond the budget reduces later repeats. No
- * I/O or clock.
+ * bucket decides, so that a request that gets one repeat also gets the next. Reruns of classes
+ * that make calls cost the most and get only a share of the budget. Calls of repeated runs are
+ * counted but always admitted, since the run would be wasted without them; what they take beyond
+ * the budget reduces later repeats. No I/O or clock.
  */
 class ArrivalBudget
 {
--- a/libs/retry/include/retry/ContextTable.h
+++ b/libs/retry/include/retry/ContextTable.h
@@ -35,6 +35,9 @@
     /** The budget of the running call, or nullptr. */
     ChainBudget *budget(std::string_view token);
 
+    /** Records that the running call makes a call. */
+    void recordCallStarted(std::string_view token);
+
     /** Counts calls that the running call has completed. */
     void recordCompletedCalls(std::string_view token, std::uint32_t calls);
 
--- a/libs/retry/include/retry/RunningCall.h
+++ b/libs/retry/include/retry/RunningCall.h
@@ -18,6 +18,7 @@
     ChainBudget budget_;
     std::uint32_t depth_ = 0;          ///< 0 for the root request
     std::uint32_t completedCalls_ = 0; ///< of the root request before and in this call, if counted
+    bool hasMadeCalls_ = false;
     bool isRepeat_ = false; ///< a backend server may have received it, or its caller's run, before
 
     bool operator==(const RunningCall &) const = default;
--- a/libs/retry/src/ContextTable.cpp
+++ b/libs/retry/src/ContextTable.cpp
@@ -46,6 +46,12 @@
     return found == calls_.end() ? nullptr : &found->second.budget_;
 }
 
+void ContextTable::recordCallStarted(std::string_view token)
+{
+    if (const auto found = calls_.find(std::string(token)); found != calls_.end())
+        found->second.hasMadeCalls_ = true;
+}
+
 void ContextTable::recordCompletedCalls(std::string_view token, std::uint32_t calls)
 {
     if (const auto found = calls_.find(std::string(token)); found != calls_.end())
