Log the rank that decides on a call

Cause: E300 and E301 showed the rank of a call's own class. Below the root it decides nothing: print-order's calls looked like those of album-view, and who got no repeats could be told from the length of the ids only.

Change: the rank of the root request, which the call inherits.

Result: no test, as no test reads these lines; they are bounded as before.

--- a/libs/dock/src/details/FailureLog.cpp
+++ b/libs/dock/src/details/FailureLog.cpp
@@ -19,7 +19,7 @@
     std::string detail = "request=" + call.requestId_ + " class=" + call.class_.name_ + " service="
                          + call.service_ + " reason=" + std::string(once::reasonText(reason))
                          + " child=" + (call.isChild() ? "yes" : "no")
-                         + " rank=" + std::to_string(call.class_.rank_)
+                         + " rank=" + std::to_string(call.priority_.rank_)
                          + " attempts=" + std::to_string(report.attempts_)
                          + " age=" + std::to_string((now - call.receivedAt_).count()) + "ms";
     if (notRun != nullptr)
