--- a/libs/routing/src/details/Pool.cpp
+++ b/libs/routing/src/details/Pool.cpp
@@ -7,7 +7,6 @@
 
 #include <details/Instance.h>
 #include <details/Ranking.h>
-#include <details/Reachability.h>
 #include <details/Subset.h>
 #include <details/TierLoad.h>
 
@@ -39,13 +38,12 @@
 {
 public:
     Search(const Options &options, const admission::Priority &priority,
-           std::span<const std::string> excluded, double lowestFailureRate,
-           const Reachability &reachability, base::Random &random, base::Millis now)
+           std::span<const std::string> excluded, double lowestFailureRate, base::Random &random,
+           base::Millis now)
         : options_(options)
         , priority_(priority)
         , excluded_(excluded)
         , lowestFailureRate_(lowestFailureRate)
-        , reachability_(reachability)
         , random_(random)
         , now_(now)
     {}
@@ -71,7 +69,6 @@
     const admission::Priority &priority_;
     std::span<const std::string> excluded_;
     double lowestFailureRate_; ///< among the instances of the service
-    const Reachability &reachability_;
     base::Random &random_;
     base::Millis now_;
     std::array<Candidate, Pool::maxSubsetSize> candidates_;
@@ -100,9 +97,7 @@
     }
     if (pass == Pass::Preferred && (instance.isSaturated() || isSkippedAsOutlier(instance)))
         return false;
-    return pass == Pass::AlsoEjected
-           || (!instance.isEjected(now_)
-               && !reachability_.isAvoided(instance.member().dataCentre_, now_));
+    return pass == Pass::AlsoEjected || !instance.isEjected(now_);
 }
 
 // Compares with the lowest failure rate: failures common to all instances come from a service
@@ -199,15 +194,14 @@
 tl::expected<Choice, NoChoice> Pool::choose(const Options &options,
                                             const admission::Priority &priority,
                                             std::span<const std::string> excluded,
-                                            const Reachability &reachability, base::Random &random,
-                                            base::Millis now) const
+                                            base::Random &random, base::Millis now) const
 {
     double lowestFailureRate = 1.0;
     for (const Instances &tier : tiers_) {
         for (const auto &instance : tier)
             lowestFailureRate = std::min(lowestFailureRate, instance->failureRate());
     }
-    Search search(options, priority, excluded, lowestFailureRate, reachability, random, now);
+    Search search(options, priority, excluded, lowestFailureRate, random, now);
     const Rankings rankings = {Ranking(options, tiers_[0], now), Ranking(options, tiers_[1], now),
                                Ranking(options, tiers_[2], now)};
     for (const Pass pass :
--- a/libs/routing/src/details/Pool.h
+++ b/libs/routing/src/details/Pool.h
@@ -18,7 +18,6 @@
 namespace routing::details {
 
 class Instance;
-class Reachability;
 
 /** Distance of an instance from this daemon; nearer tiers are preferred. */
 enum class Tier : std::uint8_t { LocalDataCentre, LocalRegion, OtherRegions };
@@ -39,8 +38,7 @@
     tl::expected<Choice, NoChoice> choose(const Options &options,
                                           const admission::Priority &priority,
                                           std::span<const std::string> excluded,
-                                          const Reachability &reachability, base::Random &random,
-                                          base::Millis now) const;
+                                          base::Random &random, base::Millis now) const;
 
     /** Ejects the instance if it is failing, unless more than half of its tier would be ejected. */
     void ejectIfFailing(Instance &instance, const Options &options, base::Millis now) const;
--- a/libs/routing/src/details/State.cpp
+++ b/libs/routing/src/details/State.cpp
@@ -14,7 +14,6 @@
 State::State(const Options &options)
     : options_(options)
     , random_(options.seed_)
-    , reachability_(options.dataCentre_)
 {}
 
 void State::on(const MembersChanged &event, base::Millis now)
@@ -79,11 +78,8 @@
 
 void State::on(const CallSent &event, base::Millis now)
 {
-    Instance *found = instance(event.instance_);
-    if (found == nullptr)
-        return;
-    found->recordSent(event.priority_, options_, now);
-    reachability_.recordSent(found->member(), options_, now);
+    if (Instance *found = instance(event.instance_))
+        found->recordSent(event.priority_, options_, now);
 }
 
 void State::on(const CallAnswered &event, base::Millis now)
@@ -92,7 +88,6 @@
     if (found == nullptr)
         return;
     found->recordAnswered(event, options_, now);
-    reachability_.recordAnswered(found->member());
     if (options_.evenLoad_)
         countUneven(*found, event, now);
 }
@@ -133,8 +128,6 @@
     if (found == nullptr)
         return;
     found->recordFailed(event.kind_);
-    if (event.kind_ != FailureKind::Cancelled)
-        reachability_.recordUnanswered(found->member(), options_, now);
     if (const Pool *servicePool = pool(found->member().service_))
         servicePool->ejectIfFailing(*found, options_, now);
 }
@@ -153,7 +146,7 @@
     const Pool *found = pool(service);
     if (found == nullptr)
         return tl::unexpected(NoChoice{NoChoiceReason::NoInstance, options_.levelExpiry_});
-    const auto choice = found->choose(options_, priority, excluded, reachability_, random_, now);
+    const auto choice = found->choose(options_, priority, excluded, random_, now);
     if (choice && options_.evenLoad_)
         countChoice(*choice, now);
     return choice;
--- a/libs/routing/src/details/State.h
+++ b/libs/routing/src/details/State.h
@@ -12,7 +12,6 @@
 #include <base/Random.h>
 #include <details/Instance.h>
 #include <details/Pool.h>
-#include <details/Reachability.h>
 #include <routing/Choice.h>
 #include <routing/Event.h>
 #include <routing/LoadCounters.h>
@@ -62,7 +61,6 @@
 
     Options options_;
     base::Random random_;
-    Reachability reachability_;
     std::optional<base::Millis> firstEventAt_;
     std::uint64_t membershipVersion_ = 0; ///< number of MembersChanged events
     std::map<std::string, TrackedInstance, std::less<>> instances_;
