Take only a later process as proof that the holder has ended

Cause: with an address and a name used twice, an earlier process that still runs would have proved that the later one had ended (review).

Change: the generation at the start of the process has to be higher; a challenger does not name itself as the likely allotter, and forgets a proof with the end that it was for.

Result: HolderWatchTest.provesNothingByAnEarlierProcess; dock_tests of allotters pass.

--- a/libs/allowance/src/Authority.cpp
+++ b/libs/allowance/src/Authority.cpp
@@ -142,6 +142,7 @@
 {
     call_.reset();
     end_.reset();
+    holderEndedAt_.reset();
     isEndAnnounced_ = false;
     ++series_;
     sequence_ = 0;
--- a/libs/dock/src/details/HolderWatch.cpp
+++ b/libs/dock/src/details/HolderWatch.cpp
@@ -74,10 +74,10 @@
         const auto &holder = state.last_->holder_;
         if (!running || running->id_ != holder.id_)
             return;
-        if (running->generation_ == holder.generation_)
-            hooks_.onRunning_(group, holder.id_);
-        else
+        if (running->generation_ > holder.generation_)
             hooks_.onEnded_(group, end);
+        else if (*running == holder && holder != self_.holder_)
+            hooks_.onRunning_(group, holder.id_);
     };
     const auto &last = *groups_[group].last_;
     if (last.controlAddress_ == self_.controlAddress_)
--- a/libs/dock/src/details/HolderWatch.h
+++ b/libs/dock/src/details/HolderWatch.h
@@ -21,7 +21,7 @@
 
 /**
  * Looks for proof that the process which last appended to a group's partition has ended: the daemon
- * at the address in its record is another process. The address is bound by one process at a time,
+ * at the address in its record is a later process. The address is bound by one process at a time,
  * so a process that is paused or cut off is never taken for one that has ended.
  */
 class HolderWatch
--- a/libs/dock/tests/HolderWatchTest.cpp
+++ b/libs/dock/tests/HolderWatchTest.cpp
@@ -96,6 +96,15 @@
     EXPECT_EQ(seen_, "");
 }
 
+TEST_F(HolderWatchTest, provesNothingByAnEarlierProcess)
+{
+    append({{"other", 7}, otherAddress});
+    running_ = Incarnation{"other", 6};
+    watch_.look(1, 12, Millis(0));
+    EXPECT_EQ(ended_, 0U);
+    EXPECT_EQ(seen_, "");
+}
+
 TEST_F(HolderWatchTest, knowsThatItsOwnPredecessorHasEnded)
 {
     append({{"own", 49}, ownAddress});
