--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -1,7 +1,6 @@
 #include "details/ExecutorImpl.h"
 
 #include <admission/EntryLevels.h>
-#include <balance/HandBack.h>
 #include <base/Clock.h>
 #include <base/Overloaded.h>
 #include <events/Catalogue.h>
@@ -9,6 +8,7 @@
 #include <retry/ContextTable.h>
 
 #include "details/BackendExchange.h"
+#include "details/LateBinding.h"
 
 namespace dock {
 
@@ -132,20 +132,15 @@
 
 balance::LoadReport Executor::Impl::loadReport() const
 {
-    return {.active_ = static_cast<std::uint32_t>(admission_.running() + admission_.queued()),
-            .limit_ = std::max<std::uint32_t>(1, admission_.limit()),
-            .holding_ = holdingTime_.mean()};
+    return details::loadReportOf(admission_, holdingTime_.mean());
 }
 
 /** Whether the attempt would wait here for longer than its entry expects elsewhere. */
 bool Executor::Impl::isHandedBack(const Attempt &attempt) const
 {
-    if (!settings_.evenLoad_ || !attempt.maxWait_)
-        return false;
-    std::size_t ahead = 0;
-    for (int rank = 0; rank <= attempt.priority_.rank_; ++rank)
-        ahead += admission_.queued(rank);
-    return balance::isHandedBack(loadReport(), static_cast<std::uint32_t>(ahead), attempt.maxWait_);
+    return settings_.evenLoad_
+           && details::isHandedBack(admission_, attempt.priority_, holdingTime_.mean(),
+                                    attempt.maxWait_);
 }
 
 std::uint32_t Executor::Impl::admissionSlots() const
