Sample what arrives at a server and its free slots

An operator saw waits at one server and free slots at another only in averages of seconds. Each executor counts, by the time of arrival, what started at once, was queued, refused or handed back, and the fewest free slots, and logs them ten times a second at the debug level (E204). At other levels it costs a few increments a request; nothing is sent.

--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -24,6 +24,8 @@
 
 constexpr base::Millis tickInterval(20);
 
+constexpr base::Millis slotSampleInterval(100);
+
 /**
  * Tick interval while no request is queued: ticks then only detect a busy processor, and each
  * wake-up costs processor time.
@@ -67,6 +69,20 @@
     return {Reason::Overloaded, refusal.retryAfter_};
 }
 
+/** What the first commands after an arrival mean for the request. */
+balance::Arrival arrivalOf(admission::RequestId id, const std::vector<admission::Command> &commands)
+{
+    for (const auto &command : commands) {
+        const auto *start = std::get_if<admission::Start>(&command);
+        if (start != nullptr && start->id_ == id)
+            return balance::Arrival::Started;
+        const auto *refusal = std::get_if<admission::Refuse>(&command);
+        if (refusal != nullptr && refusal->id_ == id)
+            return balance::Arrival::Refused;
+    }
+    return balance::Arrival::Queued;
+}
+
 } // namespace
 
 std::optional<retry::ArrivalBudget>
@@ -91,6 +107,7 @@
     if (now - tickDue_ > maxTickDelay)
         perform(admission_.handle(admission::ProcessorBusy{}, now));
     perform(admission_.handle(admission::Tick{}, now));
+    logSlotUse(now);
     levels_.prune(now);
     repeatLevels_.prune(now);
     if (arrivalBudget_)
@@ -121,8 +138,10 @@
             !accepts_ || accepts_({attempt.timeLeft_, usualTimes_.of(attempt.requestClass_)});
     if (!canEnd)
         return NotRun{Reason::Draining, {}};
-    if (isHandedBack(attempt))
+    if (isHandedBack(attempt)) {
+        slotUse_.record(balance::Arrival::HandedBack, freeSlots());
         return NotRun{Reason::HandedBack, {}};
+    }
     const bool isOverBudget =
             arrivalBudget_ && attempt.repeat_ != RepeatKind::First
             && !arrivalBudget_->spend(attempt.repeat_, attempt.priority_, attempt.completedCalls_,
@@ -135,6 +154,28 @@
     return details::loadReportOf(admission_, holdingTime_.mean());
 }
 
+std::uint32_t Executor::Impl::freeSlots() const
+{
+    const auto running = static_cast<std::uint32_t>(admission_.running());
+    const bool isFull = admission_.queued() > 0 || running >= admission_.limit();
+    return isServing() && !isFull ? admission_.limit() - running : 0;
+}
+
+void Executor::Impl::logSlotUse(base::Millis now)
+{
+    if (now - slotUseLoggedAt_ < slotSampleInterval || !events::isLogged(events::slotSample))
+        return;
+    const auto sample = slotUse_.take(freeSlots());
+    events::log(events::slotSample, "service=" + backend_.service_ + " ms="
+                                            + std::to_string((now - slotUseLoggedAt_).count())
+                                            + " started=" + std::to_string(sample.started_)
+                                            + " queued=" + std::to_string(sample.queued_)
+                                            + " refused=" + std::to_string(sample.refused_)
+                                            + " handedBack=" + std::to_string(sample.handedBack_)
+                                            + " free=" + std::to_string(sample.freeSlots_));
+    slotUseLoggedAt_ = now;
+}
+
 /** Whether the attempt would wait here for longer than its entry expects elsewhere. */
 bool Executor::Impl::isHandedBack(const Attempt &attempt) const
 {
@@ -231,7 +272,9 @@
                                    .customer_ = run.attempt_.customer_,
                                    .requestClass_ = run.attempt_.requestClass_,
                                    .deadline_ = run.deadline_};
-    perform(admission_.handle(event, base::monotonicNow()));
+    const auto commands = admission_.handle(event, base::monotonicNow());
+    slotUse_.record(arrivalOf(id, commands), freeSlots());
+    perform(commands);
 }
 
 void Executor::Impl::perform(const std::vector<admission::Command> &commands)
--- a/libs/dock/src/details/ExecutorImpl.h
+++ b/libs/dock/src/details/ExecutorImpl.h
@@ -10,6 +10,7 @@
 #include <admission/DownstreamLevels.h>
 #include <balance/HoldingTime.h>
 #include <balance/LoadReport.h>
+#include <balance/SlotUse.h>
 #include <dock/CallInterface.h>
 #include <dock/Executor.h>
 #include <drain/UsualTimes.h>
@@ -81,6 +82,8 @@
     std::optional<once::NotRun> refusalOf(const Attempt &attempt);
     bool isHandedBack(const Attempt &attempt) const;
     balance::LoadReport loadReport() const;
+    std::uint32_t freeSlots() const;
+    void logSlotUse(base::Millis now);
     std::uint32_t admissionSlots() const;
     admission::Level repeatLevel(const std::string &scope, bool isRoot) const;
     RunId findRun(const once::SubKey &subKey) const;
@@ -119,6 +122,8 @@
     admission::DownstreamLevels levels_;
     admission::DownstreamLevels repeatLevels_;
     balance::HoldingTime holdingTime_;
+    balance::SlotUse slotUse_;
+    base::Millis slotUseLoggedAt_;
     std::optional<once::Executor> once_;
     BackendChanged onBackendChanged_;
     ContextFunction onContextEnded_;
--- a/libs/events/include/events/Catalogue.h
+++ b/libs/events/include/events/Catalogue.h
@@ -23,6 +23,8 @@
 inline constexpr Event backendSilent = {202, Severity::Warning, "backend-silent"};
 inline constexpr Event heartbeatIgnored = {203, Severity::Warning, "heartbeat-ignored"};
 
+inline constexpr Event slotSample = {204, Severity::Debug, "slot-sample"};
+
 // 3xx: requests
 inline constexpr Event outcomeUnknown = {300, Severity::Warning, "outcome-unknown"};
 inline constexpr Event requestNotRun = {301, Severity::Info, "request-not-run"};
--- a/libs/events/src/Log.cpp
+++ b/libs/events/src/Log.cpp
@@ -35,6 +35,24 @@
     el::Loggers::reconfigureAllLoggers(configuration);
 }
 
+bool isLogged(const Event &event)
+{
+    const auto elLevel = [&event] {
+        switch (event.severity_) {
+        case Severity::Debug:
+            return el::Level::Debug;
+        case Severity::Info:
+            return el::Level::Info;
+        case Severity::Warning:
+            return el::Level::Warning;
+        case Severity::Error:
+            break;
+        }
+        return el::Level::Error;
+    }();
+    return el::Loggers::getLogger(el::base::consts::kDefaultLoggerId)->enabled(elLevel);
+}
+
 void log(const Event &event, const std::string &detail)
 {
     const auto line = "E" + std::to_string(event.number_) + " " + event.name_ + " " + detail;
