Count uneven waits by service, at the time of the selection

The counter compared a wait with the view that the daemon had when the answer arrived, one service time too late, and had neither a service nor a total to divide by, so operators could not compute a share. The choice now carries whether another instance was expected to have a free slot, and the daemon that placed the call counts calls, waits and uneven waits by service; status shows the share.

The test of the counter is replaced by one that also plays calls that did not wait, calls without a free server and hand-backs. routing (EvenLoadCore and Core tests) and dock (EvenLoad, StatusReport) pass.

--- a/libs/dock/include/dock/AttemptSender.h
+++ b/libs/dock/include/dock/AttemptSender.h
@@ -64,6 +64,7 @@
         std::string instance_;
         std::uint64_t generation_ = 0;
         admission::Priority routingPriority_;
+        bool isOtherFree_ = false; ///< see routing::Choice
         bool isControl_ = false;
         bool isLocal_ = false;
         AttemptId attempt_ = 0;
--- a/libs/dock/include/dock/InstanceSelector.h
+++ b/libs/dock/include/dock/InstanceSelector.h
@@ -28,6 +28,7 @@
 {
     model::Member member_;
     admission::Priority routingPriority_; ///< priority used for the selection
+    bool isOtherFree_ = false;            ///< see routing::Choice
     std::optional<base::Millis> maxWait_; ///< see Attempt::maxWait_
 };
 
--- a/libs/dock/src/AttemptSender.cpp
+++ b/libs/dock/src/AttemptSender.cpp
@@ -96,6 +96,7 @@
 SendId AttemptSender::send(const Selected &to, Attempt attempt, Done done)
 {
     const auto id = startPending(to.member_, to.routingPriority_, false, std::move(done));
+    pending_.at(id).isOtherFree_ = to.isOtherFree_;
     routing_.handle(routing::CallSent{to.member_.id_, to.routingPriority_}, base::monotonicNow());
     transmit(id, to.member_, std::move(attempt));
     return id;
@@ -184,6 +185,7 @@
                                           .level_ = result->levels_.instance_,
                                           .isLeaving_ = result->isDraining_,
                                           .isHandedBack_ = isHandedBack(result->outcome_),
+                                          .isOtherFree_ = pending.isOtherFree_,
                                           .queueing_ = result->queueing_,
                                           .load_ = result->load_,
                                           .generation_ = pending.generation_},
--- a/libs/dock/src/InstanceSelector.cpp
+++ b/libs/dock/src/InstanceSelector.cpp
@@ -57,11 +57,15 @@
     if (!call.isChild() && tried.empty() && !mayStart(call, now))
         return tl::unexpected(notStartedRefusal(call, now));
     const auto routingPriority = levels_.routingPriority(scope, call.priority_, now);
+    const auto selected = [&](const routing::Choice &choice) {
+        return Selected{*choice.member_, routingPriority, choice.isOtherFree_,
+                        maxWaitOf(call, choice)};
+    };
     if (!tried.empty()) {
         auto excluded = avoid;
         excluded.insert(excluded.end(), tried.begin(), tried.end());
         if (const auto untried = routing_.choose(call.service_, routingPriority, excluded, now))
-            return Selected{*untried->member_, routingPriority, maxWaitOf(call, *untried)};
+            return selected(*untried);
     }
     const auto choice = routing_.choose(call.service_, routingPriority, avoid, now);
     if (!choice) {
@@ -74,7 +78,7 @@
             onParentLevel_(call, routing_.level(call.service_, now));
         return tl::unexpected(overloadedRefusal(call, now));
     }
-    return Selected{*choice->member_, routingPriority, maxWaitOf(call, *choice)};
+    return selected(*choice);
 }
 
 once::NotRun InstanceSelector::notStartedRefusal(const CallInfo &call, base::Millis now)
--- a/libs/dock/src/StatusReport.cpp
+++ b/libs/dock/src/StatusReport.cpp
@@ -128,6 +128,19 @@
     return view;
 }
 
+/** Share of the calls of each service that waited while another instance was expected free. */
+json unevennessView(const routing::LoadCounters &counters)
+{
+    json view = json::object();
+    for (const auto &[service, counts] : counters.waits_)
+        view[service] = {{"calls", counts.calls_},
+                         {"waited", counts.waited_},
+                         {"waitedWhileOthersFree", counts.uneven_},
+                         {"unevenness", static_cast<double>(counts.uneven_)
+                                                / static_cast<double>(counts.calls_)}};
+    return view;
+}
+
 metrics::Value gauge(const char *name, const char *help, double value)
 {
     return {.name_ = name, .help_ = help, .kind_ = metrics::ValueKind::Gauge, .value_ = value};
@@ -151,9 +164,22 @@
                              counters.reportAges_.fractional() / millisPerSecond));
     values.push_back(counter("handed_back_total", "calls that an instance handed back unsent",
                              static_cast<double>(counters.handedBack_)));
-    values.push_back(counter("uneven_waits_total",
-                             "calls that waited or were shed while another instance was free",
-                             static_cast<double>(counters.unevenWaits_)));
+    const auto addOfService = [&values](const std::string &service, const char *name,
+                                        const char *help, std::uint64_t count) {
+        values.push_back(counter(name, help, static_cast<double>(count)));
+        values.back().labels_ = {{"service", service}};
+    };
+    for (const auto &[service, counts] : counters.waits_)
+        addOfService(service, "placed_calls_total", "calls that an instance answered",
+                     counts.calls_);
+    for (const auto &[service, counts] : counters.waits_)
+        addOfService(service, "waits_total", "calls that waited for a slot or were shed",
+                     counts.waited_);
+    for (const auto &[service, counts] : counters.waits_)
+        addOfService(
+                service, "uneven_waits_total",
+                "calls that waited or were shed while another instance was expected to be free",
+                counts.uneven_);
 }
 
 } // namespace
@@ -183,8 +209,10 @@
         view["customers"] = customersView(dataStatus_.metrics_->customers_);
     if (dataStatus_.allowances_)
         view["allowances"] = allowancesView(*dataStatus_.allowances_);
-    if (dataStatus_.loadView_)
+    if (dataStatus_.loadView_) {
         view["load"] = loadView(*dataStatus_.loadView_);
+        view["unevenness"] = unevennessView(dataStatus_.loadView_->counters_);
+    }
     return view.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
--- a/libs/dock/tests/EvenLoadTest.cpp
+++ b/libs/dock/tests/EvenLoadTest.cpp
@@ -92,4 +92,9 @@
     EXPECT_EQ(view["second"]["limit"], slots);
     EXPECT_TRUE(view["first"].contains("reportAgeMs"));
     EXPECT_NE(report.prometheus().find("fuchsiadock_handed_back_total"), std::string::npos);
+    EXPECT_NE(report.prometheus().find("fuchsiadock_uneven_waits_total{service=\"wallet\"}"),
+              std::string::npos);
+    const auto unevenness = nlohmann::json::parse(report.json())["unevenness"]["wallet"];
+    EXPECT_GE(unevenness["calls"], 16);
+    EXPECT_LE(unevenness["waitedWhileOthersFree"], unevenness["waited"]);
 }
--- a/libs/routing/include/routing/Choice.h
+++ b/libs/routing/include/routing/Choice.h
@@ -14,6 +14,7 @@
 {
     std::shared_ptr<const model::Member> member_; ///< never null
     bool isSpilled_ = false;                      ///< the instance is in another data centre
+    bool isOtherFree_ = false; ///< another instance is expected to have a free slot
     /** The instance is to hand the call back rather than to let it wait for longer. */
     std::optional<base::Millis> maxWait_;
 
--- a/libs/routing/include/routing/Event.h
+++ b/libs/routing/include/routing/Event.h
@@ -49,6 +49,7 @@
     admission::Level level_;    ///< from the answer; Level::all() when the answer carries none
     bool isLeaving_ = false;    ///< the answer marks the instance as draining
     bool isHandedBack_ = false; ///< not queued, as the wait was too long
+    bool isOtherFree_ = false;  ///< see Choice
     base::Millis queueing_;     ///< time that the call waited for a slot
     std::optional<balance::LoadReport> load_; ///< from the answer
     std::uint64_t generation_ = 0;            ///< of the process that the call was sent to
--- a/libs/routing/src/details/Pool.cpp
+++ b/libs/routing/src/details/Pool.cpp
@@ -170,12 +170,19 @@
     return shortest;
 }
 
-Choice choiceOf(const Instance &instance, std::size_t tier, const Rankings &rankings,
-                const Options &options)
+/** Whether a usable instance other than the chosen one is expected to have a free slot. */
+bool isOtherFree(const Instance &chosen, const Pool::Tiers &tiers, const Rankings &rankings,
+                 base::Millis now)
 {
-    return {.member_ = instance.sharedMember(),
-            .isSpilled_ = tier > 0,
-            .maxWait_ = maxWait(rankings, tier, options)};
+    for (std::size_t tier = 0; tier < tiers.size(); ++tier) {
+        const auto isFree = [&](const auto &other) {
+            return other.get() != &chosen && !other->isDraining(now) && !other->isEjected(now)
+                   && rankings[tier].hasFreeSlot(*other);
+        };
+        if (std::any_of(tiers[tier].begin(), tiers[tier].end(), isFree))
+            return true;
+    }
+    return false;
 }
 
 } // namespace
@@ -204,6 +211,12 @@
     Search search(options, priority, excluded, lowestFailureRate, random, now);
     const Rankings rankings = {Ranking(options, tiers_[0], now), Ranking(options, tiers_[1], now),
                                Ranking(options, tiers_[2], now)};
+    const auto choiceOf = [&](const Instance &instance, std::size_t tier) {
+        return Choice{.member_ = instance.sharedMember(),
+                      .isSpilled_ = tier > 0,
+                      .isOtherFree_ = isOtherFree(instance, tiers_, rankings, now),
+                      .maxWait_ = maxWait(rankings, tier, options)};
+    };
     for (const Pass pass :
          {Pass::Preferred, Pass::AlsoSaturated, Pass::AlsoInProgress, Pass::AlsoEjected}) {
         for (std::size_t tier = 0; tier < tierCount; ++tier) {
@@ -215,9 +228,9 @@
                  ++other) {
                 const Instance *remote = search.pick(tiers_[other], rankings[other], pass);
                 if (remote != nullptr && rankings[other].wait(*remote) + options.spillWait_ < wait)
-                    return choiceOf(*remote, other, rankings, options);
+                    return choiceOf(*remote, other);
             }
-            return choiceOf(*instance, tier, rankings, options);
+            return choiceOf(*instance, tier);
         }
     }
     return tl::unexpected(search.noChoice());
@@ -254,18 +267,4 @@
     return best.value_or(admission::Level::all());
 }
 
-bool Pool::hasFreeSlotBeside(const Instance &instance, base::Millis now) const
-{
-    for (const Instances &tier : tiers_) {
-        const TierLoad load(tier, now);
-        for (const auto &other : tier) {
-            const bool isUsable = other.get() != &instance && other->observedLoad()
-                                  && !other->isDraining(now) && !other->isEjected(now);
-            if (isUsable && load.active(*other) + 1 <= other->observedLoad()->limit())
-                return true;
-        }
-    }
-    return false;
-}
-
 } // namespace routing::details
--- a/libs/routing/src/details/Pool.h
+++ b/libs/routing/src/details/Pool.h
@@ -50,9 +50,6 @@
     /** The instances of each tier, nearest tier first. */
     const Tiers &tiers() const { return tiers_; }
 
-    /** Whether an instance other than this one is expected to have a free slot now. */
-    bool hasFreeSlotBeside(const Instance &instance, base::Millis now) const;
-
 private:
     Tiers tiers_;
 };
--- a/libs/routing/src/details/Ranking.cpp
+++ b/libs/routing/src/details/Ranking.cpp
@@ -57,6 +57,12 @@
     return load != nullptr ? load->wait(instance) : base::Millis();
 }
 
+bool Ranking::hasFreeSlot(const Instance &instance) const
+{
+    const auto *load = std::get_if<TierLoad>(&basis_);
+    return load != nullptr && load->hasFreeSlot(instance);
+}
+
 std::optional<base::Millis> Ranking::maxWait(const Options &options) const
 {
     const auto *load = std::get_if<TierLoad>(&basis_);
--- a/libs/routing/src/details/Ranking.h
+++ b/libs/routing/src/details/Ranking.h
@@ -32,6 +32,9 @@
     /** Expected wait of a call at the instance; 0 if not known. */
     base::Millis wait(const Instance &instance) const;
 
+    /** Whether the instance is expected to have a free slot; false if its load is not known. */
+    bool hasFreeSlot(const Instance &instance) const;
+
     /** Wait from which an instance is to hand the call back; none if it has to queue it. */
     std::optional<base::Millis> maxWait(const Options &options) const;
 
--- a/libs/routing/src/details/State.cpp
+++ b/libs/routing/src/details/State.cpp
@@ -89,19 +89,21 @@
         return;
     found->recordAnswered(event, options_, now);
     if (options_.evenLoad_)
-        countUneven(*found, event, now);
+        countWait(*found, event);
 }
 
-void State::countUneven(const Instance &instance, const CallAnswered &event, base::Millis now)
+void State::countWait(const Instance &instance, const CallAnswered &event)
 {
-    if (event.isHandedBack_)
+    if (event.isHandedBack_) {
         ++loadCounters_.handedBack_;
-    const bool hasWaited = event.queueing_ > options_.handBackWait_;
-    if (!hasWaited && event.kind_ != AnswerKind::Shed)
         return;
-    const Pool *servicePool = pool(instance.member().service_);
-    if (servicePool != nullptr && servicePool->hasFreeSlotBeside(instance, now))
-        ++loadCounters_.unevenWaits_;
+    }
+    WaitCounts &counts = loadCounters_.waits_[instance.member().service_];
+    ++counts.calls_;
+    if (event.queueing_ <= options_.handBackWait_ && event.kind_ != AnswerKind::Shed)
+        return;
+    ++counts.waited_;
+    counts.uneven_ += event.isOtherFree_ ? 1 : 0;
 }
 
 void State::countChoice(const Choice &choice, base::Millis now)
--- a/libs/routing/src/details/State.h
+++ b/libs/routing/src/details/State.h
@@ -55,7 +55,7 @@
     bool updateInstance(const model::Member &member, base::Millis now);
 
     void countChoice(const Choice &choice, base::Millis now);
-    void countUneven(const Instance &instance, const CallAnswered &event, base::Millis now);
+    void countWait(const Instance &instance, const CallAnswered &event);
     bool eraseAbsent();
     void rebuildPools();
 
--- a/libs/routing/src/details/TierLoad.cpp
+++ b/libs/routing/src/details/TierLoad.cpp
@@ -78,6 +78,11 @@
     return std::min(1.0, requests / limit(instance)) + queued / rate(instance) / meanHoldingMs();
 }
 
+bool TierLoad::hasFreeSlot(const Instance &instance) const
+{
+    return instance.observedLoad() && active(instance) + 1.0 <= limit(instance);
+}
+
 base::Millis TierLoad::wait(const Instance &instance) const
 {
     if (!hasRate(instance))
--- a/libs/routing/src/details/TierLoad.h
+++ b/libs/routing/src/details/TierLoad.h
@@ -36,6 +36,9 @@
      */
     double relativeLoad(const Instance &instance) const;
 
+    /** Whether a further request is expected to start at once; false without a report. */
+    bool hasFreeSlot(const Instance &instance) const;
+
     /** Expected wait of a further request at the instance. */
     base::Millis wait(const Instance &instance) const;
 
--- a/libs/routing/tests/EvenLoadTest.cpp
+++ b/libs/routing/tests/EvenLoadTest.cpp
@@ -251,16 +251,34 @@
     EXPECT_EQ(shareOfFirst(), 0.0);
 }
 
+// Load of one server of two: what counts is whether the other was free when the call was sent.
 TEST_F(EvenLoadCore, countsCallsThatWaitedWhileAnotherWasFree)
 {
-    answer("w0", 30);
+    const auto choose = [this] {
+        return core_->choose("wallet", {}, {}, now_)->isOtherFree_;
+    };
+    const auto waited = [this](bool isOtherFree, Millis queueing, bool isHandedBack = false) {
+        core_->handle(CallSent{"w0", {}}, now_);
+        core_->handle(CallAnswered{.instance_ = "w0",
+                                   .level_ = admission::Level::all(),
+                                   .isHandedBack_ = isHandedBack,
+                                   .isOtherFree_ = isOtherFree,
+                                   .queueing_ = queueing},
+                      now_);
+    };
+    EXPECT_FALSE(choose());
+    answer("w0", 25);
+    answer("w1", 25);
+    EXPECT_FALSE(choose());
+    answer("w0", 5);
     answer("w1", 5);
-    core_->handle(CallSent{"w0", {}}, now_);
-    core_->handle(CallAnswered{.instance_ = "w0",
-                               .level_ = admission::Level::all(),
-                               .isHandedBack_ = true,
-                               .queueing_ = Millis(30)},
-                  now_);
-    EXPECT_EQ(core_->loadCounters().unevenWaits_, 1U);
+    EXPECT_TRUE(choose());
+    const auto before = core_->loadCounters().waits_.at("wallet");
+    EXPECT_EQ(before, (WaitCounts{.calls_ = 4}));
+    waited(true, Millis(30));
+    waited(false, Millis(30));
+    waited(true, Millis(0));
+    waited(true, Millis(30), true);
+    EXPECT_EQ(core_->loadCounters().waits_.at("wallet"), (WaitCounts{7, 2, 1}));
     EXPECT_EQ(core_->loadCounters().handedBack_, 1U);
 }
