--- a/libs/dock/src/details/ExecutorImpl.cpp
+++ b/libs/dock/src/details/ExecutorImpl.cpp
@@ -1,7 +1,6 @@
 #include "details/ExecutorImpl.h"
 
 #include <admission/EntryLevels.h>
-#include <balance/HandBack.h>
 #include <base/Clock.h>
 #include <base/Overloaded.h>
 #include <events/Catalogue.h>
@@ -9,6 +8,7 @@
 #include <retry/ContextTable.h>
 
 #include "details/BackendExchange.h"
+#include "details/LateBinding.h"
 
 namespace dock {
 
@@ -24,6 +24,8 @@
 
 constexpr base::Millis tickInterval(20);
 
+constexpr base::Millis slotSampleInterval(100);
+
 /**
  * Tick interval while no request is queued: ticks then only detect a busy processor, and each
  * wake-up costs processor time.
@@ -67,6 +69,20 @@
     return {Reason::Overloaded, refusal.retryAfter_};
 }
 
+/** What the first commands after an arrival mean for the request. */
+balance::Arrival arrivalOf(admission::RequestId id, const std::vector<admission::Command> &commands)
+{
+    for (const auto &command : commands) {
+        const auto *start = std::get_if<admission::Start>(&command);
+        if (start != nullptr && start->id_ == id)
+            return balance::Arrival::Started;
+        const auto *refusal = std::get_if<admission::Refuse>(&command);
+        if (refusal != nullptr && refusal->id_ == id)
+            return balance::Arrival::Refused;
+    }
+    return balance::Arrival::Queued;
+}
+
 } // namespace
 
 std::optional<retry::ArrivalBudget>
@@ -91,6 +107,7 @@
     if (now - tickDue_ > maxTickDelay)
         perform(admission_.handle(admission::ProcessorBusy{}, now));
     perform(admission_.handle(admission::Tick{}, now));
+    logSlotUse(now);
     levels_.prune(now);
     repeatLevels_.prune(now);
     if (arrivalBudget_)
@@ -121,8 +138,10 @@
             !accepts_ || accepts_({attempt.timeLeft_, usualTimes_.of(attempt.requestClass_)});
     if (!canEnd)
         return NotRun{Reason::Draining, {}};
-    if (isHandedBack(attempt))
+    if (isHandedBack(attempt)) {
+        slotUse_.record(balance::Arrival::HandedBack, freeSlots());
         return NotRun{Reason::HandedBack, {}};
+    }
     const bool isOverBudget =
             arrivalBudget_ && attempt.repeat_ != RepeatKind::First
             && !arrivalBudget_->spend(repeatKindOf(attempt), attempt.priority_,
@@ -139,20 +158,37 @@
 
 balance::LoadReport Executor::Impl::loadReport() const
 {
-    return {.active_ = static_cast<std::uint32_t>(admission_.running() + admission_.queued()),
-            .limit_ = std::max<std::uint32_t>(1, admission_.limit()),
-            .holding_ = holdingTime_.mean()};
+    return details::loadReportOf(admission_, holdingTime_.mean());
+}
+
+std::uint32_t Executor::Impl::freeSlots() const
+{
+    const auto running = static_cast<std::uint32_t>(admission_.running());
+    const bool isFull = admission_.queued() > 0 || running >= admission_.limit();
+    return isServing() && !isFull ? admission_.limit() - running : 0;
+}
+
+void Executor::Impl::logSlotUse(base::Millis now)
+{
+    if (now - slotUseLoggedAt_ < slotSampleInterval || !events::isLogged(events::slotSample))
+        return;
+    const auto sample = slotUse_.take(freeSlots());
+    events::log(events::slotSample, "service=" + backend_.service_ + " ms="
+                                            + std::to_string((now - slotUseLoggedAt_).count())
+                                            + " started=" + std::to_string(sample.started_)
+                                            + " queued=" + std::to_string(sample.queued_)
+                                            + " refused=" + std::to_string(sample.refused_)
+                                            + " handedBack=" + std::to_string(sample.handedBack_)
+                                            + " free=" + std::to_string(sample.freeSlots_));
+    slotUseLoggedAt_ = now;
 }
 
 /** Whether the attempt would wait here for longer than its entry expects elsewhere. */
 bool Executor::Impl::isHandedBack(const Attempt &attempt) const
 {
-    if (!settings_.evenLoad_ || !attempt.maxWait_)
-        return false;
-    std::size_t ahead = 0;
-    for (int rank = 0; rank <= attempt.priority_.rank_; ++rank)
-        ahead += admission_.queued(rank);
-    return balance::isHandedBack(loadReport(), static_cast<std::uint32_t>(ahead), attempt.maxWait_);
+    return settings_.evenLoad_
+           && details::isHandedBack(admission_, attempt.priority_, holdingTime_.mean(),
+                                    attempt.maxWait_);
 }
 
 std::uint32_t Executor::Impl::admissionSlots() const
@@ -243,7 +279,9 @@
                                    .customer_ = run.attempt_.customer_,
                                    .requestClass_ = run.attempt_.requestClass_,
                                    .deadline_ = run.deadline_};
-    perform(admission_.handle(event, base::monotonicNow()));
+    const auto commands = admission_.handle(event, base::monotonicNow());
+    slotUse_.record(arrivalOf(id, commands), freeSlots());
+    perform(commands);
 }
 
 void Executor::Impl::perform(const std::vector<admission::Command> &commands)
--- a/libs/events/include/events/Log.h
+++ b/libs/events/include/events/Log.h
@@ -11,6 +11,9 @@
 /** Configures logging to standard output from a level: debug, info, warning or error. */
 void setUpLog(std::string_view level, std::string_view daemonId);
 
+/** Whether lines of this event are written; spares the making of frequent ones. Thread-safe. */
+bool isLogged(const Event &event);
+
 /**
  * Writes one line "E<number> <name> <detail>". Never waits for the reader of the log: lines that it
  * does not take are kept within a bound, further ones are dropped and reported by
--- a/libs/events/src/Log.cpp
+++ b/libs/events/src/Log.cpp
@@ -99,6 +99,25 @@
     el::Helpers::installLogDispatchCallback<Dispatcher>("events");
 }
 
+bool isLogged(const Event &event)
+{
+    const auto elLevel = [&event] {
+        switch (event.severity_) {
+        case Severity::Debug:
+            return el::Level::Debug;
+        case Severity::Info:
+            return el::Level::Info;
+        case Severity::Warning:
+            return el::Level::Warning;
+        case Severity::Error:
+            break;
+        }
+        return el::Level::Error;
+    }();
+    const std::scoped_lock lock(mutex());
+    return el::Loggers::getLogger(el::base::consts::kDefaultLoggerId)->enabled(elLevel);
+}
+
 void log(const Event &event, const std::string &detail)
 {
     const std::scoped_lock lock(mutex());
