Do not give back tokens in whose place the bucket was refilled

Cause: tokens for held requests left the ledger 150 ms after the allotter granted them, and the bucket was refilled in their place.

Change: such tokens stay in the ledger as unconfirmed until the daemon asks again or its part ends. They take room in the bucket, and new tokens replace them once it is full.

--- a/libs/allowance/src/details/Account.cpp
+++ b/libs/allowance/src/details/Account.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace allowance::details {
 namespace {
@@ -44,10 +45,11 @@
 /** What daemons do not hold of the stored tokens may be in the bucket. */
 double Account::capacity(base::Millis now)
 {
+    const double onTheirWay = tokensOnTheirWay(now);
     // Parts of the former allotter may be in force that this one has not heard of.
-    if (isQuiet(now))
-        return bounds_.centralCapacity_;
-    return std::max(0.0, bounds_.stored() - stock_ - tokensOnTheirWay(now));
+    const double room =
+            isQuiet(now) ? bounds_.centralCapacity_ : bounds_.stored() - stock_ - onTheirWay;
+    return std::max(0.0, room - unconfirmed_);
 }
 
 void Account::refill(base::Millis now)
@@ -60,17 +62,37 @@
         const auto end = isSteady ? now : std::min(now, sweptAt_ + sweepInterval);
         const double elapsed = (end - refilledAt_).fractional() / 1000;
         const double rate = std::max(0.0, bounds_.ratePerSecond_ - silentRate_);
-        level_ = std::min(capacity(refilledAt_), level_ + rate * elapsed);
+        const double room = capacity(refilledAt_);
+        const double surplus = std::max(0.0, level_ + rate * elapsed - room);
+        const double replaced = std::min(surplus, unconfirmed_);
+        replaceUnconfirmed(replaced);
+        level_ += rate * elapsed - surplus + replaced;
         refilledAt_ = end;
     }
 }
 
+/** New tokens have taken the place of unconfirmed ones, which are lost now. */
+void Account::replaceUnconfirmed(double tokens)
+{
+    unconfirmed_ -= tokens;
+    for (auto it = holdings_.begin(); it != holdings_.end() && tokens > 0; ++it) {
+        const double part = std::min(tokens, it->second.unconfirmed_);
+        it->second.unconfirmed_ -= part;
+        tokens -= part;
+    }
+}
+
 void Account::sweep(base::Millis now)
 {
     sweptAt_ = now;
     silentRate_ = reserveRate_ = stock_ = demand_ = 0;
     double reported = 0;
-    std::erase_if(holdings_, [now](const auto &item) { return now >= item.second.expiry_; });
+    std::erase_if(holdings_, [&](const auto &item) {
+        const bool isOver = now >= item.second.expiry_;
+        if (isOver)
+            unconfirmed_ = std::max(0.0, unconfirmed_ - item.second.unconfirmed_);
+        return isOver;
+    });
     for (const auto &[holder, holding] : holdings_) {
         reserveRate_ += holding.reserveRate_;
         stock_ += holding.stock_;
@@ -94,23 +116,38 @@
 
 double Account::tokensOnTheirWay(base::Millis now)
 {
-    while (!onTheirWay_.empty() && onTheirWay_.front().until_ <= now)
-        onTheirWay_.pop_front();
+    for (; !onTheirWay_.empty() && onTheirWay_.front().until_ <= now; onTheirWay_.pop_front()) {
+        const auto &entry = onTheirWay_.front();
+        if (entry.to_ == nullptr)
+            continue;
+        entry.to_->unconfirmed_ += entry.tokens_;
+        unconfirmed_ += entry.tokens_;
+    }
     double sum = 0;
     for (const auto &entry : onTheirWay_)
         sum += entry.tokens_;
     return sum;
 }
 
+/** Ends the wait for what happened to the last tokens for held requests; returns their number. */
+double Account::takeBack(Holding &holding, base::Millis now)
+{
+    const double before = tokensOnTheirWay(now);
+    std::erase_if(onTheirWay_, [&](const auto &entry) { return entry.to_ == &holding; });
+    const double unconfirmed = std::exchange(holding.unconfirmed_, 0);
+    unconfirmed_ = std::max(0.0, unconfirmed_ - unconfirmed);
+    return before - tokensOnTheirWay(now) + unconfirmed;
+}
+
 void Account::book(Holding &holding, const Ask &ask, const AskItem &item, base::Millis now)
 {
     const bool wasAnswered = item.answeredNumber_ == holding.number_ && holding.isReported_;
+    // A daemon that asks has taken what arrived, put it in stock, or will not take it.
+    const double tokens = takeBack(holding, now);
     if (!wasAnswered && item.answeredNumber_ < holding.number_)
-        level_ += holding.lastTokens_;
+        level_ += holding.lastRefill_ + tokens;
     else if (wasAnswered)
         level_ += std::min(item.returned_, std::max(0.0, holding.stock_ - item.stock_));
-    // A daemon that asks has taken what arrived, put it in stock, or will not take it.
-    std::erase_if(onTheirWay_, [&](const auto &entry) { return entry.to_ == &holding; });
     // The daemon uses its reserve rate only after a time without answers.
     holding.silentFrom_ = wasAnswered ? holding.reserveFrom_ : now;
     holding.reserveRate_ = item.reserveRate_;
@@ -184,7 +221,7 @@
     const double spare = level_ - kept;
     grant.refill_ = std::clamp(spare, 0.0, std::max(0.0, grant.stock_ - item.level_));
     level_ -= grant.refill_;
-    holding.lastTokens_ = forHeld + grant.refill_;
+    holding.lastRefill_ = grant.refill_;
     if (grant.forHeld_ >= item.held_)
         return;
     // What one answer may carry is spent, the bucket is not.
--- a/libs/allowance/src/details/Account.h
+++ b/libs/allowance/src/details/Account.h
@@ -43,13 +43,14 @@
         base::Millis silentFrom_;  ///< it may use its reserve rate from this time on
         std::uint64_t number_ = 0; ///< of its last ask
         base::Millis reserveFrom_; ///< it uses its reserve rate from then on, if it got the answer
-        double lastTokens_ = 0;    ///< granted then
+        double lastRefill_ = 0;    ///< of its stock, granted then
+        double unconfirmed_ = 0;   ///< part of Account::unconfirmed_
         bool isReported_ = false;  ///< has asked in this tenure
     };
     /** Tokens for held requests that may not have arrived. */
     struct OnTheirWay
     {
-        const Holding *to_ = nullptr;
+        Holding *to_ = nullptr; ///< none if granted by the former allotter
         base::Millis until_;
         double tokens_ = 0;
     };
@@ -61,6 +62,8 @@
     bool isQuiet(base::Millis now) const { return now < tenure_.quietUntil_; }
     double capacity(base::Millis now);
     double tokensOnTheirWay(base::Millis now);
+    void replaceUnconfirmed(double tokens);
+    double takeBack(Holding &holding, base::Millis now);
     void book(Holding &holding, const Ask &ask, const AskItem &item, base::Millis now);
     void grantTokens(Holding &holding, const AskItem &item, Grant &grant, base::Millis now);
 
@@ -76,6 +79,11 @@
     double demand_ = 0;      ///< sum
     std::map<Holder, Holding> holdings_;
     std::deque<OnTheirWay> onTheirWay_;
+    /**
+     * Tokens for held requests that can no longer be used, but whose daemon has not said yet
+     * whether they were: it may give them back. New ones replace them once the bucket is full.
+     */
+    double unconfirmed_ = 0;
 };
 
 } // namespace allowance::details
--- a/libs/allowance/tests/CoreTest.cpp
+++ b/libs/allowance/tests/CoreTest.cpp
@@ -154,6 +154,17 @@
     EXPECT_LT(grantedTo(askOf("a", 3, 1000, 2), Millis(10'400)), all / 2);
 }
 
+TEST_F(AllotterTest, takesBackNoTokenInWhosePlaceTheBucketWasRefilled)
+{
+    const auto grantedTo = [this](const Ask &ask, Millis now) {
+        return allotter_.answer(ask, now).grants_.at(0).forHeld_;
+    };
+    ASSERT_EQ(grantedTo(askOf("a", 1, 8), Millis(20'000)), 8U);
+    EXPECT_GE(grantedTo(askOf("b", 1, 1000), Millis(23'000)), 8U);
+    // Half a token has come since those of "b" are void.
+    EXPECT_LE(grantedTo(askOf("a", 2, 1000, 0), Millis(23'200)), 1U);
+}
+
 TEST_F(AllotterTest, keepsThePartOfASilentDaemonUntilItHasExpired)
 {
     auto ask = askOf("a", 1, 0);
