--- a/libs/dock/tests/DataPathTest.cpp
+++ b/libs/dock/tests/DataPathTest.cpp
@@ -182,8 +182,14 @@
         held = id;
     });
     auto running = caller_.start(entry_.address(), redeem(issueKey(entry_)));
-    while (held == 0)
+    while (held == 0) {
+        // A request that is refused would never be held.
+        if (running.wait_for(std::chrono::milliseconds(0)) == std::future_status::ready) {
+            const auto refused = running.get();
+            FAIL() << (refused ? reasonOf(*refused) : refused.error().detail_);
+        }
         std::this_thread::yield();
+    }
     executor_.task_->deliver(dock::BeginDrain{});
     const auto refused = caller_.call(entry_.address(), redeem(issueKey(entry_)));
     EXPECT_EQ(outcomeOf(refused), "not-run") << refused.body_;
