--- a/libs/dock/tests/TestSystem.h
+++ b/libs/dock/tests/TestSystem.h
@@ -136,6 +136,11 @@
                    .peerAddress_ = settings_.peerAddress_};
     }
 
+    /** Ends the task's thread before the members that it writes. */
+    ~Dock() { task_.reset(); }
+    Dock(const Dock &) = delete;
+    Dock &operator=(const Dock &) = delete;
+
     /** This daemon as a member, with the given service and number of slots. */
     model::Member member(const std::string &service, std::uint32_t slots,
                          model::ServingState serving = model::ServingState::Ready) const
