Remember across restarts which backend server has left

Callers saw: a backend server had deregistered, the daemon beside it was killed and started again, and a heartbeat from before the leave arrived 2 s late.

Cause: the leave was known to the process that acknowledged it alone. The other daemons had the state "draining", but not of which incarnation, and the record of the new process replaced it.

Change: the membership record names the incarnation that retired last. Merging never loses it, it is sent before the leave is acknowledged, and a restarted daemon gets it back with the state it fetches to join. heartbeat::Tracker rejects late heartbeats with it as before the restart. This works whether the server deregistered or reported draining, since both go through the tracker.

--- a/libs/dock/src/ControlTask.cpp
+++ b/libs/dock/src/ControlTask.cpp
@@ -131,7 +131,11 @@
                                        [this](std::vector<model::Address> seeds) {
                                            gossip_->addSeeds(std::move(seeds));
                                        },
-                               .sendToDataTask_ = sendMessage_};
+                               .sendToDataTask_ = sendMessage_,
+                               .onBackendRetired_ =
+                                       [this](const model::RetiredBackend &retired) {
+                                           gossip_->announceRetired(retired);
+                                       }};
     if (binding_)
         source_ = std::make_unique<details::PlatformSource>(reactor_, settings_, *binding_,
                                                             self_.generation_, std::move(hooks));
@@ -200,6 +204,10 @@
         events::log(events::generationRaised, "generation=" + std::to_string(generation));
         sendMessage_(IncarnationChanged{self_});
     }
+    if (const auto retired = gossip_->self().retired_) {
+        if (auto *platform = platformSource())
+            platform->restoreRetired(*retired);
+    }
     withSource([&members](auto &source) { source.setMembers(members); });
     sendMessage_(MembersUpdated{std::move(members)});
 }
--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -371,6 +371,15 @@
     return {};
 }
 
+void PlatformSource::restoreRetired(const model::RetiredBackend &retired)
+{
+    if (!tracker_.restore(retired))
+        return;
+    events::log(events::heartbeatIgnored, "cause=\"sent before the end that was announced to an "
+                                          "earlier process of this daemon\"");
+    hooks_.sendToDataTask_(BackendDraining{});
+}
+
 void PlatformSource::findSeeds()
 {
     rendezvous_->requestSeeds();
@@ -402,6 +411,9 @@
                 .body_ = message.error().message_ + "\n"};
     }
     std::visit([this](const auto &decoded) { handle(decoded); }, *message);
+    // Before the response, since this process may end right after it.
+    if (const auto &retired = tracker_.retired())
+        hooks_.onBackendRetired_(*retired);
     return {.headers_ = {{"Content-Type", "application/json"}}, .body_ = "{}"};
 }
 
--- a/libs/dock/src/details/PlatformSource.h
+++ b/libs/dock/src/details/PlatformSource.h
@@ -58,6 +58,9 @@
     /** Replaces the members; requests the configuration of one with a higher revision, if any. */
     void setMembers(std::shared_ptr<const std::vector<model::Member>> members);
 
+    /** Applies what the backend server announced to an earlier process of this daemon. */
+    void restoreRetired(const model::RetiredBackend &retired);
+
     /** Looks for seeds, as no other daemon answers. */
     void findSeeds();
 
--- a/libs/dock/src/details/SourceHooks.h
+++ b/libs/dock/src/details/SourceHooks.h
@@ -7,6 +7,7 @@
 #include <dock/Messages.h>
 #include <model/Address.h>
 #include <model/Config.h>
+#include <model/RetiredBackend.h>
 
 namespace dock::details {
 
@@ -17,6 +18,7 @@
     std::function<void(std::vector<model::Address>)>
             onSeeds_; ///< control addresses of other daemons
     std::function<void(DataTaskMessage)> sendToDataTask_;
+    std::function<void(const model::RetiredBackend &)> onBackendRetired_;
 };
 
 } // namespace dock::details
--- a/libs/gossip/include/gossip/GossipService.h
+++ b/libs/gossip/include/gossip/GossipService.h
@@ -40,6 +40,9 @@
     void updateSelf(model::ServingState serving, const std::string &service, std::uint32_t slots,
                     model::Revision revision);
 
+    /** Sends the end of the backend server beside this daemon to other daemons at once. */
+    void announceRetired(const model::RetiredBackend &retired);
+
     /** Adds control addresses of other daemons to contact. */
     void addSeeds(std::vector<model::Address> addresses);
 
--- a/libs/gossip/src/GossipService.cpp
+++ b/libs/gossip/src/GossipService.cpp
@@ -194,6 +194,11 @@
     impl_->handle(membership::RevisionInForce{revision});
 }
 
+void GossipService::announceRetired(const model::RetiredBackend &retired)
+{
+    impl_->handle(membership::BackendRetired{retired});
+}
+
 void GossipService::addSeeds(std::vector<model::Address> addresses)
 {
     impl_->handle(membership::SeedsFound{std::move(addresses)});
--- a/libs/heartbeat/include/heartbeat/Tracker.h
+++ b/libs/heartbeat/include/heartbeat/Tracker.h
@@ -9,6 +9,7 @@
 #include <heartbeat/Heartbeat.h>
 #include <heartbeat/Verdict.h>
 #include <model/Address.h>
+#include <model/RetiredBackend.h>
 
 namespace heartbeat {
 
@@ -17,6 +18,8 @@
  *
  * Rejects messages that are late, duplicated, out of order, sent after a deregistration, from a
  * replaced incarnation, or from another sender. Does no I/O, reads no clock and starts no thread.
+ *
+ * What was announced to an earlier process of the daemon is known from restore() only.
  */
 class Tracker
 {
@@ -27,6 +30,15 @@
     Verdict process(const Heartbeat &message);
     Verdict process(const Deregistration &message);
 
+    /**
+     * Restores what was announced to an earlier process of the daemon. Returns whether the last
+     * accepted heartbeat turns out to be outdated; it is dropped then.
+     */
+    bool restore(const model::RetiredBackend &retired);
+
+    /** The incarnation that announced its end last, to this process or an earlier one. */
+    const std::optional<model::RetiredBackend> &retired() const { return retired_; }
+
     /** The last accepted heartbeat; empty before the first one. */
     const std::optional<Heartbeat> &lastHeartbeat() const { return lastHeartbeat_; }
 
@@ -37,11 +49,16 @@
     bool isSameIncarnation(const std::string &id, std::optional<std::int64_t> startedAt) const;
     bool isEarlierIncarnation(std::optional<std::int64_t> startedAt) const;
     bool hasDeregisteredEarly(const Heartbeat &message) const;
+    bool hasRetiredSince(const Heartbeat &message) const;
+    bool isBeforeRetired(const Heartbeat &message) const;
+    void retire(const std::string &id, std::optional<std::int64_t> startedAt,
+                std::uint64_t lastSequence);
 
     const std::string service_;
     const model::Address address_;
     std::optional<Heartbeat> lastHeartbeat_;
     bool hasDeregistered_ = false;
+    std::optional<model::RetiredBackend> retired_;
 
     /** Deregistrations without a preceding heartbeat, as when a daemon starts between the two. */
     std::deque<Deregistration> earlyDeregistrations_;
--- a/libs/heartbeat/src/Tracker.cpp
+++ b/libs/heartbeat/src/Tracker.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <base/Hash.h>
+
 namespace heartbeat {
 
 namespace {
@@ -54,13 +56,45 @@
                        });
 }
 
+/** Whether the retired incarnation sent the heartbeat before it announced its end. */
+bool Tracker::hasRetiredSince(const Heartbeat &message) const
+{
+    return retired_ && retired_->instanceHash_ == base::hash64(message.instanceId_)
+           && message.startedAt_.value_or(retired_->startedAt_) == retired_->startedAt_
+           && message.sequence_ <= retired_->lastSequence_;
+}
+
+/** Whether the heartbeat is of an incarnation that started before the retired one. */
+bool Tracker::isBeforeRetired(const Heartbeat &message) const
+{
+    return retired_ && message.startedAt_ && *message.startedAt_ < retired_->startedAt_;
+}
+
+void Tracker::retire(const std::string &id, std::optional<std::int64_t> startedAt,
+                     std::uint64_t lastSequence)
+{
+    if (startedAt)
+        retired_ = {base::hash64(id), *startedAt, lastSequence};
+}
+
+bool Tracker::restore(const model::RetiredBackend &retired)
+{
+    if (retired_)
+        return false;
+    retired_ = retired;
+    if (!lastHeartbeat_ || !(hasRetiredSince(*lastHeartbeat_) || isBeforeRetired(*lastHeartbeat_)))
+        return false;
+    lastHeartbeat_.reset();
+    return true;
+}
+
 Verdict Tracker::process(const Heartbeat &message)
 {
     if (message.service_ != service_ || message.address_ != address_)
         return Verdict::Foreign;
     if (hasDeregisteredEarly(message))
         return Verdict::Deregistered;
-    if (isEarlierIncarnation(message.startedAt_))
+    if (isEarlierIncarnation(message.startedAt_) || isBeforeRetired(message))
         return Verdict::Stale;
     if (isSameIncarnation(message.instanceId_, message.startedAt_)) {
         if (hasDeregistered_)
@@ -68,6 +102,12 @@
         if (message.sequence_ <= lastHeartbeat_->sequence_)
             return Verdict::Stale;
     }
+    if (hasRetiredSince(message))
+        return Verdict::Deregistered;
+    const bool wasDraining = isSameIncarnation(message.instanceId_, message.startedAt_)
+                             && lastHeartbeat_->isDraining_;
+    if (message.isDraining_ && !wasDraining)
+        retire(message.instanceId_, message.startedAt_, message.sequence_);
     lastHeartbeat_ = message;
     hasDeregistered_ = false;
     return Verdict::Accepted;
@@ -79,11 +119,16 @@
         earlyDeregistrations_.push_back(message);
         if (earlyDeregistrations_.size() > maxEarlyDeregistrations)
             earlyDeregistrations_.pop_front();
+        if (!lastHeartbeat_)
+            retire(message.instanceId_, message.startedAt_,
+                   model::RetiredBackend::noFurtherSequence);
         return Verdict::Foreign;
     }
     if (!isSameIncarnation(message.instanceId_, message.startedAt_))
         return Verdict::Stale;
     hasDeregistered_ = true;
+    retire(message.instanceId_, lastHeartbeat_->startedAt_,
+           model::RetiredBackend::noFurtherSequence);
     return Verdict::Accepted;
 }
 
--- a/libs/heartbeat/tests/TrackerTest.cpp
+++ b/libs/heartbeat/tests/TrackerTest.cpp
@@ -1,5 +1,6 @@
 #include <heartbeat/Tracker.h>
 
+#include <base/Hash.h>
 #include <gtest/gtest.h>
 
 using heartbeat::Deregistration;
@@ -95,3 +96,71 @@
     EXPECT_EQ(subject.process(other), Verdict::Foreign);
     EXPECT_FALSE(subject.lastHeartbeat().has_value());
 }
+
+// Heartbeats from before a deregistration that an earlier process of the daemon acknowledged.
+TEST(Tracker, restoredDeregistrationRejectsLateHeartbeats)
+{
+    auto before = tracker();
+    before.process(makeHeartbeat(4));
+    before.process(Deregistration{"i-1", 1000});
+    ASSERT_TRUE(before.retired().has_value());
+
+    auto subject = tracker();
+    EXPECT_FALSE(subject.restore(*before.retired()));
+    EXPECT_EQ(subject.process(makeHeartbeat(3)), Verdict::Deregistered);
+    EXPECT_EQ(subject.process(makeHeartbeat(5)), Verdict::Deregistered);
+    EXPECT_EQ(subject.process(makeHeartbeat(9, 500, "i-0")), Verdict::Stale);
+    EXPECT_FALSE(subject.lastHeartbeat().has_value());
+    EXPECT_EQ(subject.process(makeHeartbeat(1, 2000, "i-2")), Verdict::Accepted);
+}
+
+TEST(Tracker, restoredDrainingRejectsOnlyHeartbeatsFromBeforeIt)
+{
+    auto before = tracker();
+    before.process(makeHeartbeat(4));
+    auto draining = makeHeartbeat(5);
+    draining.isDraining_ = true;
+    before.process(draining);
+
+    auto subject = tracker();
+    subject.restore(*before.retired());
+    EXPECT_EQ(subject.process(makeHeartbeat(4)), Verdict::Deregistered);
+    draining.sequence_ = 6;
+    EXPECT_EQ(subject.process(draining), Verdict::Accepted);
+}
+
+// The late heartbeat arrives before the restarted daemon has heard of the deregistration.
+TEST(Tracker, restoringDropsAnOutdatedHeartbeat)
+{
+    auto subject = tracker();
+    subject.process(makeHeartbeat(3));
+    EXPECT_TRUE(subject.restore({.instanceHash_ = base::hash64("i-1"),
+                                 .startedAt_ = 1000,
+                                 .lastSequence_ = model::RetiredBackend::noFurtherSequence}));
+    EXPECT_FALSE(subject.lastHeartbeat().has_value());
+
+    auto replaced = tracker();
+    replaced.process(makeHeartbeat(1, 2000, "i-2"));
+    EXPECT_FALSE(replaced.restore({.instanceHash_ = base::hash64("i-1"), .startedAt_ = 1000}));
+    EXPECT_TRUE(replaced.lastHeartbeat().has_value());
+}
+
+// A second restart would otherwise forget a deregistration that came before any heartbeat.
+TEST(Tracker, deregistrationBeforeAnyHeartbeatRetires)
+{
+    auto subject = tracker();
+    subject.process(Deregistration{"i-1", 1000});
+    ASSERT_TRUE(subject.retired().has_value());
+    EXPECT_EQ(subject.retired()->startedAt_, 1000);
+}
+
+// Without a start time, a server that starts again under its id could never be used.
+TEST(Tracker, incarnationWithoutStartIsNotRetired)
+{
+    auto subject = tracker();
+    auto heartbeat = makeHeartbeat(1);
+    heartbeat.startedAt_.reset();
+    subject.process(heartbeat);
+    subject.process(Deregistration{"i-1", {}});
+    EXPECT_FALSE(subject.retired().has_value());
+}
--- a/libs/membership/include/membership/Event.h
+++ b/libs/membership/include/membership/Event.h
@@ -47,6 +47,12 @@
     std::uint32_t slots_ = 0;
 };
 
+/** The backend server beside this daemon has announced its end. */
+struct BackendRetired
+{
+    model::RetiredBackend retired_;
+};
+
 /** A release-note revision came into force at this daemon. */
 struct RevisionInForce
 {
@@ -58,6 +64,6 @@
 {};
 
 using Event = std::variant<Tick, DatagramReceived, StateFetched, StateFetchFailed, SeedsFound,
-                           ServiceChanged, RevisionInForce, LeaveRequested>;
+                           ServiceChanged, BackendRetired, RevisionInForce, LeaveRequested>;
 
 } // namespace membership
--- a/libs/membership/src/Codec.cpp
+++ b/libs/membership/src/Codec.cpp
@@ -123,8 +123,10 @@
 {
     constexpr std::size_t fixedBytes = 48;
     constexpr std::size_t liveFixedBytes = 76;
+    constexpr std::size_t retiredBytes = 28;
     const auto &member = record.member_;
-    const auto tombstone = fixedBytes + member.id_.size() + member.dataCentre_.size();
+    const auto tombstone = fixedBytes + member.id_.size() + member.dataCentre_.size()
+                           + (member.retired_ ? retiredBytes : 0);
     if (!record.isLive())
         return tombstone;
     return tombstone + liveFixedBytes + member.region_.size() + member.service_.size();
--- a/libs/membership/src/details/CoreImpl.h
+++ b/libs/membership/src/details/CoreImpl.h
@@ -33,6 +33,7 @@
     void on(const StateFetchFailed &event);
     void on(const SeedsFound &event);
     void on(const ServiceChanged &event);
+    void on(const BackendRetired &event);
     void on(const RevisionInForce &event);
     void on(const LeaveRequested &);
 
@@ -44,11 +45,13 @@
     void onBody(const DatagramReceived &event, const FetchAdvice &advice);
     void mergeHeader(const DatagramReceived &event);
     void compareViews(const DatagramReceived &event);
+    void restoreRetiredBackend(const DatagramReceived &event);
 
     // Merging.cpp
     /** Merges a received record; returns true if it was newer than the known one. */
     bool mergeRecord(Record record, const std::string &senderDataCentre, bool disseminate);
     bool mergeSelfRecord(const Record &record);
+    void adoptRetiredBackend(const Record &record);
     std::uint64_t generationAbove(std::uint64_t seen);
     bool apply(Record record, bool disseminate);
     bool resolveAddressConflict(Record &record);
--- a/libs/membership/src/details/Events.cpp
+++ b/libs/membership/src/details/Events.cpp
@@ -32,6 +32,7 @@
             mergeRecord(record, event.datagram_.senderDataCentre_, true);
     }
     std::visit([&](const auto &body) { onBody(event, body); }, event.datagram_.body_);
+    restoreRetiredBackend(event);
     compareViews(event);
 }
 
@@ -78,6 +79,15 @@
     reply(event, DigestRequest{requested, table_.digest(requested)});
 }
 
+/** Returns to a restarted daemon the retired backend server that its earlier process announced. */
+void Core::Impl::restoreRetiredBackend(const DatagramReceived &event)
+{
+    const auto *sender = table_.find(event.datagram_.senderId_);
+    if (!sender || !sender->isRetiredInherited_ || isCatchingUp_)
+        return;
+    sendRecords(event.from_, event.datagram_.senderDataCentre_, {recordWithAge(*sender)});
+}
+
 void Core::Impl::onBody(const DatagramReceived &event, const Ping &ping)
 {
     if (isSelf(ping.targetId_))
@@ -186,6 +196,16 @@
     gossip();
 }
 
+void Core::Impl::on(const BackendRetired &event)
+{
+    if (self_.retired_ == event.retired_ || isLeaving_)
+        return;
+    self_.retired_ = event.retired_;
+    ++incarnation_;
+    announceSelf();
+    gossip();
+}
+
 void Core::Impl::on(const RevisionInForce &event)
 {
     if (event.revision_ <= self_.revision_)
--- a/libs/membership/src/details/Fields.h
+++ b/libs/membership/src/details/Fields.h
@@ -21,6 +21,9 @@
 public:
     explicit Fields(const msgpack::object &array);
 
+    /** Whether there is an element at the index; records of earlier versions are shorter. */
+    bool has(std::size_t index) const { return index < objects_.size(); }
+
     const msgpack::object &at(std::size_t index) const;
     std::uint64_t number(std::size_t index, std::uint64_t maximum = UINT64_MAX) const;
     std::string name(std::size_t index) const;
--- a/libs/membership/src/details/MemberTable.cpp
+++ b/libs/membership/src/details/MemberTable.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <numeric>
+#include <utility>
 
 #include <base/Hash.h>
 
@@ -22,8 +23,21 @@
     if (record.isLive() || !record.member_.controlAddress_.host_.empty())
         return;
     const auto generation = record.member_.generation_;
+    const auto retired = record.member_.retired_;
     record.member_ = old.member_;
     record.member_.generation_ = generation;
+    if (retired)
+        record.member_.retired_ = retired;
+}
+
+/** Adds the retired backend server of another record of the same member, if the entry has none. */
+void inheritRetired(Entry &entry, const Record &other)
+{
+    auto &member = entry.record_.member_;
+    if (member.retired_ || !other.member_.retired_)
+        return;
+    member.retired_ = other.member_.retired_;
+    entry.isRetiredInherited_ = entry.record_.isLive();
 }
 
 const std::vector<const Entry *> noEntries;
@@ -35,6 +49,8 @@
     const auto found = entries_.find(record.member_.id_);
     if (found != entries_.end()) {
         auto &known = found->second.record_;
+        if (record.version() <= known.version())
+            inheritRetired(found->second, record);
         if (record.version() < known.version())
             return MergeResult::Older;
         if (record.version() == known.version()) {
@@ -49,7 +65,8 @@
     const auto declaredAt = now - record.age_;
     record.age_ = base::Millis();
     auto &entry = entries_[record.member_.id_];
-    entry = Entry{std::move(record), declaredAt, base::Millis::max()};
+    const auto old = std::exchange(entry, {std::move(record), declaredAt, base::Millis::max()});
+    inheritRetired(entry, old.record_);
     addToIndex(entry);
     return MergeResult::Newer;
 }
--- a/libs/membership/src/details/MemberTable.h
+++ b/libs/membership/src/details/MemberTable.h
@@ -15,6 +15,8 @@
     Record record_;
     base::Millis declaredAt_;        ///< for Dead and Left, by the local clock
     base::Millis suspicionDeadline_; ///< for Suspect, in running time
+    /** The member's own record lacks the retired backend server, which an earlier one had. */
+    bool isRetiredInherited_ = false;
 };
 
 /** How a merged record compares to the known one. */
@@ -28,7 +30,10 @@
         : relaysPerDataCentre_(relaysPerDataCentre)
     {}
 
-    /** Replaces the known record if the given one has a higher version. */
+    /**
+     * Replaces the known record if the given one has a higher version. A retired backend server is
+     * kept, whichever of the two records has it.
+     */
     MergeResult merge(Record record, base::Millis now);
 
     void setSuspicionDeadline(const std::string &id, base::Millis time);
--- a/libs/membership/src/details/Merging.cpp
+++ b/libs/membership/src/details/Merging.cpp
@@ -33,6 +33,7 @@
 
 bool Core::Impl::mergeSelfRecord(const Record &record)
 {
+    adoptRetiredBackend(record);
     const auto *current = table_.find(self_.id_);
     if (isLeaving_ || record.version() <= current->record_.version())
         return false;
@@ -51,6 +52,16 @@
     return true;
 }
 
+/** Takes over the retired backend server that an earlier process of this daemon announced. */
+void Core::Impl::adoptRetiredBackend(const Record &record)
+{
+    if (self_.retired_ || !record.member_.retired_ || isLeaving_)
+        return;
+    self_.retired_ = record.member_.retired_;
+    ++incarnation_;
+    announceSelf();
+}
+
 /** Random, since an earlier process of this id may have raised its own above the same value. */
 std::uint64_t Core::Impl::generationAbove(std::uint64_t seen)
 {
--- a/libs/membership/src/details/Packing.cpp
+++ b/libs/membership/src/details/Packing.cpp
@@ -1,5 +1,7 @@
 #include <details/Packing.h>
 
+#include <optional>
+
 #include <base/Overloaded.h>
 #include <details/Fields.h>
 
@@ -9,6 +11,25 @@
 constexpr std::uint64_t liveFields = 13;
 constexpr std::uint64_t tombstoneFields = 6;
 
+void pack(Packer &packer, const model::RetiredBackend &retired)
+{
+    packer.pack_array(3);
+    packer.pack(retired.instanceHash_);
+    packer.pack(retired.startedAt_);
+    packer.pack(retired.lastSequence_);
+}
+
+/** The element is left out if there is none; one of another type is a later version's. */
+std::optional<model::RetiredBackend> unpackRetired(const Fields &record, std::size_t index)
+{
+    if (!record.has(index) || record.at(index).type != msgpack::type::ARRAY)
+        return std::nullopt;
+    const Fields fields(record.at(index));
+    return model::RetiredBackend{.instanceHash_ = fields.number(0),
+                                 .startedAt_ = fields.at(1).as<std::int64_t>(),
+                                 .lastSequence_ = fields.number(2)};
+}
+
 /** The index in the variant is the kind of the datagram on the wire. */
 void packBody(Packer &packer, const Body &body)
 {
@@ -88,6 +109,17 @@
     return summary;
 }
 
+void packLiveFields(Packer &packer, const model::Member &member)
+{
+    packer.pack(member.region_);
+    packer.pack(member.peerAddress_.text());
+    packer.pack(member.controlAddress_.text());
+    packer.pack(member.service_);
+    packer.pack(member.slots_);
+    packer.pack(static_cast<std::uint64_t>(member.serving_));
+    packer.pack(member.revision_);
+}
+
 void pack(Packer &packer, const RevisionSummary &summary)
 {
     packer.pack_array(3);
@@ -106,22 +138,18 @@
 void pack(Packer &packer, const Record &record)
 {
     const auto &member = record.member_;
-    packer.pack_array(record.isLive() ? liveFields : tombstoneFields);
+    const auto fields = record.isLive() ? liveFields : tombstoneFields;
+    packer.pack_array(static_cast<std::uint32_t>(fields + (member.retired_ ? 1 : 0)));
     packer.pack(member.id_);
     packer.pack(member.generation_);
     packer.pack(record.incarnation_);
     packer.pack(static_cast<std::uint64_t>(record.status_));
     packer.pack(record.age_.count());
     packer.pack(member.dataCentre_);
-    if (!record.isLive())
-        return;
-    packer.pack(member.region_);
-    packer.pack(member.peerAddress_.text());
-    packer.pack(member.controlAddress_.text());
-    packer.pack(member.service_);
-    packer.pack(member.slots_);
-    packer.pack(static_cast<std::uint64_t>(member.serving_));
-    packer.pack(member.revision_);
+    if (record.isLive())
+        packLiveFields(packer, member);
+    if (member.retired_)
+        pack(packer, *member.retired_);
 }
 
 void pack(Packer &packer, const Datagram &datagram)
@@ -160,8 +188,10 @@
     member.dataCentre_ = fields.name(5);
     if (member.id_.empty() || member.dataCentre_.empty())
         throw msgpack::type_error();
-    if (!record.isLive())
+    if (!record.isLive()) {
+        member.retired_ = unpackRetired(fields, tombstoneFields);
         return record;
+    }
     member.region_ = fields.name(6);
     member.peerAddress_ = fields.address(7);
     member.controlAddress_ = fields.address(8);
@@ -170,6 +200,7 @@
     const auto lastState = static_cast<int>(model::ServingState::Draining);
     member.serving_ = static_cast<model::ServingState>(fields.number(11, lastState));
     member.revision_ = fields.number(12);
+    member.retired_ = unpackRetired(fields, liveFields);
     return record;
 }
 
--- a/libs/membership/tests/CodecTest.cpp
+++ b/libs/membership/tests/CodecTest.cpp
@@ -62,6 +62,21 @@
     EXPECT_EQ(Codec().decode(longString).error().code_, "bad-datagram");
 }
 
+TEST(Codec, ignoresFieldsBehindTheRetiredBackend)
+{
+    membership::Record record;
+    record.member_.id_ = "a";
+    record.member_.dataCentre_ = "dc";
+    record.member_.retired_ = model::RetiredBackend{1, 2, 3};
+    record.status_ = membership::Status::Left;
+    auto bytes = Codec().encodeState({record});
+    // The header of the record, an array of seven elements, is the third byte; adds an eighth.
+    ASSERT_EQ(bytes[2], '\x97');
+    bytes[2] = '\x98';
+    bytes += '\x01';
+    EXPECT_EQ(Codec().decodeState(bytes)->front(), record);
+}
+
 TEST(Codec, ignoresFieldsOfLaterVersions)
 {
     membership::Record record;
--- a/libs/membership/tests/CoreTest.cpp
+++ b/libs/membership/tests/CoreTest.cpp
@@ -25,6 +25,16 @@
     return true;
 }
 
+/** Within this time of its start, a daemon counts as out of touch. */
+constexpr Millis restoreBound(3000);
+
+const model::RetiredBackend retired{.instanceHash_ = 7, .startedAt_ = 1000, .lastSequence_ = 42};
+
+bool hasRetired(SimulatedCluster &cluster, const std::string &id)
+{
+    return cluster.core(id).self().retired_ == retired;
+}
+
 bool isListedNowhere(SimulatedCluster &cluster, const std::string &id)
 {
     for (const auto &[other, daemon] : cluster.daemons_) {
@@ -76,6 +86,53 @@
     EXPECT_TRUE(cluster.runUntil([&] { return isListedNowhere(cluster, "d0-7"); }, drainBound));
 }
 
+// A restarted daemon learns which backend server its earlier process acknowledged as retired.
+TEST(Core, restartedDaemonLearnsOfRetiredBackend)
+{
+    SimulatedCluster cluster(3);
+    cluster.loss_ = 0.01;
+    cluster.startAll(3, 5);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.isConverged(); }, convergenceBound));
+    cluster.sendEvent("d0-3", membership::BackendRetired{retired});
+    cluster.run(Millis(200));
+    cluster.crash("d0-3");
+    cluster.run(Millis(300));
+    cluster.restart("d0-3");
+    EXPECT_TRUE(cluster.runUntil([&] { return hasRetired(cluster, "d0-3"); }, restoreBound));
+}
+
+// It joins through a daemon that started after the announcement; others return what they know.
+TEST(Core, retiredBackendIsRestoredAfterJoiningThroughAnUninformedDaemon)
+{
+    SimulatedCluster cluster(4);
+    cluster.startAll(2, 6);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.isConverged(); }, convergenceBound));
+    cluster.sendEvent("d0-3", membership::BackendRetired{retired});
+    cluster.run(Millis(500));
+    cluster.crash("d0-3");
+    cluster.start("new", "dc0", SimulatedCluster::address(100), {});
+    const auto options = cluster.daemons_.at("d0-3").options_;
+    cluster.start("d0-3", "dc0", options.self_.controlAddress_, {SimulatedCluster::address(100)});
+    cluster.run(Millis(500));
+    cluster.sendEvent("new", membership::SeedsFound{{SimulatedCluster::address(0)}});
+    EXPECT_TRUE(cluster.runUntil([&] { return hasRetired(cluster, "d0-3"); }, convergenceBound));
+}
+
+// Tombstones keep it, as a daemon may be stopped and started while its backend server runs on.
+TEST(Core, retiredBackendSurvivesALeaveOfItsDaemon)
+{
+    SimulatedCluster cluster(5);
+    cluster.startAll(2, 4);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.isConverged(); }, convergenceBound));
+    cluster.sendEvent("d0-3", membership::BackendRetired{retired});
+    cluster.sendEvent("d0-3", membership::LeaveRequested{});
+    cluster.run(Millis(300));
+    cluster.crash("d0-3");
+    cluster.run(Millis(20000));
+    cluster.restart("d0-3");
+    EXPECT_TRUE(cluster.runUntil([&] { return hasRetired(cluster, "d0-3"); }, restoreBound));
+}
+
 TEST(Core, crashedMemberIsRemovedEverywhere)
 {
     SimulatedCluster cluster(3);
--- a/libs/membership/tests/Generators.h
+++ b/libs/membership/tests/Generators.h
@@ -27,6 +27,15 @@
     return *rc::gen::arbitrary<std::uint64_t>() >> *rc::gen::inRange(0, 64);
 }
 
+inline std::optional<model::RetiredBackend> retiredBackend()
+{
+    if (*rc::gen::arbitrary<bool>())
+        return std::nullopt;
+    return model::RetiredBackend{.instanceHash_ = number(),
+                                 .startedAt_ = *rc::gen::arbitrary<std::int64_t>(),
+                                 .lastSequence_ = number()};
+}
+
 inline membership::Record record()
 {
     membership::Record record;
@@ -37,6 +46,7 @@
     record.incarnation_ = number();
     record.status_ = static_cast<membership::Status>(*rc::gen::inRange(0, 4));
     record.age_ = base::Millis(*rc::gen::inRange(0, 86'400'000));
+    member.retired_ = retiredBackend();
     if (!record.isLive())
         return record;
     member.region_ = name(0);
--- a/libs/model/include/model/Member.h
+++ b/libs/model/include/model/Member.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include <model/Address.h>
+#include <model/RetiredBackend.h>
 #include <model/Revision.h>
 
 namespace model {
@@ -28,6 +30,7 @@
     std::uint32_t slots_ = 0; ///< maximum concurrent requests of the backend server
     ServingState serving_ = ServingState::Absent;
     Revision revision_ = 0; ///< newest release-note revision known to be in force at this daemon
+    std::optional<RetiredBackend> retired_; ///< retired last beside this daemon, in any process
 
     bool operator==(const Member &) const = default;
 };
