Reject responses with an invalid status at once

Callers saw: a backend server answered with 000, 007 or 099 and an otherwise whole message, and the caller waited for its whole deadline of 4 s for a 504; nothing was tried again. 600 and 999 were handed on.

Cause: every status below 200 counted as an interim response, and no code checked that a status is one.

Change: the parser of responses takes 100 to 599 only, and not 101, since no request asks for another protocol. The response is then malformed, and the call lost, as with a damaged head.

--- a/libs/net/src/details/MessageParser.cpp
+++ b/libs/net/src/details/MessageParser.cpp
@@ -55,6 +55,15 @@
     return false;
 }
 
+/** Whether the status is valid (RFC 9110, section 15); no request asks for another protocol. */
+bool isExpectedStatus(int status)
+{
+    constexpr int minStatus = 100;
+    constexpr int maxStatus = 599;
+    constexpr int switchingProtocols = 101;
+    return status >= minStatus && status <= maxStatus && status != switchingProtocols;
+}
+
 /** Collects the header fields and body of a request or response. */
 template<bool isRequest, typename Message>
 class Collector : public http::basic_parser<isRequest>
@@ -83,7 +92,9 @@
     {
         if constexpr (!isRequest)
             message_.status_ = status;
-        if (containsStatusLine(viewOf(reason)))
+        if (!isExpectedStatus(status))
+            error = http::error::bad_status;
+        else if (containsStatusLine(viewOf(reason)))
             error = http::error::bad_reason;
     }
 
--- a/libs/net/tests/HttpClientTest.cpp
+++ b/libs/net/tests/HttpClientTest.cpp
@@ -354,3 +354,19 @@
     second.send("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 3\r\n\r\nown");
     EXPECT_EQ(result()->body_, "own");
 }
+
+// An invalid status below 200 was skipped as an interim response, until the call timed out.
+TEST_F(HttpClientBytes, responseWithAnInvalidStatusIsLost)
+{
+    for (const auto *status : {"000", "007", "099", "101", "600", "999"}) {
+        start();
+        const auto server = listener_.accept(reactor_);
+        server.receiveUntil(reactor_, "\r\n\r\n");
+        server.send("HTTP/1.1 " + std::string(status)
+                    + " Odd\r\nid: a\r\nContent-Length: 3\r\n\r\nown");
+        const auto response = result();
+        ASSERT_FALSE(response) << status;
+        EXPECT_EQ(response.error().kind_, FailureKind::Lost) << status;
+        EXPECT_TRUE(server.isClosed(reactor_)) << status;
+    }
+}
