Do not take a reset during an upload for the end of the response

Cause: the kernel reports a reset once. ClientConnection reads first, then writes; the write took the error and its result was ignored, and the next read returned a regular end, which completes a response without a length.

Change: a failed write marks the connection, and the end of the stream is then a lost response. A broken pipe is excepted: it means that the peer had ended its output in order before it reset the connection.

Result: HttpClientBytes.responseWithoutLengthIsLostWhenItIsResetDuringTheUpload failed before ("part of the bo" delivered with 200), whether the server had read some of the upload or none, and passes now. responseWithoutLengthIsCompleteWhenItEndsBeforeTheReset passes before and after.

--- a/libs/net/src/details/ClientConnection.cpp
+++ b/libs/net/src/details/ClientConnection.cpp
@@ -133,7 +133,7 @@
     if (write())
         return true;
     if (output_.written() > 0) {
-        // The error is reported when reading: the response may have arrived already.
+        // The failure is reported when reading: the response may have arrived already.
         return true;
     }
     request.body_ = output_.takeBody();
@@ -157,8 +157,9 @@
 {
     const auto progress = output_.writeTo(socket_);
     const bool isBlocked = progress == Output::Progress::Blocked;
+    isCutOff_ = isCutOff_ || progress == Output::Progress::Failed;
     reactor_.watch(socket_, *this, isBlocked ? READ_MASK | WRITE_MASK : READ_MASK);
-    return progress != Output::Progress::Failed;
+    return isBlocked || progress == Output::Progress::Done;
 }
 
 int ClientConnection::handle_output(ACE_HANDLE)
@@ -295,7 +296,11 @@
 
 void ClientConnection::handleEndOfStream()
 {
-    if (parser_.end() == ParseState::Complete && matchResponse() == ResponseMatch::CurrentRequest)
+    // The write that failed has taken the error, so that a reset looks like a regular end.
+    if (isCutOff_)
+        fail(FailureKind::Lost, "connection reset while the request was written");
+    else if (parser_.end() == ParseState::Complete
+             && matchResponse() == ResponseMatch::CurrentRequest)
         completeResponse(true);
     else
         fail(FailureKind::Lost, "connection closed before the response was complete");
--- a/libs/net/src/details/Output.cpp
+++ b/libs/net/src/details/Output.cpp
@@ -8,6 +8,22 @@
 
 namespace net::details {
 
+namespace {
+
+Output::Progress progressAfter(int error)
+{
+    switch (error) {
+    case EAGAIN:
+        return Output::Progress::Blocked;
+    case EPIPE:
+        return Output::Progress::PeerClosed;
+    default:
+        return Output::Progress::Failed;
+    }
+}
+
+} // namespace
+
 Output::Progress Output::writeTo(int socket)
 {
     while (!isDone()) {
@@ -25,7 +41,7 @@
         if (sent < 0 && errno == EINTR)
             continue;
         if (sent < 0)
-            return errno == EAGAIN ? Progress::Blocked : Progress::Failed;
+            return progressAfter(errno);
         written_ += static_cast<std::size_t>(sent);
     }
     return Progress::Done;
--- a/libs/net/src/details/Output.h
+++ b/libs/net/src/details/Output.h
@@ -13,8 +13,9 @@
 public:
     enum class Progress : std::uint8_t {
         Done,
-        Blocked, ///< the send buffer of the socket is full
-        Failed,  ///< the connection is broken
+        Blocked,    ///< the send buffer of the socket is full
+        Failed,     ///< the connection is broken; reading may report a regular end instead
+        PeerClosed, ///< broken after the peer had ended its own output
     };
 
     Output() = default;
--- a/libs/net/src/details/ServerConnection.cpp
+++ b/libs/net/src/details/ServerConnection.cpp
@@ -222,6 +222,7 @@
     const auto writtenBefore = output_.written();
     switch (output_.writeTo(socket_)) {
     case Output::Progress::Failed:
+    case Output::Progress::PeerClosed:
         closeConnection();
         return;
     case Output::Progress::Blocked:
--- a/libs/net/tests/HttpClientTest.cpp
+++ b/libs/net/tests/HttpClientTest.cpp
@@ -16,6 +16,9 @@
 
 constexpr Millis callTimeout(5000);
 
+/** Time for the client to fill the socket buffers. */
+constexpr Millis fillTime(50);
+
 const std::string refusalWithoutId =
         "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
@@ -30,6 +33,15 @@
                      [this](CallResult result) { result_ = std::move(result); });
     }
 
+    /** A request that is far larger than the socket buffers. */
+    static HttpRequest upload()
+    {
+        constexpr std::size_t uploadBytes = 16 * 1024 * 1024;
+        return {.method_ = "POST",
+                .headers_ = {{"id", "a"}},
+                .body_ = std::string(uploadBytes, 'x')};
+    }
+
     CallResult result()
     {
         while (!result_)
@@ -370,3 +382,34 @@
         EXPECT_TRUE(server.isClosed(reactor_)) << status;
     }
 }
+
+// Writing the rest of the upload took the error of the reset, and reading then saw a regular end.
+TEST_F(HttpClientBytes, responseWithoutLengthIsLostWhenItIsResetDuringTheUpload)
+{
+    for (const bool isUploadRead : {false, true}) {
+        start(upload());
+        auto server = listener_.accept(reactor_);
+        reactor_.runFor(fillTime);
+        if (isUploadRead)
+            server.receiveUntil(reactor_, "\r\n\r\n");
+        server.send("HTTP/1.1 200 OK\r\nid: a\r\n\r\npart of the bo");
+        server.reset();
+        const auto response = result();
+        ASSERT_FALSE(response) << response->body_;
+        EXPECT_EQ(response.error().kind_, FailureKind::Lost);
+    }
+}
+
+// The same reset behind the regular end of the response takes nothing from it.
+TEST_F(HttpClientBytes, responseWithoutLengthIsCompleteWhenItEndsBeforeTheReset)
+{
+    start(upload());
+    auto server = listener_.accept(reactor_);
+    reactor_.runFor(fillTime);
+    server.send("HTTP/1.1 200 OK\r\nid: a\r\n\r\nthe whole body");
+    server.shutdownOutput();
+    server.reset();
+    const auto response = result();
+    ASSERT_TRUE(response) << response.error().detail_;
+    EXPECT_EQ(response->body_, "the whole body");
+}
--- a/libs/net/tests/RawSocket.cpp
+++ b/libs/net/tests/RawSocket.cpp
@@ -97,6 +97,11 @@
     return false;
 }
 
+void RawSocket::shutdownOutput() const
+{
+    ::shutdown(socket_, SHUT_WR);
+}
+
 void RawSocket::reset()
 {
     const linger abort = {.l_onoff = 1, .l_linger = 0};
--- a/libs/net/tests/RawSocket.h
+++ b/libs/net/tests/RawSocket.h
@@ -39,6 +39,9 @@
     /** Whether the peer closes the connection within a second. */
     bool isClosed(net::Reactor &reactor) const;
 
+    /** Ends the bytes sent; the peer reads a regular end of the connection. */
+    void shutdownOutput() const;
+
     /** Closes the connection with a reset. */
     void reset();
     void close();
