Keep the end of a backend server in the store for restarts of all daemons

Cause: what a daemon acknowledges was kept in the memory of daemons alone.

Change: the end is also written to the rendezvous topic, under a key of the daemon's own, which it finds when it reads the topic at its start: one write for each incarnation that retires, no further read. The store and the other daemons may answer in either order, so the later announcement holds. Heartbeats of incarnations that started before the restored one are no longer rejected for that alone: a clock that went back would keep a new server out.

--- a/libs/dock/src/details/PlatformSource.cpp
+++ b/libs/dock/src/details/PlatformSource.cpp
@@ -110,7 +110,8 @@
                     .topic_ = binding.rendezvousTopic_,
                     .self_ = {settings.id_, settings.dataCentre_, settings.controlAddress_},
                     .seed_ = generation},
-            [this](std::vector<model::Address> seeds) { hooks_.onSeeds_(std::move(seeds)); });
+            [this](std::vector<model::Address> seeds) { hooks_.onSeeds_(std::move(seeds)); },
+            [this](const model::RetiredBackend &retired) { restoreRetired(retired); });
     authority_ = std::make_unique<AllotterAuthority>(
             reactor, *log_, binding.allowanceTopic_,
             AllotterRecord{self_, settings.controlAddress_},
@@ -373,7 +374,9 @@
 
 void PlatformSource::restoreRetired(const model::RetiredBackend &retired)
 {
-    if (!tracker_.restore(retired))
+    const bool isLastHeartbeatOutdated = tracker_.restore(retired);
+    hooks_.onBackendRetired_(*tracker_.retired());
+    if (!isLastHeartbeatOutdated)
         return;
     events::log(events::heartbeatIgnored, "cause=\"sent before the end that was announced to an "
                                           "earlier process of this daemon\"");
@@ -412,8 +415,10 @@
     }
     std::visit([this](const auto &decoded) { handle(decoded); }, *message);
     // Before the response, since this process may end right after it.
-    if (const auto &retired = tracker_.retired())
+    if (const auto &retired = tracker_.retired()) {
         hooks_.onBackendRetired_(*retired);
+        rendezvous_->storeRetired(*retired);
+    }
     return {.headers_ = {{"Content-Type", "application/json"}}, .body_ = "{}"};
 }
 
--- a/libs/heartbeat/include/heartbeat/Tracker.h
+++ b/libs/heartbeat/include/heartbeat/Tracker.h
@@ -31,8 +31,9 @@
     Verdict process(const Deregistration &message);
 
     /**
-     * Restores what was announced to an earlier process of the daemon. Returns whether the last
-     * accepted heartbeat turns out to be outdated; it is dropped then.
+     * Restores what was announced to an earlier process of the daemon, unless a later announcement
+     * is known. Returns whether the last accepted heartbeat turns out to be outdated; it is dropped
+     * then.
      */
     bool restore(const model::RetiredBackend &retired);
 
@@ -50,7 +51,6 @@
     bool isEarlierIncarnation(std::optional<std::int64_t> startedAt) const;
     bool hasDeregisteredEarly(const Heartbeat &message) const;
     bool hasRetiredSince(const Heartbeat &message) const;
-    bool isBeforeRetired(const Heartbeat &message) const;
     void retire(const std::string &id, std::optional<std::int64_t> startedAt,
                 std::uint64_t lastSequence);
 
--- a/libs/heartbeat/src/Tracker.cpp
+++ b/libs/heartbeat/src/Tracker.cpp
@@ -64,12 +64,6 @@
            && message.sequence_ <= retired_->lastSequence_;
 }
 
-/** Whether the heartbeat is of an incarnation that started before the retired one. */
-bool Tracker::isBeforeRetired(const Heartbeat &message) const
-{
-    return retired_ && message.startedAt_ && *message.startedAt_ < retired_->startedAt_;
-}
-
 void Tracker::retire(const std::string &id, std::optional<std::int64_t> startedAt,
                      std::uint64_t lastSequence)
 {
@@ -79,10 +73,10 @@
 
 bool Tracker::restore(const model::RetiredBackend &retired)
 {
-    if (retired_)
+    if (retired_ && !retired.supersedes(*retired_))
         return false;
     retired_ = retired;
-    if (!lastHeartbeat_ || !(hasRetiredSince(*lastHeartbeat_) || isBeforeRetired(*lastHeartbeat_)))
+    if (!lastHeartbeat_ || !hasRetiredSince(*lastHeartbeat_))
         return false;
     lastHeartbeat_.reset();
     return true;
@@ -94,7 +88,7 @@
         return Verdict::Foreign;
     if (hasDeregisteredEarly(message))
         return Verdict::Deregistered;
-    if (isEarlierIncarnation(message.startedAt_) || isBeforeRetired(message))
+    if (isEarlierIncarnation(message.startedAt_))
         return Verdict::Stale;
     if (isSameIncarnation(message.instanceId_, message.startedAt_)) {
         if (hasDeregistered_)
--- a/libs/membership/src/details/Merging.cpp
+++ b/libs/membership/src/details/Merging.cpp
@@ -55,7 +55,8 @@
 /** Takes over the retired backend server that an earlier process of this daemon announced. */
 void Core::Impl::adoptRetiredBackend(const Record &record)
 {
-    if (self_.retired_ || !record.member_.retired_ || isLeaving_)
+    const auto &retired = record.member_.retired_;
+    if (!retired || isLeaving_ || (self_.retired_ && !retired->supersedes(*self_.retired_)))
         return;
     self_.retired_ = record.member_.retired_;
     ++incarnation_;
--- a/libs/model/include/model/RetiredBackend.h
+++ b/libs/model/include/model/RetiredBackend.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <utility>
 
 namespace model {
 
@@ -21,6 +22,13 @@
     std::int64_t startedAt_ = 0;     ///< milliseconds since the Unix epoch
     std::uint64_t lastSequence_ = 0; ///< heartbeats up to this one are outdated
 
+    /** Whether this incarnation retired after the other one, or announced more since. */
+    bool supersedes(const RetiredBackend &other) const
+    {
+        return std::pair(startedAt_, lastSequence_)
+               > std::pair(other.startedAt_, other.lastSequence_);
+    }
+
     bool operator==(const RetiredBackend &) const = default;
 };
 
--- a/libs/rendezvous/src/KeyedRendezvous.cpp
+++ b/libs/rendezvous/src/KeyedRendezvous.cpp
@@ -1,37 +1,49 @@
 #include <rendezvous/KeyedRendezvous.h>
 
+#include <optional>
+
 #include <base/Overloaded.h>
 #include <events/Catalogue.h>
 #include <events/Log.h>
 #include <logclient/Backoff.h>
 #include <logclient/KeyedLog.h>
 #include <net/Reactor.h>
+#include <rendezvous/RetiredRecord.h>
 
 namespace rendezvous {
 
 struct KeyedRendezvous::Impl : std::enable_shared_from_this<KeyedRendezvous::Impl>
 {
     Impl(net::Reactor &reactor, logclient::KeyedLog &log, KeyedOptions options,
-         SeedsHandler onSeeds)
+         SeedsHandler onSeeds, RetiredHandler onRetired)
         : reactor_(reactor)
         , log_(log)
         , options_(std::move(options))
         , onSeeds_(std::move(onSeeds))
+        , onRetired_(std::move(onRetired))
         , backoff_(options_.firstRetryDelay_, options_.maxRetryDelay_, options_.seed_)
+        , retiredBackoff_(options_.firstRetryDelay_, options_.maxRetryDelay_, options_.seed_ + 1)
     {}
 
     void write();
     void read(const std::string &after);
     void handlePage(const logclient::KeyedPage &page);
-    void retry(const char *operation, const logclient::LogError &error, void (Impl::*repeat)());
+    void handleRetired(const logclient::KeyedRecord &record);
+    void writeRetired();
+    void retry(const char *operation, const logclient::LogError &error, logclient::Backoff &backoff,
+               void (Impl::*repeat)());
     void readAll() { read({}); }
 
     net::Reactor &reactor_;
     logclient::KeyedLog &log_;
     const KeyedOptions options_;
     SeedsHandler onSeeds_;
+    RetiredHandler onRetired_;
     logclient::Backoff backoff_;
-    bool isBusy_ = false; ///< a write, a read or a retry is outstanding
+    logclient::Backoff retiredBackoff_;
+    bool isBusy_ = false;                          ///< a write, a read or a retry is outstanding
+    std::optional<model::RetiredBackend> retired_; ///< stored, or being stored
+    bool isWritingRetired_ = false;
 };
 
 // The write is idempotent, so it is also repeated when its result is unknown.
@@ -44,7 +56,7 @@
                  if (!self)
                      return;
                  if (!result) {
-                     self->retry("write", result.error(), &Impl::write);
+                     self->retry("write", result.error(), self->backoff_, &Impl::write);
                      return;
                  }
                  self->backoff_.reset();
@@ -61,7 +73,7 @@
                         if (!self)
                             return;
                         if (!result) {
-                            self->retry("read", result.error(), &Impl::readAll);
+                            self->retry("read", result.error(), self->backoff_, &Impl::readAll);
                             return;
                         }
                         self->backoff_.reset();
@@ -73,6 +85,10 @@
 {
     std::vector<model::Address> seeds;
     for (const auto &record : page.records_) {
+        if (RetiredRecord::isKey(record.key_)) {
+            handleRetired(record);
+            continue;
+        }
         auto seed = SeedRecord::parse(record.value_);
         if (!seed) {
             events::log(events::meetingFailed, "step=parse key=" + record.key_ + " cause=\""
@@ -90,20 +106,59 @@
         isBusy_ = false;
 }
 
+void KeyedRendezvous::Impl::handleRetired(const logclient::KeyedRecord &record)
+{
+    if (record.key_ != RetiredRecord::keyOf(options_.self_.id_))
+        return;
+    const auto retired = RetiredRecord::parse(record.value_);
+    if (!retired) {
+        events::log(events::meetingFailed, "step=parse key=" + record.key_ + " cause=\""
+                                                   + retired.error().message_ + "\"");
+        return;
+    }
+    if (!retired_)
+        retired_ = *retired;
+    onRetired_(*retired);
+}
+
+void KeyedRendezvous::Impl::writeRetired()
+{
+    isWritingRetired_ = true;
+    const auto written = *retired_;
+    log_.put(options_.topic_, RetiredRecord::keyOf(options_.self_.id_),
+             RetiredRecord::text(written),
+             [weak = weak_from_this(), written](const logclient::AppendResult &result) {
+                 const auto self = weak.lock();
+                 if (!self)
+                     return;
+                 if (!result) {
+                     self->retry("write-retired", result.error(), self->retiredBackoff_,
+                                 &Impl::writeRetired);
+                     return;
+                 }
+                 self->retiredBackoff_.reset();
+                 self->isWritingRetired_ = false;
+                 if (self->retired_ != written)
+                     self->writeRetired();
+             });
+}
+
 void KeyedRendezvous::Impl::retry(const char *operation, const logclient::LogError &error,
-                                  void (Impl::*repeat)())
+                                  logclient::Backoff &backoff, void (Impl::*repeat)())
 {
     events::log(events::meetingFailed,
                 std::string("step=") + operation + " cause=\"" + logclient::text(error) + "\"");
-    reactor_.schedule(backoff_.nextDelay(), [weak = weak_from_this(), repeat] {
+    reactor_.schedule(backoff.nextDelay(), [weak = weak_from_this(), repeat] {
         if (const auto self = weak.lock())
             (self.get()->*repeat)();
     });
 }
 
 KeyedRendezvous::KeyedRendezvous(net::Reactor &reactor, logclient::KeyedLog &log,
-                                 KeyedOptions options, SeedsHandler onSeeds)
-    : impl_(std::make_shared<Impl>(reactor, log, std::move(options), std::move(onSeeds)))
+                                 KeyedOptions options, SeedsHandler onSeeds,
+                                 RetiredHandler onRetired)
+    : impl_(std::make_shared<Impl>(reactor, log, std::move(options), std::move(onSeeds),
+                                   std::move(onRetired)))
 {
     reactor.post([weak = impl_->weak_from_this()] {
         if (const auto self = weak.lock())
@@ -119,4 +174,16 @@
         impl_->readAll();
 }
 
+void KeyedRendezvous::storeRetired(const model::RetiredBackend &retired)
+{
+    const auto &stored = impl_->retired_;
+    const bool isStored = stored && stored->instanceHash_ == retired.instanceHash_
+                          && stored->startedAt_ == retired.startedAt_;
+    if (isStored)
+        return;
+    impl_->retired_ = retired;
+    if (!impl_->isWritingRetired_)
+        impl_->writeRetired();
+}
+
 } // namespace rendezvous
