Free the memory of messages that are over

A process over its limit is killed with all its requests.

Cause: a rejected stream released its reservation and assigned an empty string to its body, which keeps the block in libstdc++. A heap profile of the test showed 96 MB allocated by bodies, of 99.6 MB, while the budget counted 16.8 MB at most; so it was not the fragmented heap that the entry supposed. Idle connections kept their last response or request in the same way.

Change: freeMemory() swaps with an empty string, for rejected streams and for idle and lingering connections.

KNOWN-RED 8 is removed.

--- a/cmake/Fuchsiadock.cmake
+++ b/cmake/Fuchsiadock.cmake
@@ -1,6 +1,6 @@
 # Tests that fail for a fault not mended yet; each has an entry in KNOWN-RED.txt.
 set(KNOWN_RED_TESTS
-    "Loads/Expiry.callersRefuseWhatWouldExpireInTheQueue/*:Memory.streamsOfPeersWithoutEnd:KnownRed/EvenLoadBound.*:KnownRed/EvenLoadSizes.allServers*")
+    "Loads/Expiry.callersRefuseWhatWouldExpireInTheQueue/*:KnownRed/EvenLoadBound.*:KnownRed/EvenLoadSizes.allServers*")
 
 # Declares the static library NAME from src/*.cpp with public headers in include/NAME,
 # and a test program NAME_tests from tests/*Test.cpp when there are any.
--- a/libs/net/src/details/Body.h
+++ b/libs/net/src/details/Body.h
@@ -6,6 +6,12 @@
 
 namespace net::details {
 
+/** Empties a string and frees its memory, which assigning an empty string does not. */
+inline void freeMemory(std::string &text)
+{
+    std::string().swap(text);
+}
+
 /** Appends to a body. Large bodies grow by 25%, as doubling could leave half the memory unused. */
 inline void appendBody(std::string &body, std::string_view more)
 {
--- a/libs/net/src/details/ClientConnection.cpp
+++ b/libs/net/src/details/ClientConnection.cpp
@@ -13,6 +13,8 @@
 #include <net/Reactor.h>
 #include <sys/socket.h>
 
+#include "details/Body.h"
+
 namespace net::details {
 
 namespace {
@@ -285,7 +287,8 @@
     if (const auto seconds = keepAliveTimeoutSeconds(response.headers_))
         idleLifetime = std::min(idleLifetime, base::Millis(*seconds * usableMsPerIdleSecond));
     usableUntil_ = base::monotonicNow() + idleLifetime;
-    unparsed_.clear();
+    freeMemory(unparsed_);
+    output_.clear();
     reservation_.release();
     state_ = State::Idle;
     auto &owner = owner_;
--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -191,7 +191,7 @@
 {
     if (outputOffset_ == output_.size()) {
         if (output_.capacity() > maxRetainedOutputBytes)
-            output_ = std::string();
+            freeMemory(output_);
         output_.clear();
         outputOffset_ = 0;
     }
@@ -280,7 +280,7 @@
     auto &message = stream(id);
     message.isRejected_ = true;
     message.headers_.clear();
-    message.body_ = std::string(); // frees the memory; assigning {} would not
+    freeMemory(message.body_);
     message.reservation_.release();
     nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id,
                               isServer_ ? NGHTTP2_REFUSED_STREAM : NGHTTP2_CANCEL);
--- a/libs/net/src/details/Output.cpp
+++ b/libs/net/src/details/Output.cpp
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <sys/uio.h>
 
+#include "details/Body.h"
+
 namespace net::details {
 
 namespace {
@@ -47,4 +49,11 @@
     return Progress::Done;
 }
 
+void Output::clear()
+{
+    freeMemory(head_);
+    freeMemory(body_);
+    written_ = 0;
+}
+
 } // namespace net::details
--- a/libs/net/src/details/Output.h
+++ b/libs/net/src/details/Output.h
@@ -32,6 +32,9 @@
     /** Bytes that the socket has accepted. */
     std::size_t written() const { return written_; }
 
+    /** Frees the message, once it is no longer needed. */
+    void clear();
+
     /** Moves the body out, to be sent on another connection. */
     std::string takeBody() { return std::move(body_); }
 
--- a/libs/net/src/details/ServerConnection.cpp
+++ b/libs/net/src/details/ServerConnection.cpp
@@ -10,6 +10,8 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include "details/Body.h"
+
 namespace net::details {
 
 namespace {
@@ -196,7 +198,7 @@
 void ServerConnection::reject(HttpResponse response)
 {
     state_ = State::Serving;
-    unparsed_ = std::string();
+    freeMemory(unparsed_);
     static_cast<void>(parser_.take()); // frees the memory of the partial request
     respond(std::move(response), true);
 }
@@ -238,7 +240,7 @@
 
 void ServerConnection::finishResponse()
 {
-    output_ = {};
+    output_.clear();
     reservation_.release();
     reservation_.reserve(limits_.budget_, unparsed_.size());
     if (closesAfterResponse_) {
@@ -262,7 +264,7 @@
 {
     ::shutdown(socket_, SHUT_WR);
     state_ = State::Lingering;
-    unparsed_ = std::string();
+    freeMemory(unparsed_);
     undeliveredBytes_ = undeliveredBytes(socket_);
     updateWatch();
     checkDeliveryLater();
