--- a/libs/net/src/details/ClientConnection.h
+++ b/libs/net/src/details/ClientConnection.h
@@ -119,9 +119,9 @@
     bool isHeadRequest_ = false;
     bool hasCompletedRequest_ = false;           ///< before the latest request
     std::vector<std::uint64_t> refusedIdHashes_; ///< requests without a successful response
-    bool isCutOff_ = false;                      ///< a write failed, other than after the response
-    int interimResponses_ = 0;                   ///< 1xx, for the latest request
-    int mismatchedResponses_ = 0;                ///< received in place of its response
+    bool isCutOff_ = false;       ///< a write failed before the peer ended its output
+    int interimResponses_ = 0;    ///< 1xx, for the latest request
+    int mismatchedResponses_ = 0; ///< received in place of its response
 };
 
 } // namespace net::details
