Await the server's receipt before a response without length is whole

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and closed the connection. The caller got that part as a complete answer, with status 200.

Cause: a response without a length ends with its stream, and an orderly end was taken for the end of the response even while the request was being written. A server that closes its socket with nothing unread, or that ends its output first, ends the stream in order; the reset comes only when more of the request arrives. The client had closed the connection by then.

Change: after such an end of a success the client goes on to write the request, and completes the response once the server's kernel has acknowledged all of it. A failed write or a reset makes it a lost response. The call's deadline bounds the wait. Failures keep their status: they are often sent without reading the request. hasConnectFailed() became takeError(), and undeliveredBytes() moved out of ServerConnection.

Why this works: a server that has closed resets the connection when bytes of the request arrive that it has not received, and never acknowledges them. One that has received everything has no reason left to reset it.

--- a/libs/net/src/details/ClientConnection.cpp
+++ b/libs/net/src/details/ClientConnection.cpp
@@ -10,7 +10,6 @@
 #include <base/Clock.h>
 #include <base/Hash.h>
 #include <net/HttpClientOptions.h>
-#include <net/Reactor.h>
 #include <sys/socket.h>
 
 #include "details/Body.h"
@@ -33,6 +32,9 @@
 constexpr std::size_t maxRefusedIds = 128;
 constexpr int minServerErrorStatus = 500;
 
+/** Interval of checks whether the server has received a request that it answered early. */
+constexpr base::Millis deliveryCheckInterval(10);
+
 /** Milliseconds for each second of the server's idle timeout in which a connection is reused. */
 constexpr std::int64_t usableMsPerIdleSecond = 800;
 
@@ -103,6 +105,7 @@
 
 ClientConnection::~ClientConnection()
 {
+    reactor_.cancel(deliveryTimer_);
     if (state_ != State::Closed)
         reactor_.unwatchAndClose(socket_);
 }
@@ -145,7 +148,7 @@
 
 void ClientConnection::finishConnect()
 {
-    if (hasConnectFailed(socket_)) {
+    if (takeError(socket_) != 0) {
         fail(FailureKind::NotSent, "cannot connect");
         return;
     }
@@ -170,6 +173,8 @@
         finishConnect();
     else if (state_ == State::AwaitingResponse)
         write();
+    else if (state_ == State::AwaitingDelivery)
+        checkDelivery();
     return 0;
 }
 
@@ -300,13 +305,42 @@
 void ClientConnection::handleEndOfStream()
 {
     // The write that failed has taken the error, so that a reset looks like a regular end.
-    if (isCutOff_)
+    if (isCutOff_) {
         fail(FailureKind::Lost, "connection reset while the request was written");
-    else if (parser_.end() == ParseState::Complete
-             && matchResponse() == ResponseMatch::CurrentRequest)
-        completeResponse(true);
-    else
+    } else if (parser_.end() != ParseState::Complete
+               || matchResponse() != ResponseMatch::CurrentRequest) {
         fail(FailureKind::Lost, "connection closed before the response was complete");
+    } else if (parser_.response().status_ > maxSuccessStatus) {
+        completeResponse(true); // the status is valid without the body
+    } else {
+        state_ = State::AwaitingDelivery;
+        checkDelivery();
+    }
+}
+
+/**
+ * Completes a response that ended with its stream once the server has received the request. A
+ * server that closes the connection earlier ends the stream in the same way in the middle of its
+ * response, and resets the connection only when it receives more of the request.
+ */
+void ClientConnection::checkDelivery()
+{
+    const auto progress = output_.writeTo(socket_);
+    if (progress == Output::Progress::Done && undeliveredBytes(socket_) == 0) {
+        completeResponse(true);
+        return;
+    }
+    if (progress == Output::Progress::Blocked) {
+        reactor_.watch(socket_, *this, WRITE_MASK);
+        return;
+    }
+    if (progress != Output::Progress::Done || takeError(socket_) != 0) {
+        fail(FailureKind::Lost, "connection closed before the request was received");
+        return;
+    }
+    // No event reports the last acknowledgement, and the end of the stream would be reported on.
+    reactor_.unwatch(socket_);
+    deliveryTimer_ = reactor_.schedule(deliveryCheckInterval, [this] { checkDelivery(); });
 }
 
 void ClientConnection::fail(FailureKind kind, const char *detail)
@@ -320,6 +354,7 @@
     if (state_ == State::Closed)
         return;
     state_ = State::Closed;
+    reactor_.cancel(deliveryTimer_);
     reservation_.release();
     reactor_.unwatchAndClose(socket_);
     owner_.connectionClosed(*this);
--- a/libs/net/src/details/ClientConnection.h
+++ b/libs/net/src/details/ClientConnection.h
@@ -13,13 +13,13 @@
 #include <net/CallResult.h>
 #include <net/HttpRequest.h>
 #include <net/MatchedBy.h>
+#include <net/Reactor.h>
 
 #include "details/MessageParser.h"
 #include "details/Output.h"
 #include "details/Socket.h"
 
 namespace net {
-class Reactor;
 struct HttpClientOptions;
 } // namespace net
 
@@ -63,7 +63,10 @@
     void closeConnection();
 
     /** Whether any byte of the latest request may have reached the server. */
-    bool hasSent() const { return state_ == State::AwaitingResponse; }
+    bool hasSent() const
+    {
+        return state_ == State::AwaitingResponse || state_ == State::AwaitingDelivery;
+    }
 
     /** Whether the connection is open and has no call in progress. */
     bool isIdle() const { return state_ == State::Idle; }
@@ -83,6 +86,7 @@
         Connecting,
         Idle,
         AwaitingResponse,
+        AwaitingDelivery, ///< the response has ended, but the server lacks a part of the request
         Closed,
     };
 
@@ -101,6 +105,7 @@
     bool skipResponse(bool isFinal);
     void completeResponse(bool hasExtraBytes);
     void handleEndOfStream();
+    void checkDelivery();
     void fail(FailureKind kind, const char *detail);
 
     Reactor &reactor_;
@@ -115,6 +120,7 @@
     ByteReservation reservation_; ///< request and the received part of its response
     std::string expectedEcho_;    ///< required value of the echoed field
     State state_;
+    TimerId deliveryTimer_ = 0;
     base::Millis usableUntil_;
     bool isHeadRequest_ = false;
     bool hasCompletedRequest_ = false;           ///< before the latest request
--- a/libs/net/src/details/Http2Connection.cpp
+++ b/libs/net/src/details/Http2Connection.cpp
@@ -152,7 +152,7 @@
 int Http2Connection::handle_output(ACE_HANDLE)
 {
     if (isConnecting_) {
-        if (hasConnectFailed(socket_)) {
+        if (takeError(socket_) != 0) {
             closeConnection();
             return 0;
         }
--- a/libs/net/src/details/ServerConnection.cpp
+++ b/libs/net/src/details/ServerConnection.cpp
@@ -5,12 +5,11 @@
 #include <cerrno>
 #include <utility>
 
-#include <linux/sockios.h>
 #include <net/Reactor.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "details/Body.h"
+#include "details/Socket.h"
 
 namespace net::details {
 
@@ -73,13 +72,6 @@
     return head;
 }
 
-/** Bytes written to the socket that its peer has not acknowledged; 0 if that is not known. */
-std::size_t undeliveredBytes(int socket)
-{
-    int bytes = 0;
-    return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
-}
-
 HttpResponse plainResponse(int status)
 {
     return {.status_ = status, .body_ = std::string(reasonPhrase(status)) + "\n"};
--- a/libs/net/src/details/Socket.cpp
+++ b/libs/net/src/details/Socket.cpp
@@ -3,8 +3,10 @@
 #include <cerrno>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -32,12 +34,18 @@
     return {};
 }
 
-bool hasConnectFailed(int socket)
+int takeError(int socket)
 {
-    int status = 0;
-    socklen_t size = sizeof(status);
-    ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &status, &size);
-    return status != 0;
+    int error = 0;
+    socklen_t size = sizeof(error);
+    ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size);
+    return error;
+}
+
+std::size_t undeliveredBytes(int socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
 } // namespace net::details
--- a/libs/net/src/details/Socket.h
+++ b/libs/net/src/details/Socket.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 #include <model/Address.h>
 
 namespace net::details {
@@ -14,7 +16,10 @@
 /** Connects without blocking, with dead peer detection. */
 OpenSocket openConnection(const model::Address &to);
 
-/** Whether the pending connect of the socket has failed. */
-bool hasConnectFailed(int socket);
+/** Takes the pending error of the socket, as of a failed connect or a reset; 0 if there is none. */
+int takeError(int socket);
+
+/** Bytes written to the socket that its peer has not acknowledged; 0 if that is not known. */
+std::size_t undeliveredBytes(int socket);
 
 } // namespace net::details
--- a/libs/net/tests/Http2Frame.h
+++ b/libs/net/tests/Http2Frame.h
@@ -37,4 +37,10 @@
                  "a");
 }
 
+/** HEADERS of a response on stream 1 with status 200 (HPACK static table). */
+inline std::string responseHead()
+{
+    return frame(headersFrame, endHeadersFlag, 1, "\x88");
+}
+
 } // namespace http2
--- a/libs/net/tests/NetTest.cpp
+++ b/libs/net/tests/NetTest.cpp
@@ -271,6 +271,56 @@
     EXPECT_EQ(result->error().kind_, FailureKind::Lost);
 }
 
+namespace {
+
+/** How a server ends a response without the end of its stream. */
+enum class EndOfResponse {
+    StreamReset, ///< without an error, as a server does that needs no more of the request
+    ConnectionClosed,
+    ConnectionReset,
+};
+
+/** Result of a long upload whose server sends a part of a response at once. */
+CallResult uploadWithPartialResponse(EndOfResponse end)
+{
+    constexpr std::size_t uploadBytes = 16 * 1024 * 1024;
+    net::Reactor reactor;
+    RawListener listener;
+    net::PeerClient client(reactor);
+    std::optional<CallResult> result;
+    client.send(listener.address(), {.method_ = "POST", .body_ = std::string(uploadBytes, 'x')},
+                callTimeout, [&result](CallResult ended) { result = std::move(ended); });
+    auto server = listener.accept(reactor);
+    server.receiveUntil(reactor, "PRI");
+    server.send(http2::frame(http2::settingsFrame, 0, 0, "") + http2::responseHead()
+                + http2::frame(http2::dataFrame, 0, 1, "part of the bo"));
+    switch (end) {
+    case EndOfResponse::StreamReset:
+        server.send(http2::frame(http2::rstStreamFrame, 0, 1, std::string(4, '\0')));
+        break;
+    case EndOfResponse::ConnectionClosed:
+        server.shutdownOutput();
+        break;
+    case EndOfResponse::ConnectionReset:
+        server.reset();
+        break;
+    }
+    runUntil(reactor, [&result] { return result.has_value(); });
+    return *result;
+}
+
+} // namespace
+
+TEST(PeerClient, responseWithoutEndOfStreamIsLostDuringAnUpload)
+{
+    for (const auto end : {EndOfResponse::StreamReset, EndOfResponse::ConnectionClosed,
+                           EndOfResponse::ConnectionReset}) {
+        const auto result = uploadWithPartialResponse(end);
+        ASSERT_FALSE(result) << result->body_;
+        EXPECT_EQ(result.error().kind_, FailureKind::Lost);
+    }
+}
+
 TEST(Reactor, canBeDestroyedWhileAWakeUpIsPending)
 {
     net::Reactor reactor;
