Reject responses with a folded field

What callers saw: a backend server sent a 200 without a length in whose head a line began with a blank or a tab. The caller got it as an answer, the line joined to the field before it; behind "Transfer-Encoding: chunked" the joined text became the coding. With the connection left open it was 504 after the whole deadline.

Cause: the library's parser still accepts the folded lines of RFC 2616, and joins them before it reports the field. A field whose name begins with a blank looks the same.

Change: the parser of responses rejects a field that continues on a second line, as RFC 9112 (5.2) allows a proxy, in heads, interim heads and trailers. Requests are read as before.

Why this works: the parser reports a field only after it has looked at the byte behind its line, so whether the line goes on can be read from the input, in whatever pieces it arrives.

--- a/libs/net/src/details/MessageParser.cpp
+++ b/libs/net/src/details/MessageParser.cpp
@@ -78,6 +78,7 @@
 
     Message message_;
     bool expectsContinue_ = false;
+    std::string_view input_; ///< bytes of the current put()
 
 protected:
     void on_request_impl(http::verb, BoostView method, BoostView target, int, error_code &) override
@@ -101,6 +102,10 @@
     void on_field_impl(http::field name, BoostView text, BoostView value,
                        error_code &error) override
     {
+        if (!isRequest && isFolded(viewOf(text))) {
+            error = http::error::bad_obs_fold;
+            return;
+        }
         // Trailers are not forwarded: their values were not available before the body.
         if (isHeaderDone_)
             return;
@@ -142,6 +147,18 @@
     void on_finish_impl(error_code &) override {}
 
 private:
+    /**
+     * Whether the field continues on a second line (RFC 9112, section 5.2). The parser joins the
+     * lines, but a line that begins with a space is more likely a damaged field of its own.
+     */
+    bool isFolded(std::string_view name) const
+    {
+        // The parser has looked at the byte behind the line before it reports a field.
+        const auto valueBegin = static_cast<std::size_t>(name.data() - input_.data()) + name.size();
+        const auto nextLine = input_.find('\n', valueBegin) + 1;
+        return input_[nextLine] == ' ' || input_[nextLine] == '\t';
+    }
+
     bool isHeaderDone_ = false;
 
     /** Limits the memory allocated for a Content-Length before its bytes are received. */
@@ -156,6 +173,7 @@
 {
     while (!bytes.empty() && !collector.is_done()) {
         error_code error;
+        collector.input_ = bytes;
         const auto consumed =
                 collector.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
         bytes.remove_prefix(consumed);
