Reject responses with a transfer coding other than chunked

What callers saw: a backend server sent a 200 with a Transfer-Encoding of gzip, "chunked, chunked" or nothing. The caller got 200 and a body that was not the backend server's, with the lines of the chunks in it; if the connection stayed open, 504 after the whole deadline. "gzip, chunked" gave 200 with a body that was neither decoded nor marked.

Cause: the library's parser takes a coding that it does not know as none, and reads the body up to the end of the connection. A list that ends in chunked it takes as chunked alone. The field is hop-by-hop, so the caller never saw it.

Change: the parser of responses rejects a Transfer-Encoding that is not exactly "chunked", or that is repeated.

Why this works: the client sends no TE field, so a server may apply no other coding (RFC 9112, 7.4), and a body in one that it applies nevertheless cannot be read.

--- a/libs/net/include/net/Header.h
+++ b/libs/net/include/net/Header.h
@@ -21,6 +21,9 @@
 /** Value of the first field of the given name, or an empty view. */
 std::string_view headerValue(const Headers &headers, std::string_view name);
 
+/** Whether there is a field of the given name, with or without a value. */
+bool hasHeader(const Headers &headers, std::string_view name);
+
 /** Whether two header names are equal, ignoring case. */
 bool equalsIgnoringCase(std::string_view a, std::string_view b);
 
--- a/libs/net/src/Header.cpp
+++ b/libs/net/src/Header.cpp
@@ -20,6 +20,13 @@
     return {};
 }
 
+bool hasHeader(const Headers &headers, std::string_view name)
+{
+    return std::any_of(headers.begin(), headers.end(), [name](const Header &header) {
+        return equalsIgnoringCase(header.name_, name);
+    });
+}
+
 Headers withoutHeader(Headers headers, std::string_view name)
 {
     std::erase_if(headers,
--- a/libs/net/src/details/MessageParser.cpp
+++ b/libs/net/src/details/MessageParser.cpp
@@ -117,6 +117,13 @@
             error = http::error::bad_value;
             return;
         }
+        // No request allows another coding (TE), and the parser would leave it in the body.
+        if (!isRequest && name == http::field::transfer_encoding
+            && (!equalsIgnoringCase(viewOf(value), "chunked")
+                || hasHeader(message_.headers_, "transfer-encoding"))) {
+            error = http::error::bad_transfer_encoding;
+            return;
+        }
         if (name == http::field::expect)
             expectsContinue_ = equalsIgnoringCase(viewOf(value), "100-continue");
         message_.headers_.push_back({std::string(viewOf(text)), std::string(viewOf(value))});
--- a/libs/net/tests/ResponseHeadTest.cpp
+++ b/libs/net/tests/ResponseHeadTest.cpp
@@ -23,7 +23,7 @@
                     + "\r\n\r\n"};
 }
 
-/** Responses whose head is not valid. */
+/** Responses whose head is not valid, or whose body is in a form that the client cannot read. */
 class ResponseHead : public HttpClientBytes
 {
 protected:
@@ -85,3 +85,28 @@
     expectMalformed("HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: chunked\r\n X-Odd: v\r\n\r\n"
                     + lastChunk + "\r\n");
 }
+
+TEST_F(ResponseHead, withATransferCodingOtherThanChunkedIsMalformed)
+{
+    for (const std::string coding : {"gzip", "identity", "chunked, gzip", "gzip, chunked",
+                                     "chunked, chunked", "", ",", "chunked;a=b", "\"chunked\""})
+        expectMalformed("HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: " + coding + "\r\n\r\n"
+                        + lastChunk + "\r\n");
+    for (const std::string coding : {"gzip", "chunked"})
+        expectMalformed("HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: " + coding
+                        + "\r\nTransfer-Encoding: chunked\r\n\r\n" + lastChunk + "\r\n");
+    expectMalformed("HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: gzip\r\n"
+                    "Content-Length: 3\r\n\r\nown");
+}
+
+TEST_F(ResponseHead, chunkedIsMatchedIgnoringCase)
+{
+    start();
+    const auto server = listener_.accept(reactor_);
+    server.receiveUntil(reactor_, "\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding:  Chunked \r\n\r\n" + lastChunk
+                + "\r\n");
+    const auto response = result();
+    ASSERT_TRUE(response) << response.error().detail_;
+    EXPECT_EQ(response->body_, "own");
+}
