Take a success with a content coding for a lost answer

What callers saw: a backend server of the platform sent a 200 with a Content-Encoding, and the caller got it as its answer. Callers of the platform request bodies without a coding, so such a body is not the backend server's.

Cause: an answer of a backend server was checked for its id, signature and mark of not having run, but not for the field.

Change: CallInterface::acceptsContentCoding_, false in the platform's interface. A success that has the field, with or without a value, then counts as a lost answer (502), as one without signature does. A failure keeps its status. On the product's own interface codings are handed on as before.

Why this works: all answers of backend servers pass backendResultOf(), so both the own and the delegated path are covered.

--- a/libs/dock/src/details/BackendExchange.cpp
+++ b/libs/dock/src/details/BackendExchange.cpp
@@ -120,9 +120,11 @@
     const bool lacksSignature =
             !interface.signatureField_.empty()
             && net::headerValue(result->headers_, interface.signatureField_).empty();
-    // A success without signature is not from the backend server, and one that is also marked as
-    // not run is contradictory: the request may have run.
-    if (isSuccess(*result) && (lacksSignature || isRefused))
+    const bool isEncoded = !interface.acceptsContentCoding_
+                           && net::hasHeader(result->headers_, "content-encoding");
+    // A success without signature or with a coding that nobody requested is not from the backend
+    // server, and one that is also marked as not run is contradictory: the request may have run.
+    if (isSuccess(*result) && (lacksSignature || isEncoded || isRefused))
         return {once::Unknown{once::Reason::AnswerLost}, admission::Outcome::Failed};
     return {once::Complete{answerOf(std::move(*result))}, admission::Outcome::Ok};
 }
--- a/libs/dock/tests/RoutedPathTest.cpp
+++ b/libs/dock/tests/RoutedPathTest.cpp
@@ -144,6 +144,18 @@
     EXPECT_LE(left, 1500);
 }
 
+TEST_F(RoutedPath, contentCodingIsHandedOnIfAccepted)
+{
+    serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
+        auto answer = conformingAnswer(request);
+        answer.headers_.push_back({"Content-Encoding", "t-coding"});
+        server.respond(id, answer);
+    });
+    const auto answer = call("GET", "/read/1");
+    EXPECT_EQ(answer.status_, 200);
+    EXPECT_EQ(net::headerValue(answer.headers_, "content-encoding"), "t-coding");
+}
+
 TEST_F(RoutedPath, noRouteIsNotFound)
 {
     serve([](net::HttpServer &server, net::ExchangeId id, const HttpRequest &request) {
