--- a/libs/dock/include/dock/CallInterface.h
+++ b/libs/dock/include/dock/CallInterface.h
@@ -44,8 +44,7 @@
      */
     std::string loadField_;
     std::string signatureField_; ///< in answers: present in each success of a backend server
-    /** Whether the body of a success may have a content coding, which the daemon does not decode.
-     */
+    /** Whether a success may have a Content-Encoding; its body is not decoded. */
     bool acceptsContentCoding_ = true;
     bool hasFractionalRetryAfter_ = false; ///< Retry-After may have decimals
     int lostAnswerStatus_ = 504;           ///< status if the answer is lost before the deadline
